--- /dev/null
+++ b/src/observability/logger.ts
@@ -0,0 +1,53 @@
+/** Structured logs: one line of key=value pairs for each event. */
+import process from 'node:process';
+import * as consola from 'consola';
+
+export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
+
+/** Values that a log field may take. */
+export type LogValue = string | number | boolean | undefined;
+
+/** Writes events; the name of an event is a constant in kebab-case. */
+export type Logger = {
+	error(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+	warn(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+	info(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+	debug(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+};
+
+const consolaLevels: Readonly<Record<LogLevel, number>> = {
+	error: 0, warn: 1, info: 3, debug: 4,
+};
+
+/** Creates a logger that writes to the given stream; fixed fields are repeated on each line. */
+export function createLogger(level: LogLevel, fixedFields: Readonly<Record<string, LogValue>> = {}, stream: NodeJS.WritableStream = process.stderr): Logger {
+	const instance = consola.createConsola({
+		level: consolaLevels[level],
+		throttle: 0,
+		reporters: [{
+			log(entry) {
+				stream.write(`time=${entry.date.toISOString()} level=${entry.type} ${entry.args.join(' ')}\n`);
+			},
+		}],
+	});
+	const fixed = formatFields(fixedFields);
+	const write = (type: LogLevel) => (event: string, fields: Readonly<Record<string, LogValue>> = {}) => {
+		instance[type](`event=${event}${fixed}${formatFields(fields)}`);
+	};
+
+	return {
+		error: write('error'), warn: write('warn'), info: write('info'), debug: write('debug'),
+	};
+}
+
+function formatFields(fields: Readonly<Record<string, LogValue>>): string {
+	return Object.entries(fields)
+		.filter(([, value]) => value !== undefined)
+		.map(([key, value]) => ` ${key}=${formatValue(value)}`)
+		.join('');
+}
+
+function formatValue(value: LogValue): string {
+	const text = String(value);
+	return /^[\w.:\/\-]+$/v.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/xo.config.ts
@@ -0,0 +1,48 @@
+import {type FlatXoConfig} from 'xo';
+
+/** Folders under src in the order of imports: a layer may import only from the layers after it. */
+const layers = ['programs', 'entry', 'peers', 'platform', 'observability', 'decisions'];
+
+/** Refuses imports from a layer into one that comes before it. */
+const layerRules: FlatXoConfig = layers.map((layer, index) => ({
+	files: [`src/${layer}/**/*.ts`],
+	rules: {
+		'no-restricted-imports': ['error', {
+			patterns: [{
+				group: [
+					...layers.slice(0, index).map(before => `**/${before}/**`),
+					'**/stand-ins/**',
+					'**/bench/**',
+				],
+				message: `src/${layer} may import only itself and ${layers.slice(index + 1).join(', ') || 'no other layer'}.`,
+			}],
+		}],
+	},
+}));
+
+const config: FlatXoConfig = [
+	{ignores: ['src/generated/**', 'dist/**', 'output/**']},
+	{
+		rules: {
+			'no-restricted-syntax': ['error', {
+				selector: 'ImportDeclaration[source.value=/^node:(?!process$)/] > ImportDefaultSpecifier',
+				message: 'Import node modules as a namespace: import * as http from \'node:http\'.',
+			}],
+			'unicorn/import-style': 'off',
+			'import-x/extensions': 'off',
+			'no-await-in-loop': 'off',
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {allowDefaultCaseForExhaustiveSwitch: true, requireDefaultForNonUnion: true}],
+		},
+	},
+	...layerRules,
+	{
+		files: ['src/decisions/**/*.ts'],
+		ignores: ['src/decisions/**/*.test.ts'],
+		rules: {
+			'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch', 'performance'],
+			'no-restricted-properties': ['error', {object: 'Date', property: 'now'}, {object: 'Math', property: 'random'}],
+		},
+	},
+];
+
+export default config;
