--- /dev/null
+++ b/src/decisions/routing/immediate-scheduler.ts
@@ -0,0 +1,149 @@
+/** The baseline policies: each call goes out at once and waits at the upstream. */
+import {assertNever} from '../assert-never.ts';
+import {type RandomSource} from '../random.ts';
+import {createRetryBudget} from '../retries/retry-budget.ts';
+import {isRetryable} from '../retries/retry-rule.ts';
+import {type ServiceView} from '../table/service-view.ts';
+import {
+	type SchedulerAction, type ServiceScheduler, type UpstreamDescription, type WaitingCall,
+} from './types.ts';
+
+export type ImmediateRule = 'round-robin' | 'random' | 'least-in-flight' | 'power-of-two-choices';
+
+export type ImmediateSchedulerOptions = {
+	readonly rule: ImmediateRule;
+	readonly view: ServiceView;
+	readonly upstreams: readonly UpstreamDescription[];
+	readonly random: RandomSource;
+};
+
+const noUpstreamRetryMilliseconds = 1000;
+
+/** Creates a scheduler that never holds a call back. */
+export function createImmediateScheduler(options: ImmediateSchedulerOptions): ServiceScheduler {
+	const {rule, random} = options;
+	const inFlight = new Map<string, number>();
+	let {view, upstreams} = options;
+	let usable = resolveUsable();
+	let turn = usable.length === 0 ? 0 : random.nextInteger(usable.length);
+	const budget = createRetryBudget(() => view.service.retryShare);
+
+	function resolveUsable(): readonly string[] {
+		return upstreams
+			.filter(upstream => upstream.state === 'live' && view.upstreams.get(upstream.name)?.weight !== 0)
+			.map(upstream => upstream.name);
+	}
+
+	function getInFlight(name: string): number {
+		return inFlight.get(name) ?? 0;
+	}
+
+	function chooseLeast(names: readonly string[]): string {
+		const start = random.nextInteger(names.length);
+		let best = names[start]!;
+		for (let step = 1; step < names.length; step++) {
+			const name = names[(start + step) % names.length]!;
+			if (getInFlight(name) < getInFlight(best)) {
+				best = name;
+			}
+		}
+
+		return best;
+	}
+
+	function choose(names: readonly string[]): string {
+		switch (rule) {
+			case 'round-robin': {
+				turn += 1;
+				return names[turn % names.length]!;
+			}
+
+			case 'random': {
+				return names[random.nextInteger(names.length)]!;
+			}
+
+			case 'least-in-flight': {
+				return chooseLeast(names);
+			}
+
+			case 'power-of-two-choices': {
+				return chooseLeast([
+					names[random.nextInteger(names.length)]!,
+					names[random.nextInteger(names.length)]!,
+				]);
+			}
+
+			default: {
+				return assertNever(rule);
+			}
+		}
+	}
+
+	function resolveCandidates(call: WaitingCall): readonly string[] {
+		if (call.triedUpstreams.length === 0) {
+			return usable;
+		}
+
+		const untried = usable.filter(name => !call.triedUpstreams.includes(name));
+		return untried.length === 0 ? usable : untried;
+	}
+
+	function decide(call: WaitingCall, now: number): SchedulerAction {
+		if (call.deadlineAt <= now) {
+			return {
+				kind: 'refuse', callId: call.id, reason: 'deadline-passed', retryAfterMilliseconds: 0,
+			};
+		}
+
+		const candidates = resolveCandidates(call);
+		if (candidates.length === 0) {
+			return {
+				kind: 'refuse', callId: call.id, reason: 'no-upstream', retryAfterMilliseconds: noUpstreamRetryMilliseconds,
+			};
+		}
+
+		const upstream = choose(candidates);
+		inFlight.set(upstream, getInFlight(upstream) + 1);
+		return {kind: 'dispatch', callId: call.id, upstream};
+	}
+
+	return {
+		offer(call, now) {
+			if (call.attempts === 0) {
+				budget.countFirstAttempt();
+			}
+
+			return [decide(call, now)];
+		},
+		finish(_callId, upstream) {
+			inFlight.set(upstream, Math.max(0, getInFlight(upstream) - 1));
+			return [];
+		},
+		withdraw() {
+			// Nothing waits.
+		},
+		tryChargeRetry: (call, result, now) => isRetryable(call, result, now) && budget.tryCharge(),
+		report: () => [],
+		setUpstreams(next) {
+			upstreams = next;
+			usable = resolveUsable();
+			return [];
+		},
+		setView(next) {
+			view = next;
+			usable = resolveUsable();
+			return [];
+		},
+		setFleet: () => [],
+		advance: () => [],
+		getNextAdvance: () => undefined,
+		getStatus: () => upstreams.map(upstream => ({
+			upstream: upstream.name,
+			state: upstream.state,
+			reason: 'membership',
+			inFlight: getInFlight(upstream.name),
+			slots: view.upstreams.get(upstream.name)?.slots ?? view.service.slotsPerUpstream,
+		})),
+		getWaiting: () => 0,
+	};
+}
