Add the peer port that services between entries share

Cause: membership and forwarding both talk between entries. Result: a call succeeds before and after its connection is discarded (2 tests).

--- /dev/null
+++ b/src/peers/peer-server.test.ts
@@ -0,0 +1,37 @@
+import * as connect from '@connectrpc/connect';
+import {create} from '@bufbuild/protobuf';
+import * as vitest from 'vitest';
+import {DigestSchema, MembershipService} from '../generated/membership_pb.ts';
+import {createPeerServer} from './peer-server.ts';
+import {createPeerTransports} from './peer-transports.ts';
+
+const {expect, test} = vitest;
+
+test('a call reaches the service on the peer port, also after its connection was discarded', async () => {
+	const opened = await createPeerServer({
+		host: '127.0.0.1',
+		port: 0,
+		routes: [router => {
+			router.service(MembershipService, {exchange: digest => create(DigestSchema, {tableVersion: digest.tableVersion + 1n})});
+		}],
+	});
+	const server = opened._unsafeUnwrap();
+	const address = `127.0.0.1:${server.port}`;
+	const transports = createPeerTransports();
+	const first = await connect.createClient(MembershipService, transports.get(address)).exchange({tableVersion: 4n});
+	expect(first.tableVersion).toBe(5n);
+	transports.discard(address);
+	const second = await connect.createClient(MembershipService, transports.get(address)).exchange({tableVersion: 8n});
+	expect(second.tableVersion).toBe(9n);
+	transports.close();
+	await server.close(100);
+});
+
+test('a port in use is reported', async () => {
+	const options = {host: '127.0.0.1', port: 0, routes: []};
+	const opened = await createPeerServer(options);
+	const server = opened._unsafeUnwrap();
+	const second = await createPeerServer({...options, port: server.port});
+	expect(second._unsafeUnwrapErr().kind).toBe('address-unavailable');
+	await server.close(100);
+});
--- /dev/null
+++ b/src/peers/peer-server.ts
@@ -0,0 +1,94 @@
+/** The HTTP/2 server on the peer port, which all services between entries share. */
+import * as http2 from 'node:http2';
+import {type ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {ResultAsync} from 'neverthrow';
+
+/** Adds the methods of one service to the peer port. */
+export type PeerRoutes = (router: ConnectRouter) => void;
+
+export type PeerServerOptions = {
+	readonly host: string;
+	/** 0 takes a free port. */
+	readonly port: number;
+	readonly routes: readonly PeerRoutes[];
+	/** Largest message that is read, in bytes. */
+	readonly readMaxBytes?: number;
+};
+
+/** The peer port couldn't be opened. */
+export type PeerServerError = {
+	readonly kind: 'address-unavailable';
+	readonly message: string;
+};
+
+export type PeerServer = {
+	/** Port that the server listens on. */
+	readonly port: number;
+	/** Stops listening, lets calls in flight end, and cuts off those that outlast the grace period. */
+	close(graceMilliseconds: number): Promise<void>;
+};
+
+const defaultReadMaxBytes = 16 * 1024 * 1024;
+
+/** Opens the peer port with the given services. */
+export function createPeerServer(options: PeerServerOptions): ResultAsync<PeerServer, PeerServerError> {
+	return ResultAsync.fromPromise(listen(options), error => ({
+		kind: 'address-unavailable' as const,
+		message: error instanceof Error ? error.message : String(error),
+	}));
+}
+
+async function listen(options: PeerServerOptions): Promise<PeerServer> {
+	const server = http2.createServer(connectNodeAdapter({
+		readMaxBytes: options.readMaxBytes ?? defaultReadMaxBytes,
+		routes(router) {
+			for (const addRoutes of options.routes) {
+				addRoutes(router);
+			}
+		},
+	}));
+	const sessions = trackSessions(server);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(options.port, options.host, resolve);
+	});
+	server.removeAllListeners('error');
+	server.on('error', () => undefined);
+	const address = server.address();
+	return {
+		port: typeof address === 'object' && address ? address.port : options.port,
+		close: async graceMilliseconds => closeServer(server, sessions, graceMilliseconds),
+	};
+}
+
+function trackSessions(server: http2.Http2Server): ReadonlySet<http2.ServerHttp2Session> {
+	const sessions = new Set<http2.ServerHttp2Session>();
+	server.on('session', session => {
+		sessions.add(session);
+		session.on('error', () => undefined);
+		session.once('close', () => {
+			sessions.delete(session);
+		});
+	});
+	return sessions;
+}
+
+async function closeServer(server: http2.Http2Server, sessions: ReadonlySet<http2.ServerHttp2Session>, graceMilliseconds: number): Promise<void> {
+	const closed = new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	for (const session of sessions) {
+		session.close();
+	}
+
+	const timer = setTimeout(() => {
+		for (const session of sessions) {
+			session.destroy();
+		}
+	}, graceMilliseconds);
+	await closed;
+	clearTimeout(timer);
+}
