--- /dev/null
+++ b/stand-ins/programs/upstreams.ts
@@ -0,0 +1,54 @@
+/** Runs one or more upstream stand-ins in one process and prints their addresses. */
+import process from 'node:process';
+import {cac} from 'cac';
+import {behaviorChangeSchema, createUpstream, type Upstream} from '../upstream.ts';
+
+type Flags = {
+	readonly prefix: string;
+	readonly count: number;
+	readonly slots: number;
+	readonly host: string;
+	readonly port: number;
+	readonly seed: number;
+	readonly oneWayMilliseconds: number;
+	readonly behavior: string;
+};
+
+const program = cac('stand-in-upstreams');
+program
+	.command('', 'Run upstream stand-ins')
+	.option('--prefix <name>', 'Names are PREFIX-1, PREFIX-2, …', {default: 'upstream'})
+	.option('--count <number>', 'Number of upstreams', {default: 1})
+	.option('--slots <number>', 'Calls that each runs at once', {default: 4})
+	.option('--host <address>', 'Address to listen on', {default: '127.0.0.1'})
+	.option('--port <number>', 'Port of the first; the others follow; 0 picks free ones', {default: 0})
+	.option('--seed <number>', 'Seed of the first', {default: 1})
+	.option('--one-way-milliseconds <number>', 'Network delay in each direction', {default: 0})
+	.option('--behavior <json>', 'Behavior as JSON', {default: '{}'})
+	.action(run);
+program.help();
+program.parse();
+
+async function run(flags: Flags): Promise<void> {
+	const behavior = behaviorChangeSchema.parse(JSON.parse(flags.behavior));
+	const upstreams: Upstream[] = [];
+	for (let index = 0; index < flags.count; index++) {
+		upstreams.push(await createUpstream({
+			name: `${flags.prefix}-${index + 1}`,
+			host: flags.host,
+			port: flags.port === 0 ? 0 : flags.port + index,
+			slots: flags.slots,
+			seed: flags.seed + index,
+			behavior,
+			oneWayMilliseconds: flags.oneWayMilliseconds,
+		}));
+	}
+
+	const addresses = upstreams.map(upstream => `${upstream.name}=${upstream.address}`);
+	process.stdout.write(`ready ${addresses.join(' ')}\n`);
+	process.once('SIGTERM', () => {
+		for (const upstream of upstreams) {
+			void upstream.close();
+		}
+	});
+}
