--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,193 @@
+/** Metrics of an entry in the Prometheus text format. Durations are seconds, as the name of each metric says. */
+import * as prometheus from 'prom-client';
+import {type Outcome} from '../decisions/outcomes/types.ts';
+import {type MeasurementObservation, type Observation} from '../decisions/review/observation.ts';
+import {type AttemptResult, type RefusalReason} from '../decisions/routing/types.ts';
+import {createGaugeWriter, type EntryGauges} from './entry-gauges.ts';
+
+const secondsPerMillisecond = 0.001;
+const callSeconds = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30];
+const queueSeconds = [0.0001, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
+
+/** Records one operation; resolved once and kept by the caller to save the look-up. */
+export type OperationMetrics = {
+	/** A call came in. */
+	startCall(): void;
+	/** A call ended; each started call ends exactly once. */
+	finishCall(observation: Observation): void;
+	/** A call ended that was refused, with the reason; goes before `finishCall`. */
+	recordRefusal(reason: RefusalReason): void;
+	/** One attempt at an upstream ended. */
+	recordAttempt(result: AttemptResult['kind']): void;
+};
+
+export type Metrics = {
+	/** Content type of `getText`. */
+	readonly contentType: string;
+	resolveOperation(service: string, operation: string): OperationMetrics;
+	/** Counts a request that measured an upstream. */
+	recordMeasurement(observation: MeasurementObservation): void;
+	/** Counts an append to or a read from a stream of the log. */
+	recordLogRequest(stream: string, kind: 'append' | 'read', result: 'ok' | 'refused' | 'lost' | 'invalid'): void;
+	/** Counts an exchange with another entry. */
+	recordExchange(result: 'ok' | 'failed'): void;
+	/** Sets where state is read from when the metrics are asked for. */
+	setGauges(read: () => EntryGauges): void;
+	getText(): Promise<string>;
+};
+
+/** Resolves the child of a metric once for each value of a label. */
+function createChildren<Key extends string, Child>(resolve: (key: Key) => Child): (key: Key) => Child {
+	const children = new Map<Key, Child>();
+	return key => {
+		const known = children.get(key);
+		if (known) {
+			return known;
+		}
+
+		const child = resolve(key);
+		children.set(key, child);
+		return child;
+	};
+}
+
+/** Creates the metrics of one process with a registry of their own. */
+export function createMetrics(): Metrics {
+	const registry = new prometheus.Registry();
+	const registers = [registry];
+	prometheus.collectDefaultMetrics({register: registry});
+	const calls = new prometheus.Counter({
+		name: 'fescuering_calls_total',
+		help: 'Calls that ended, by result and by the outcome told to the caller.',
+		labelNames: ['service', 'operation', 'result', 'outcome'] as const,
+		registers,
+	});
+	const callDuration = new prometheus.Histogram({
+		name: 'fescuering_call_duration_seconds',
+		help: 'Time from the first byte received to the last byte of the answer.',
+		labelNames: ['service', 'operation'] as const,
+		buckets: callSeconds,
+		registers,
+	});
+	const queueDuration = new prometheus.Histogram({
+		name: 'fescuering_call_queue_seconds',
+		help: 'Time that calls waited for a slot.',
+		labelNames: ['service', 'operation'] as const,
+		buckets: queueSeconds,
+		registers,
+	});
+	const behindLong = new prometheus.Counter({
+		name: 'fescuering_call_behind_long_seconds_total',
+		help: 'Time that short calls waited while long work held all usable slots.',
+		labelNames: ['service', 'operation'] as const,
+		registers,
+	});
+	const inFlight = new prometheus.Gauge({
+		name: 'fescuering_calls_in_flight',
+		help: 'Calls that came in and have not ended.',
+		labelNames: ['service', 'operation'] as const,
+		registers,
+	});
+	const attempts = new prometheus.Counter({
+		name: 'fescuering_upstream_attempts_total',
+		help: 'Attempts at upstreams that ended, by result.',
+		labelNames: ['service', 'operation', 'result'] as const,
+		registers,
+	});
+	const refusals = new prometheus.Counter({
+		name: 'fescuering_refusals_total',
+		help: 'Calls refused before they went out, by reason.',
+		labelNames: ['service', 'operation', 'reason'] as const,
+		registers,
+	});
+	const measurements = new prometheus.Counter({
+		name: 'fescuering_measurement_requests_total',
+		help: 'Requests sent to upstreams to measure them, by kind.',
+		labelNames: ['service', 'kind'] as const,
+		registers,
+	});
+	const logRequests = new prometheus.Counter({
+		name: 'fescuering_log_requests_total',
+		help: 'Requests to the log service, by stream, kind and result.',
+		labelNames: ['stream', 'kind', 'result'] as const,
+		registers,
+	});
+	const exchanges = new prometheus.Counter({
+		name: 'fescuering_member_exchanges_total',
+		help: 'Exchanges with other entries, by result.',
+		labelNames: ['result'] as const,
+		registers,
+	});
+	const writeGauges = createGaugeWriter(registry);
+	let readGauges: (() => EntryGauges) | undefined;
+
+	function createOperation(service: string, operation: string): OperationMetrics {
+		const labels = {service, operation};
+		const duration = callDuration.labels(labels);
+		const queued = queueDuration.labels(labels);
+		const behind = behindLong.labels(labels);
+		const running = inFlight.labels(labels);
+		const ended = createChildren((result: Observation['result']) =>
+			createChildren((outcome: Outcome) => calls.labels({...labels, result, outcome})));
+		const refused = createChildren((reason: RefusalReason) => refusals.labels({...labels, reason}));
+		const attempted = createChildren((result: AttemptResult['kind']) => attempts.labels({...labels, result}));
+		return {
+			startCall() {
+				running.inc();
+			},
+			finishCall(observation) {
+				running.dec();
+				ended(observation.result)(observation.outcome).inc();
+				duration.observe(observation.totalMilliseconds * secondsPerMillisecond);
+				if (observation.result !== 'refused') {
+					queued.observe(observation.queuedMilliseconds * secondsPerMillisecond);
+				}
+
+				if (observation.behindLongMilliseconds > 0) {
+					behind.inc(observation.behindLongMilliseconds * secondsPerMillisecond);
+				}
+			},
+			recordRefusal(reason) {
+				refused(reason).inc();
+			},
+			recordAttempt(result) {
+				attempted(result).inc();
+			},
+		};
+	}
+
+	const operations = new Map<string, OperationMetrics>();
+	return {
+		contentType: registry.contentType,
+		resolveOperation(service, operation) {
+			const key = `${service} ${operation}`;
+			const known = operations.get(key);
+			if (known) {
+				return known;
+			}
+
+			const created = createOperation(service, operation);
+			operations.set(key, created);
+			return created;
+		},
+		recordMeasurement(observation) {
+			measurements.inc({service: observation.service, kind: observation.kind});
+		},
+		recordLogRequest(stream, kind, result) {
+			logRequests.inc({stream, kind, result});
+		},
+		recordExchange(result) {
+			exchanges.inc({result});
+		},
+		setGauges(read) {
+			readGauges = read;
+		},
+		async getText() {
+			if (readGauges) {
+				writeGauges(readGauges());
+			}
+
+			return registry.metrics();
+		},
+	};
+}
