Decide outcomes in one place and keep keys that never run twice

Cause: a repeat of a non-idempotent call must not run again, and not-run must be true of the operation.

--- /dev/null
+++ b/src/decisions/outcomes/key-table.test.ts
@@ -0,0 +1,84 @@
+import * as fc from 'fast-check';
+import * as vitest from 'vitest';
+import {createKeyPrefix, getIssueBucket, tryParseIdempotencyKey} from './idempotency-key.ts';
+import {createKeyTable} from './key-table.ts';
+
+const {expect, test} = vitest;
+
+test('a prefix and a random part make a bound key', () => {
+	const key = tryParseIdempotencyKey(`${createKeyPrefix('a1b2', 1_700_000_000_000)}.r-1`);
+	expect(key).toMatchObject({kind: 'bound', incarnation: 'a1b2', bucket: getIssueBucket(1_700_000_000_000)});
+	expect(tryParseIdempotencyKey('"7f9c-plain.key"')).toEqual({kind: 'caller-made', text: '7f9c-plain.key'});
+	expect(tryParseIdempotencyKey('')).toBeUndefined();
+	expect(tryParseIdempotencyKey('a\nb')).toBeUndefined();
+});
+
+type Step
+	= | {readonly kind: 'call'; readonly index: number; readonly bucket: number}
+		| {readonly kind: 'finish'; readonly index: number; readonly bucket: number; readonly size: number}
+		| {readonly kind: 'clock'; readonly by: number};
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+	fc.record({kind: fc.constant('call'), index: fc.nat(6), bucket: fc.nat(30)}),
+	fc.record({
+		kind: fc.constant('finish'), index: fc.nat(6), bucket: fc.nat(30), size: fc.nat(400),
+	}),
+	fc.record({kind: fc.constant('clock'), by: fc.integer({min: -3, max: 4})}),
+);
+
+test('no sequence of calls, evictions and clock steps starts a key twice, and the bytes stay bounded', () => {
+	fc.assert(fc.property(fc.array(step, {maxLength: 120}), steps => {
+		const table = createKeyTable({maximumBytes: 900, lifetimeBuckets: 4, futureBuckets: 2});
+		const starts = new Map<string, number>();
+		const open = new Set<string>();
+		let nowBucket = 5;
+		for (const item of steps) {
+			if (item.kind === 'clock') {
+				nowBucket = Math.max(0, nowBucket + item.by);
+				table.expire(nowBucket);
+				continue;
+			}
+
+			const key = `${item.bucket}/${item.index}`;
+			if (item.kind === 'call' && table.begin(key, item.bucket, nowBucket).kind === 'started') {
+				starts.set(key, (starts.get(key) ?? 0) + 1);
+				open.add(key);
+			}
+
+			if (item.kind === 'finish' && open.delete(key)) {
+				table.finish(key, 'ran', {statusCode: 200, headers: [], body: new Uint8Array(item.size)});
+			}
+
+			const openBytes = open.size * 200;
+			expect(table.getSize().bytes).toBeLessThanOrEqual(900 + openBytes);
+		}
+
+		expect([...starts.values()].every(count => count === 1)).toBe(true);
+	}), {seed: 12, numRuns: 400});
+});
+
+test('a repeat waits, then gets the same outcome and answer; a dispatched key is not dispatched again', () => {
+	const table = createKeyTable({maximumBytes: 10_000, lifetimeBuckets: 4, futureBuckets: 2});
+	const answer = {statusCode: 201, headers: [], body: new Uint8Array([1, 2])};
+	expect(table.begin('k', 5, 5)).toEqual({kind: 'started'});
+	expect(table.begin('k', 5, 5)).toEqual({kind: 'in-flight'});
+	table.markDispatched('k');
+	expect(() => {
+		table.markDispatched('k');
+	}).toThrow('once only');
+	expect(() => {
+		table.release('k');
+	}).toThrow('claimed keys only');
+	table.finish('k', 'ran', answer);
+	expect(table.begin('k', 5, 5)).toEqual({kind: 'finished', outcome: 'ran', answer});
+	table.expire(9);
+	expect(table.begin('k', 5, 9)).toEqual({kind: 'expired'});
+});
+
+test('keys that have not ended are handed on as unknown', () => {
+	const table = createKeyTable({maximumBytes: 10_000, lifetimeBuckets: 4, futureBuckets: 2});
+	table.begin('open', 5, 5);
+	table.begin('done', 5, 5);
+	table.finish('done', 'not-run', undefined);
+	expect(table.getRecords()).toEqual([{key: 'open', outcome: 'unknown'}, {key: 'done', outcome: 'not-run'}]);
+});
