Claim keys in the log and forward calls to the owner of their key

Cause: a repeat may reach any entry, and only one incarnation may dispatch a key. Change: a claim log with group commit that decides by reading back; a forwarding service and client; the claim stage over both; a leaver's key table goes to the log or to a peer. A call to an entry that is gone is not-run when the caller states that it is its first and it was never sent, so the property's list moved it.

--- a/src/decisions/outcomes/claim-fold.ts
+++ b/src/decisions/outcomes/claim-fold.ts
@@ -68,6 +68,8 @@
 export type ClaimFold = {
 	/** Takes the next record; returns the decisions on its claims. */
 	apply(record: ClaimRecord, position: RecordPosition): readonly ClaimDecision[];
+	/** Takes a part of a key table that a peer sent without the log, at a time in milliseconds since the epoch. */
+	takeHandover(record: HandoverRecord, receivedAt: number): void;
 	/** Notes that records before the next one were missed. */
 	noteGap(): void;
 	getClaim(key: string): ClaimStatus | undefined;
@@ -173,6 +175,9 @@
 			applyOutcomes(record.incarnation, record.outcomes);
 			return decisions;
 		},
+		takeHandover(record, receivedAt) {
+			applyHandover(record, receivedAt);
+		},
 		noteGap() {
 			hasGap = true;
 		},
--- a/src/decisions/outcomes/resolve-outcome.test.ts
+++ b/src/decisions/outcomes/resolve-outcome.test.ts
@@ -9,7 +9,7 @@
 	{kind: 'written-whole'},
 	{kind: 'answered-in-part'},
 	{kind: 'owner-silent'},
-	{kind: 'owner-gone'},
+	{kind: 'in-flight'},
 	{kind: 'key-expired'},
 	{kind: 'log-gap'},
 ];
@@ -19,6 +19,7 @@
 	{kind: 'never-connected'},
 	{kind: 'refused-by-upstream'},
 	{kind: 'owner-not-connected'},
+	{kind: 'owner-gone'},
 ];
 const settled: readonly KeyHistory[] = [{kind: 'keyless'}, {kind: 'first-use'}, {kind: 'declared-first'}];
 
--- a/src/decisions/outcomes/resolve-outcome.ts
+++ b/src/decisions/outcomes/resolve-outcome.ts
@@ -25,8 +25,10 @@
 		| {readonly kind: 'owner-not-connected'}
 	/** Sent to the entry that owns the key, which did not answer. */
 		| {readonly kind: 'owner-silent'}
-	/** The incarnation that owns the key is not a member and left no record of the key. */
+	/** Not sent to the entry that owns the key, since it is not a member; it left no record of the key. */
 		| {readonly kind: 'owner-gone'}
+	/** Another call with the key has not ended within this one's time. */
+		| {readonly kind: 'in-flight'}
 		| {readonly kind: 'key-expired'}
 	/** Claims expired before this entry read them. */
 		| {readonly kind: 'log-gap'}
@@ -51,7 +53,8 @@
 		case 'claim-undecided':
 		case 'never-connected':
 		case 'refused-by-upstream':
-		case 'owner-not-connected': {
+		case 'owner-not-connected':
+		case 'owner-gone': {
 			return hasNoEarlierRun(history) ? 'not-run' : 'unknown';
 		}
 
@@ -59,7 +62,7 @@
 		case 'written-whole':
 		case 'answered-in-part':
 		case 'owner-silent':
-		case 'owner-gone':
+		case 'in-flight':
 		case 'key-expired':
 		case 'log-gap': {
 			return 'unknown';
--- /dev/null
+++ b/src/peers/forwarding-service.ts
@@ -0,0 +1,59 @@
+/** Answers other entries' calls about keys that this incarnation owns. */
+import * as protobuf from '@bufbuild/protobuf';
+import * as connect from '@connectrpc/connect';
+import {claimRecordSchema} from '../decisions/outcomes/claim-fold.ts';
+import {
+	type ForwardRequest, ForwardResponseSchema, ForwardingService, type HandOverRequest, HandOverResponseSchema,
+} from '../generated/forwarding_pb.ts';
+import {type ForwardingHost} from './forwarding-types.ts';
+import {type PeerRoutes} from './peer-server.ts';
+
+/** Creates the methods of the forwarding service for the peer port. */
+export function createForwardingRoutes(host: ForwardingHost): PeerRoutes {
+	return router => {
+		router.service(ForwardingService, {
+			forward: async request => forward(request, host),
+			handOver(request) {
+				host.takeHandover(parseHandover(request));
+				return protobuf.create(HandOverResponseSchema);
+			},
+		});
+	};
+}
+
+async function forward(request: ForwardRequest, host: ForwardingHost) {
+	if (request.incarnation !== host.incarnation) {
+		return protobuf.create(ForwardResponseSchema, {isOtherIncarnation: true});
+	}
+
+	const answer = await host.run({
+		incarnation: request.incarnation,
+		method: request.method,
+		path: request.path,
+		headers: request.headers.map(({name, value}) => [name, value]),
+		body: request.body,
+		timeoutMilliseconds: request.timeoutMilliseconds,
+		isLookup: request.lookupOnly,
+	});
+	return protobuf.create(ForwardResponseSchema, {
+		statusCode: answer.statusCode,
+		headers: answer.headers.map(([name, value]) => ({name, value})),
+		body: answer.body,
+	});
+}
+
+function parseHandover(request: HandOverRequest) {
+	const record = claimRecordSchema.safeParse({
+		kind: 'handover',
+		incarnation: request.incarnation,
+		part: request.part,
+		parts: request.parts,
+		horizon: Number(request.horizon),
+		keys: request.keys.map(({key, outcome}) => ({key, outcome})),
+	});
+	if (!record.success || record.data.kind !== 'handover') {
+		throw new connect.ConnectError('The key table is malformed. Send outcomes ran, not-run or unknown.', connect.Code.InvalidArgument);
+	}
+
+	return record.data;
+}
--- /dev/null
+++ b/test/claims.test.ts
@@ -0,0 +1,182 @@
+import * as crypto from 'node:crypto';
+import * as vitest from 'vitest';
+import {createKeyPrefix} from '../src/decisions/outcomes/idempotency-key.ts';
+import {createClaimStage} from '../src/entry/claim.ts';
+import {type ClaimDecision, type KeyedCall} from '../src/entry/claim-types.ts';
+import {createForwardingClient} from '../src/peers/forwarding-client.ts';
+import {createForwardingRoutes} from '../src/peers/forwarding-service.ts';
+import {createPeerServer} from '../src/peers/peer-server.ts';
+import {createClaimLog} from '../src/platform/claim-log.ts';
+import {createHttpLog} from '../src/platform/http-log.ts';
+import {createLogService, type LogService} from '../stand-ins/log-service.ts';
+
+const {expect, test} = vitest;
+
+function now(): number {
+	return performance.now();
+}
+
+function createLog(service: LogService, incarnation: string) {
+	return createClaimLog({
+		incarnation, windowMilliseconds: 600_000, maximumClaims: 10_000, getAppendsPerSecond: () => 100,
+	}, {
+		log: createHttpLog(service.url), createId: crypto.randomUUID, now, wallNow: Date.now,
+	});
+}
+
+async function createNode(service: LogService, incarnation: string, addresses: Map<string, string>) {
+	const claimLog = createLog(service, incarnation);
+	const forwarding = createForwardingClient();
+	const stage = createClaimStage({incarnation, maximumBytes: 100_000, keyLifetimeMilliseconds: 600_000}, {
+		claimLog, forwarding, now, wallNow: Date.now, getPeerAddress: name => addresses.get(name),
+	});
+	const runs = new Map<string, number>();
+
+	/** Runs a call in the manner of the pipeline, with an answer that holds the key. */
+	const run = async (key: string, decision: ClaimDecision): Promise<string> => {
+		if (decision.kind === 'relay') {
+			return new TextDecoder().decode(decision.answer.body);
+		}
+
+		if (decision.kind === 'settled') {
+			const {answer, outcome, evidence} = decision.settled;
+			return answer ? new TextDecoder().decode(answer.body) : `${outcome} ${evidence.kind}`;
+		}
+
+		decision.ticket.markDispatched();
+		runs.set(key, (runs.get(key) ?? 0) + 1);
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		const body = new TextEncoder().encode(`answer to ${key}`);
+		decision.ticket.finish({kind: 'answered-whole'}, {statusCode: 200, headers: [], body});
+		return `answer to ${key}`;
+	};
+
+	const call = async (key: KeyedCall['key'], isDeclaredFirst = false, timeoutMilliseconds = 2000) => run(key.text, await stage.take({
+		key, isDeclaredFirst, deadlineAt: now() + timeoutMilliseconds,
+		readCall: async () => ({
+			method: 'POST', path: '/', headers: [['idempotency-key', key.text]], body: new Uint8Array(),
+		}),
+	}));
+
+	const opened = await createPeerServer({
+		host: '127.0.0.1',
+		port: 0,
+		routes: [createForwardingRoutes({
+			incarnation,
+			takeHandover: claimLog.takeHandover,
+			async run(forwarded) {
+				const text = forwarded.headers[0]![1];
+				const bucket = Number.parseInt(/~(?<bucket>\w+)\./v.exec(text)?.groups?.bucket ?? '0', 36);
+				const lookedUp = forwarded.isLookup ? await stage.lookUp(text, now() + forwarded.timeoutMilliseconds) : undefined;
+				const body = lookedUp
+					? await run(text, {kind: 'settled', settled: lookedUp})
+					: await call({
+						kind: 'bound', text, incarnation, bucket,
+					});
+				return {statusCode: 200, headers: [], body: new TextEncoder().encode(body)};
+			},
+		})],
+	});
+	const server = opened._unsafeUnwrap();
+	addresses.set(incarnation, `127.0.0.1:${server.port}`);
+	return {
+		stage, claimLog, forwarding, runs, call,
+		async close() {
+			addresses.delete(incarnation);
+			forwarding.close();
+			await claimLog.stop();
+			await server.close(50);
+		},
+	};
+}
+
+function createBoundKey(incarnation: string, random: string): KeyedCall['key'] {
+	const prefix = createKeyPrefix(incarnation, Date.now());
+	return {
+		kind: 'bound', text: `${prefix}.${random}`, incarnation, bucket: Number.parseInt(prefix.split('~')[1]!, 36),
+	};
+}
+
+function createCallerKey(text: string): KeyedCall['key'] {
+	return {kind: 'caller-made', text};
+}
+
+test('racing claims have one winner each while every other append answer is lost', async () => {
+	const service = await createLogService({faults: {lostAnswerShare: 0.5, seed: 5}});
+	const addresses = new Map<string, string>();
+	const nodes = [await createNode(service, 'a', addresses), await createNode(service, 'b', addresses)];
+	const keys = Array.from({length: 60}, (_key, index) => createCallerKey(`key-${index}`));
+	const answers = await Promise.all(keys.flatMap(key => nodes.map(async node => node.call(key, true))));
+	expect(answers).toEqual(keys.flatMap(key => nodes.map(() => `answer to ${key.text}`)));
+	const runs = nodes.flatMap(node => [...node.runs.values()]);
+	expect(runs).toEqual(Array.from({length: 60}, () => 1));
+	await Promise.all(nodes.map(async node => node.close()));
+	await service.close();
+});
+
+test('a log that is down refuses truthfully, and a claim that was given up never runs', async () => {
+	const service = await createLogService({faults: {down: true}});
+	const node = await createNode(service, 'a', new Map());
+	expect(await node.call(createCallerKey('first'), true, 200)).toBe('not-run claim-undecided');
+	expect(await node.call(createCallerKey('repeat'), false, 200)).toBe('unknown claim-undecided');
+	service.setFaults({down: false, appendDelayMilliseconds: 400});
+	expect(await node.call(createCallerKey('slow'), true, 300)).toBe('not-run claim-undecided');
+	await vitest.vi.waitUntil(() => node.claimLog.getClaim('slow')?.outcome === 'not-run', {timeout: 10_000});
+	expect(await node.call(createCallerKey('slow'))).toBe('not-run recorded');
+	expect(node.runs.size).toBe(0);
+	await node.close();
+	await service.close();
+});
+
+test('another entry forwards a bound key to its owner; a dead owner leaves it unknown, a left one the truth', async () => {
+	const service = await createLogService();
+	const addresses = new Map<string, string>();
+	const [owner, other, killed] = [await createNode(service, 'a', addresses), await createNode(service, 'b', addresses), await createNode(service, 'c', addresses)];
+	const key = createBoundKey('a', 'one');
+	expect(await Promise.all([other.call(key), owner.call(key), other.call(key)])).toEqual(Array.from({length: 3}, () => `answer to ${key.text}`));
+	expect([...owner.runs, ...other.runs]).toEqual([[key.text, 1]]);
+
+	const lostKey = createBoundKey('c', 'two');
+	await killed.call(lostKey);
+	await killed.close();
+	expect(await other.call(lostKey)).toBe('unknown owner-gone');
+
+	expect(await owner.claimLog.handOver(owner.stage.seal(), 2000)).toBe(true);
+	expect(await owner.call(createBoundKey('a', 'late'))).toBe('not-run refused-before-dispatch');
+	await owner.close();
+	expect(await other.call(key)).toBe('ran recorded');
+	expect(await other.call(createBoundKey('a', 'three'))).toBe('not-run refused-before-dispatch');
+	expect(owner.runs.size + other.runs.size).toBe(1);
+	await other.close();
+	await service.close();
+});
+
+test('a leaver hands its key table to a peer while the log is down', async () => {
+	const service = await createLogService({faults: {down: true}});
+	const addresses = new Map<string, string>();
+	const [owner, other] = [await createNode(service, 'a', addresses), await createNode(service, 'b', addresses)];
+	const key = createBoundKey('a', 'one');
+	await owner.call(key);
+	expect(await owner.forwarding.handOver(addresses.get('b')!, owner.stage.seal(), 1000)).toBe(true);
+	await owner.close();
+	expect(await other.call(key)).toBe('ran recorded');
+	await other.close();
+	await service.close();
+});
+
+test('a reader that fell behind retention leaves claims undecided', async () => {
+	const service = await createLogService();
+	const node = await createNode(service, 'a', new Map());
+	expect(await node.call(createCallerKey('before'))).toBe('answer to before');
+	service.setFaults({readDelayMilliseconds: 300});
+	const log = createHttpLog(service.url);
+	await log.append('claims', 'x', {kind: 'unreadable'}, 1000);
+	service.expire('claims', 1000);
+	service.setFaults({readDelayMilliseconds: 0});
+	expect(await node.call(createCallerKey('after'))).toBe('unknown log-gap');
+	expect(node.runs.has('after')).toBe(false);
+	await node.close();
+	await service.close();
+});
