--- a/src/entry/table-reader.ts
+++ b/src/entry/table-reader.ts
@@ -15,6 +15,7 @@
 import {createSnapshotSchedule} from '../decisions/table/snapshot-schedule.ts';
 import {createSnapshot, hashTable} from '../decisions/table/snapshot.ts';
 import {type Logger} from '../observability/logger.ts';
+import {createBackoff} from '../platform/backoff.ts';
 import {type LogHost, type LogPage} from '../platform/types.ts';
 
 /** The world outside of the reader. */
@@ -74,8 +75,7 @@
 const defaultRecordsPerRead = 200;
 const defaultWaitMilliseconds = 2000;
 const defaultTimeoutMilliseconds = 1000;
-const firstBackoffMilliseconds = 50;
-const maximumBackoffMilliseconds = 1000;
+const readBackoff = {firstMilliseconds: 50, maximumMilliseconds: 1000};
 const emptyPagePauseMilliseconds = 10;
 
 /** Creates a reader; call `start` to begin. */
@@ -152,7 +152,7 @@
 		failedReads++;
 		host.logger.debug('table-read-failed', {kind: result.error.kind, message: result.error.message});
 		enterState({type: 'read-failed'});
-		scheduleRead(createBackoff(failedReads, host.random()));
+		scheduleRead(createBackoff(readBackoff, failedReads, host.random()));
 	};
 
 	/** A reader behind retention does not wait at the log, so it pauses between its reads. */
@@ -223,11 +223,6 @@
 	};
 }
 
-function createBackoff(failures: number, random: number): number {
-	const longest = Math.min(maximumBackoffMilliseconds, firstBackoffMilliseconds * (2 ** (failures - 1)));
-	return longest * (0.5 + (random / 2));
-}
-
 function logEvent(logger: Logger, event: FollowEvent): void {
 	switch (event.kind) {
 		case 'passed': {
