--- a/src/decisions/diagnostics.ts
+++ b/src/decisions/diagnostics.ts
@@ -29,6 +29,7 @@
 	settingsAddressUnavailable: {code: 'FES1005', category: 'settings', message: 'Can\'t listen on {0} ({1}). Choose a free port or an address of this instance.'},
 	settingsUnlistedFailureDomain: {code: 'FES1006', category: 'settings', message: 'The failure domain "{0}" is not listed in "failureDomains" ({1}). Add it there or correct "failureDomain".'},
 	settingsOptionMissing: {code: 'FES1007', category: 'settings', message: 'The option {0} is missing. Run the program with --help for its usage.'},
+	commandLineInvalid: {code: 'FES1008', category: 'settings', message: '{0}. Run the program with --help for its usage.'},
 } as const satisfies Record<string, DiagnosticMessage>;
 
 /** Fills in the placeholders of a diagnostic message. */
--- a/src/decisions/routing/types.ts
+++ b/src/decisions/routing/types.ts
@@ -63,13 +63,19 @@
 		| 'leaving';
 
 export type SchedulerAction
-	= | {readonly kind: 'dispatch'; readonly callId: number; readonly upstream: string}
-		| {
-			readonly kind: 'refuse';
-			readonly callId: number;
-			readonly reason: RefusalReason;
-			readonly retryAfterMilliseconds: number;
-		};
+	= | {
+		readonly kind: 'dispatch';
+		readonly callId: number;
+		readonly upstream: string;
+		/** Part of the waiting time in which long work held all slots that a short call could use; 0 for long calls. */
+		readonly behindLongMilliseconds?: number;
+	}
+	| {
+		readonly kind: 'refuse';
+		readonly callId: number;
+		readonly reason: RefusalReason;
+		readonly retryAfterMilliseconds: number;
+	};
 
 /** How one attempt at an upstream ended. */
 export type AttemptResult
--- /dev/null
+++ b/stand-ins/processes.ts
@@ -0,0 +1,77 @@
+/** Starts the built programs as processes of their own and ends them by their process id. */
+import * as childProcess from 'node:child_process';
+import * as path from 'node:path';
+import process from 'node:process';
+
+export type RunningProgram = {
+	readonly processId: number;
+	/** Line that the program printed when it was ready. */
+	readonly readyLine: string;
+	/** Resolves to the exit code when the program has ended; undefined when a signal ended it. */
+	readonly exited: Promise<number | undefined>;
+	/** Everything that the program wrote to its error stream. */
+	getLog(): string;
+	signal(signal: NodeJS.Signals): void;
+	/** Ends the program and resolves to its exit code; undefined when a signal ended it. */
+	stop(signal?: NodeJS.Signals): Promise<number | undefined>;
+};
+
+const logLimitCharacters = 4_000_000;
+
+/** Starts `dist/NAME.mjs` and resolves when it prints its `ready` line. */
+export async function startProgram(name: string, ...programArguments: readonly string[]): Promise<RunningProgram> {
+	const file = path.resolve('dist', `${name}.mjs`);
+	const child = childProcess.spawn(process.execPath, [file, ...programArguments], {stdio: ['ignore', 'pipe', 'pipe']});
+	let log = '';
+	let output = '';
+	let isReady = false;
+	const exited = new Promise<number | undefined>(resolve => {
+		child.once('exit', code => {
+			resolve(code ?? undefined);
+		});
+	});
+	child.stderr.on('data', (chunk: Uint8Array) => {
+		if (log.length < logLimitCharacters) {
+			log += String(chunk);
+		}
+	});
+	const readyLine = await new Promise<string>((resolve, reject) => {
+		child.stdout.on('data', (chunk: Uint8Array) => {
+			if (isReady) {
+				return;
+			}
+
+			output += String(chunk);
+			const line = output.split('\n').find(candidate => candidate.startsWith('ready'));
+			if (line !== undefined && output.includes(`${line}\n`)) {
+				isReady = true;
+				resolve(line);
+			}
+		});
+		void exited.then(code => {
+			reject(new Error(`${name} ended with code ${code} before it was ready: ${log}`));
+		});
+	});
+
+	return {
+		processId: child.pid!,
+		readyLine,
+		getLog: () => log,
+		signal(signal) {
+			child.kill(signal);
+		},
+		async stop(signal = 'SIGTERM') {
+			child.kill(signal);
+			return exited;
+		},
+		exited,
+	};
+}
+
+/** Reads `key=value` pairs of a ready line. */
+export function getReadyValues(readyLine: string): ReadonlyMap<string, string> {
+	return new Map(readyLine.split(' ').slice(1).map(pair => {
+		const index = pair.indexOf('=');
+		return [pair.slice(0, index), pair.slice(index + 1)];
+	}));
+}
