--- a/src/decisions/membership/digest.ts
+++ b/src/decisions/membership/digest.ts
@@ -11,7 +11,7 @@
 
 export type DigestContent = {
 	readonly isJoining: boolean;
-	readonly tableVersion: number;
+	readonly tablePosition: number;
 	/** Freshest first. */
 	readonly reports: readonly PeerReport[];
 	readonly random: RandomSource;
@@ -37,7 +37,7 @@
 		digest: {
 			sender: membership.self,
 			isJoining: content.isJoining,
-			tableVersion: content.tableVersion,
+			tablePosition: content.tablePosition,
 			members: records.map(member => member.record),
 			heartbeats: heartbeats.map(({record}) => ({incarnation: record.incarnation, heartbeat: record.heartbeat})),
 			wanted: [...membership.wanted].slice(0, wantedPerDigest),
--- a/src/decisions/membership/membership.test.ts
+++ b/src/decisions/membership/membership.test.ts
@@ -39,7 +39,7 @@
 
 function createTestDigest(members: readonly MemberRecord[], drains: readonly DrainRecord[] = []): Digest {
 	return {
-		sender: 'x', isJoining: false, tableVersion: 0, members, heartbeats: [], wanted: [], drains, reports: [],
+		sender: 'x', isJoining: false, tablePosition: 0, members, heartbeats: [], wanted: [], drains, reports: [],
 	};
 }
 
@@ -189,7 +189,7 @@
 
 	function createSized(membership: Membership, answered?: Digest) {
 		const created = createDigest(membership, {
-			isJoining: now <= joiningExchangeCount * exchangeIntervalMilliseconds, tableVersion: 0, reports: [], random, answered,
+			isJoining: now <= joiningExchangeCount * exchangeIntervalMilliseconds, tablePosition: 0, reports: [], random, answered,
 		}, now);
 		if (!answered?.isJoining) {
 			const {members, heartbeats, drains, wanted} = created.digest;
--- a/src/decisions/membership/types.ts
+++ b/src/decisions/membership/types.ts
@@ -105,8 +105,8 @@
 	readonly sender: string;
 	/** Whether the sender asks for all members. */
 	readonly isJoining: boolean;
-	/** Version of the table in force at the sender. */
-	readonly tableVersion: number;
+	/** Offset up to which the sender has folded the table stream, plus 1; 0 when it knows no table. */
+	readonly tablePosition: number;
 	readonly members: readonly MemberRecord[];
 	readonly heartbeats: readonly Heartbeat[];
 	/** Incarnations whose record the sender asks for. */
--- /dev/null
+++ b/src/decisions/membership/views.test.ts
@@ -0,0 +1,115 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import {createRandomSource} from '../random.ts';
+import {createEntriesAnswer, getEntriesVersion, isStale} from './entries-answer.ts';
+import {
+	chooseSubset, chooseUpstreams, getSubsetShare, type SubsetEntry,
+} from './subsets.ts';
+import {type EntryStatus, type MemberState} from './types.ts';
+
+const {describe, expect, test} = vitest;
+const seed = 20_261_204;
+
+function createStatus(index: number, change: Partial<EntryStatus> = {}): EntryStatus {
+	return {
+		name: `entry-${index}`,
+		incarnation: index.toString(16).padStart(16, '0'),
+		generation: 1,
+		region: index % 2 === 0 ? 'north' : 'south',
+		failureDomain: `domain-${index % 4}`,
+		address: `10.0.0.${index}:7000`,
+		peerAddress: `10.0.0.${index}:7100`,
+		state: 'live',
+		weight: 1,
+		isSelf: index === 0,
+		isReplaced: false,
+		...change,
+	};
+}
+
+describe('entries for callers', () => {
+	const random = createRandomSource(seed);
+	const nowhere = {region: undefined, failureDomain: undefined};
+
+	test('name the own failure domain first, then the own region', () => {
+		const answer = createEntriesAnswer(Array.from({length: 12}, (_, index) => createStatus(index)), {...nowhere, failureDomain: 'domain-3'}, random);
+		expect(answer.entries.map(entry => entry.failureDomain).slice(0, 3)).toEqual(['domain-3', 'domain-3', 'domain-3']);
+		expect(answer.entries.map(entry => entry.region).slice(0, 6)).toEqual(Array.from({length: 6}, () => 'south'));
+	});
+
+	test('leave out leaving, overloaded, suspected and replaced entries, but are never empty', () => {
+		const states: MemberState[] = ['joining', 'live', 'suspected', 'leaving'];
+		const status = fastCheck.record({
+			state: fastCheck.constantFrom(...states), weight: fastCheck.nat(1), isReplaced: fastCheck.boolean(),
+		});
+		fastCheck.assert(fastCheck.property(fastCheck.array(status, {maxLength: 12}), changes => {
+			const statuses = [createStatus(0), ...changes.map((change, index) => createStatus(index + 1, change))];
+			const named = new Set(createEntriesAnswer(statuses, nowhere, random).entries.map(entry => entry.name));
+			expect(named.size).toBeGreaterThan(0);
+			for (const {name, state, isReplaced, weight} of statuses) {
+				expect(named.has(name) && (state === 'leaving' || isReplaced || weight === 0)).toBe(false);
+			}
+		}), {seed});
+		expect(createEntriesAnswer([createStatus(0, {weight: 0})], nowhere, random).entries).toHaveLength(1);
+	});
+
+	test('a cut-off entry still names the others', () => {
+		const statuses = [createStatus(0), ...[1, 2, 3].map(index => createStatus(index, {state: 'suspected'}))];
+		expect(createEntriesAnswer(statuses, nowhere, random).entries).toHaveLength(4);
+	});
+
+	test('a caller with another version, or at a leaving entry, is told to ask again', () => {
+		const statuses = [createStatus(0), createStatus(1)];
+		const version = getEntriesVersion(statuses);
+		expect(isStale(statuses, version)).toBe(false);
+		expect(isStale(statuses.toReversed(), version)).toBe(false);
+		expect(isStale([createStatus(0), createStatus(1, {state: 'leaving'})], version)).toBe(true);
+		expect(isStale([createStatus(0, {state: 'leaving'})], undefined)).toBe(true);
+	});
+});
+
+describe('subsets', () => {
+	const limits = {connectionsPerUpstream: 200, slots: 4};
+	const createEntries = (count: number): SubsetEntry[] => Array.from({length: count}, (_, index) => ({name: `entry-${index}`, failureDomain: `domain-${index % 6}`}));
+
+	test('are evenly spread over failure domains and change little with one entry', () => {
+		fastCheck.assert(fastCheck.property(fastCheck.integer({min: 6, max: 140}), fastCheck.nat(139), fastCheck.integer({min: 6, max: 40}), (count, index, size) => {
+			const entries = createEntries(count);
+			const removed = entries[index % count]!;
+			const before = chooseSubset('upstream-1', entries, size);
+			expect(before).toEqual(chooseSubset('upstream-1', entries.toReversed(), size));
+			expect(before.size).toBe(Math.min(size, count));
+			const after = chooseSubset('upstream-1', entries.filter(entry => entry !== removed), size);
+			expect([...after].filter(name => !before.has(name)).length).toBeLessThanOrEqual(2);
+			const sizes = Array.from({length: 6}, (_, domain) => entries.filter(entry => entry.failureDomain === `domain-${domain}` && before.has(entry.name)).length);
+			expect(Math.max(...sizes) - Math.min(...sizes)).toBeLessThanOrEqual(1);
+		}), {seed});
+	});
+
+	test('keep connections within the limit while each view lacks up to a twelfth of the entries', () => {
+		const views = fastCheck.tuple(fastCheck.integer({min: 12, max: 140}), fastCheck.infiniteStream(fastCheck.nat(1000)));
+		fastCheck.assert(fastCheck.property(views, ([count, draws]) => {
+			const entries = createEntries(count);
+			let connections = 0;
+			for (const self of entries) {
+				const missing = Math.floor(count / 12);
+				const lacking = new Set(Array.from({length: missing}, () => draws.next().value! % count));
+				const view = entries.filter((entry, index) => entry === self || !lacking.has(index));
+				const share = getSubsetShare(view.length, limits);
+				connections += chooseSubset('upstream-1', view, share.entries).has(self.name) ? share.connections : 0;
+			}
+
+			expect(connections).toBeLessThanOrEqual(limits.connectionsPerUpstream);
+		}), {seed, numRuns: 30});
+	});
+
+	test('leave no entry of a large fleet without upstreams', () => {
+		const upstreams = Array.from({length: 39}, (_, index) => `upstream-${index}`);
+		const entries = createEntries(120);
+		for (const {name} of entries) {
+			expect(chooseUpstreams(name, upstreams, entries, limits).length).toBeGreaterThanOrEqual(2);
+		}
+
+		expect(chooseUpstreams('entry-0', upstreams, createEntries(15), limits)).toEqual(upstreams);
+	});
+});
--- a/src/peers/peer-server.test.ts
+++ b/src/peers/peer-server.test.ts
@@ -12,17 +12,17 @@
 		host: '127.0.0.1',
 		port: 0,
 		routes: [router => {
-			router.service(MembershipService, {exchange: digest => create(DigestSchema, {tableVersion: digest.tableVersion + 1n})});
+			router.service(MembershipService, {exchange: digest => create(DigestSchema, {tablePosition: digest.tablePosition + 1n})});
 		}],
 	});
 	const server = opened._unsafeUnwrap();
 	const address = `127.0.0.1:${server.port}`;
 	const transports = createPeerTransports();
-	const first = await connect.createClient(MembershipService, transports.get(address)).exchange({tableVersion: 4n});
-	expect(first.tableVersion).toBe(5n);
+	const first = await connect.createClient(MembershipService, transports.get(address)).exchange({tablePosition: 4n});
+	expect(first.tablePosition).toBe(5n);
 	transports.discard(address);
-	const second = await connect.createClient(MembershipService, transports.get(address)).exchange({tableVersion: 8n});
-	expect(second.tableVersion).toBe(9n);
+	const second = await connect.createClient(MembershipService, transports.get(address)).exchange({tablePosition: 8n});
+	expect(second.tablePosition).toBe(9n);
 	transports.close();
 	await server.close(100);
 });
