Give the entry its membership by digests

Cause: the entry knew the others by the lagging instance list only. Change: peer port, exchange loop with urgent rounds, table updates from peers, entries for callers, drains laid over the instance list, share of connections by subset.

--- a/src/decisions/membership/entries-answer.ts
+++ b/src/decisions/membership/entries-answer.ts
@@ -78,12 +78,6 @@
 	return hashText(names.join(' ')).toString(36);
 }
 
-/** Whether a caller that sent a version along with its call should ask again. */
-export function isStale(statuses: readonly EntryStatus[], sentVersion: string | undefined): boolean {
-	const self = statuses.find(status => status.isSelf);
-	return self?.state === 'leaving' || (sentVersion !== undefined && sentVersion !== getEntriesVersion(statuses));
-}
-
 function toUsableEntry(entry: EntryStatus): UsableEntry {
 	const {name, incarnation, address, region, failureDomain, weight} = entry;
 	return {
--- a/src/decisions/membership/views.test.ts
+++ b/src/decisions/membership/views.test.ts
@@ -1,7 +1,7 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
 import {createRandomSource} from '../random.ts';
-import {createEntriesAnswer, getEntriesVersion, isStale} from './entries-answer.ts';
+import {createEntriesAnswer, getEntriesVersion} from './entries-answer.ts';
 import {
 	chooseSubset, chooseUpstreams, getSubsetShare, type SubsetEntry,
 } from './subsets.ts';
@@ -58,16 +58,19 @@
 		expect(createEntriesAnswer(statuses, nowhere, random).entries).toHaveLength(4);
 	});
 
-	test('a caller with another version, or at a leaving entry, is told to ask again', () => {
+	test('the version follows the set of usable entries', () => {
 		const statuses = [createStatus(0), createStatus(1)];
 		const version = getEntriesVersion(statuses);
-		expect(isStale(statuses, version)).toBe(false);
-		expect(isStale(statuses.toReversed(), version)).toBe(false);
-		expect(isStale([createStatus(0), createStatus(1, {state: 'leaving'})], version)).toBe(true);
-		expect(isStale([createStatus(0, {state: 'leaving'})], undefined)).toBe(true);
+		expect(getEntriesVersion(statuses.toReversed())).toBe(version);
+		expect(getEntriesVersion([createStatus(0), createStatus(1, {state: 'leaving'})])).not.toBe(version);
+		expect(getEntriesVersion([createStatus(0), createStatus(1, {weight: 0})])).not.toBe(version);
 	});
 });
 
+function countInDomain(entries: readonly SubsetEntry[], failureDomain: string): number {
+	return entries.filter(entry => entry.failureDomain === failureDomain).length;
+}
+
 describe('subsets', () => {
 	const limits = {connectionsPerUpstream: 200, slots: 4};
 	const createEntries = (count: number): SubsetEntry[] => Array.from({length: count}, (_, index) => ({name: `entry-${index}`, failureDomain: `domain-${index % 6}`}));
@@ -81,7 +84,8 @@
 			expect(before.size).toBe(Math.min(size, count));
 			const after = chooseSubset('upstream-1', entries.filter(entry => entry !== removed), size);
 			expect([...after].filter(name => !before.has(name)).length).toBeLessThanOrEqual(2);
-			const sizes = Array.from({length: 6}, (_, domain) => entries.filter(entry => entry.failureDomain === `domain-${domain}` && before.has(entry.name)).length);
+			const chosen = entries.filter(entry => before.has(entry.name));
+			const sizes = Array.from({length: 6}, (_, domain) => countInDomain(chosen, `domain-${domain}`));
 			expect(Math.max(...sizes) - Math.min(...sizes)).toBeLessThanOrEqual(1);
 		}), {seed});
 	});
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -32,8 +32,10 @@
 	getNow(): number;
 	/** Table in force; undefined before the first. */
 	getView(): TableView | undefined;
-	/** Whether callers should ask for the entries again. */
+	/** Whether connections of callers should close. */
 	isLeaving(): boolean;
+	/** Whether a caller that sent this version of the entries should ask again. */
+	isEntriesAnswerOld(version: string | undefined): boolean;
 	handle(call: Call, sink: AnswerSink): Execution;
 };
 
@@ -93,7 +95,11 @@
 	function receiveCall(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const receivedAt = host.getNow();
 		let execution: Execution | undefined;
-		const sink = createHttpSink(response, {entryName: host.entryName, isLeaving: host.isLeaving});
+		const sink = createHttpSink(response, {
+			entryName: host.entryName,
+			isLeaving: host.isLeaving,
+			isEntriesAnswerOld: () => host.isEntriesAnswerOld(getSingle(request.headers[headerNames.entriesVersion])),
+		});
 		response.once('close', () => {
 			openRequests--;
 			if (!response.writableFinished) {
@@ -181,6 +187,10 @@
 	response.end(answer.body);
 }
 
+function getSingle(value: string | readonly string[] | undefined): string | undefined {
+	return typeof value === 'string' ? value : undefined;
+}
+
 function getPath(url: string): string {
 	const index = url.indexOf('?');
 	return index === -1 ? url : url.slice(0, index);
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -3,20 +3,24 @@
 import * as crypto from 'node:crypto';
 import * as neverthrow from 'neverthrow';
 import {createDiagnostic, diagnostics, type Diagnostic} from '../decisions/diagnostics.ts';
-import {type FleetView, type UpstreamDescription} from '../decisions/routing/types.ts';
+import {createRandomSource} from '../decisions/random.ts';
 import {createTableView, type TableView} from '../decisions/table/service-view.ts';
 import {type Logger} from '../observability/logger.ts';
 import {type Metrics} from '../observability/metrics.ts';
 import {type Tracing} from '../observability/tracing.ts';
-import {type InstanceListHost, type InstanceRecord, type LogHost} from '../platform/types.ts';
+import {createMembershipClient} from '../peers/membership-client.ts';
+import {createPeerServer, type PeerServer} from '../peers/peer-server.ts';
+import {type InstanceListHost, type LogHost} from '../platform/types.ts';
 import {type Call, type AnswerSink} from './call.ts';
 import {
 	type CallerServer, createCallerServer, type PlainAnswer, type PlainRoute,
 } from './caller-server.ts';
 import {createLifeCycle} from './life-cycle.ts';
+import {createEntryMembership, createIncarnation, type EntryMembership} from './membership.ts';
 import {createServices} from './services.ts';
 import {type CallEnd, type Execution} from './service-runner.ts';
 import {type EntrySettings} from './settings.ts';
+import {createTableExchange} from './table-exchange.ts';
 import {createTableReader} from './table-reader.ts';
 
 /** The world outside of an entry. */
@@ -30,6 +34,8 @@
 	getNow(): number;
 	/** Milliseconds since the epoch. */
 	getWallTime(): number;
+	/** Another process with this name started later; this one should leave. */
+	onSuperseded(): void;
 };
 
 export type Entry = {
@@ -37,37 +43,40 @@
 	readonly incarnation: string;
 	/** Host and port for callers. */
 	readonly callerAddress: string;
+	/** Host and port for other entries. */
+	readonly peerAddress: string;
 	/** Leaves the list of entries, finishes the calls in flight and stops; resolves when everything has ended. */
 	leave(): Promise<void>;
 };
 
 /** Interval at which a draining entry looks for calls that have not ended. */
 const drainCheckMilliseconds = 20;
-const callersKeepMilliseconds = 5000;
+/** Time for calls of other entries to end after this entry's own have. */
+const peerGraceMilliseconds = 500;
 const largestSeed = 2 ** 31;
 
 /** Starts an entry; resolves when its ports are open, which is before it has a table. */
 export async function createEntry(settings: EntrySettings, host: EntryHost): Promise<neverthrow.Result<Entry, Diagnostic>> {
 	const {logger, metrics, tracing} = host;
-	const incarnation = crypto.randomUUID();
+	const incarnation = createIncarnation();
 	const startedAt = host.getNow();
 	let view: TableView | undefined;
-	let instances: readonly InstanceRecord[] = [];
-	let callerAddress = '';
 
 	const lifeCycle = createLifeCycle(state => {
 		logger.info('entry-state', {state});
 	});
 	const services = createServices({
 		getNow: host.getNow,
-		noteReport: () => undefined,
+		noteReport(_service, upstream, report) {
+			membership.observe(upstream, report);
+		},
 		noteAttempt(call, result) {
 			metrics.resolveOperation(call.service, call.operation.operation).recordAttempt(result.kind);
 		},
 	}, {
 		policy: settings.policy,
 		seed: crypto.randomInt(largestSeed),
-		fleet: createFleetView(settings, []),
+		fleet: {self: settings.name, selfFailureDomain: settings.failureDomain, entries: [settings]},
 		...settings.upstreamConnections,
 	});
 	const tableReader = createTableReader({
@@ -85,12 +94,34 @@
 			view = createTableView(table);
 			services.setTable(view);
 			lifeCycle.take('table-known');
+			membership.announceTable();
 		},
 	}, {name: `${settings.name}-${incarnation.slice(0, 8)}`, retentionMilliseconds: settings.platform.logRetentionMilliseconds});
+	const membershipClient = createMembershipClient();
+	const membership: EntryMembership = createEntryMembership({
+		instanceList: host.instanceList,
+		logger,
+		random: createRandomSource(crypto.randomInt(largestSeed)),
+		client: membershipClient,
+		table: createTableExchange({tableReader, client: membershipClient, logger}),
+		getNow: host.getNow,
+		onFleet: services.setFleet,
+		onUpstreams: services.setUpstreams,
+		onReport: services.report,
+		onSuperseded: host.onSuperseded,
+	}, {
+		name: settings.name,
+		incarnation,
+		generation: Math.floor(host.getWallTime()),
+		region: settings.region,
+		failureDomain: settings.failureDomain,
+		intervalMilliseconds: settings.platform.instanceListPollMilliseconds,
+		timeoutMilliseconds: settings.platform.timeoutMilliseconds,
+	});
 
 	metrics.setGauges(() => ({
 		tableVersion: view?.version ?? -1,
-		members: {live: instances.filter(instance => instance.role === 'entry' && instance.state === 'live').length},
+		members: membership.countStates(),
 		services: services.getStatus(),
 	}));
 
@@ -136,11 +167,16 @@
 			tableVersion: view?.version ?? null,
 			calls: services.countCalls(),
 			services: services.getStatus(),
+			members: membership.getStatuses(),
+			drains: membership.getDrains(),
 		})],
-		['/v1/entries', () => createJsonAnswer({
-			keepMilliseconds: callersKeepMilliseconds,
-			entries: getEntries(settings, instances, isLeaving()),
-		})],
+		['/v1/entries', request => {
+			const parameters = new URL(request.url ?? '/', 'http://entry').searchParams;
+			return createJsonAnswer(membership.getEntries({
+				region: parameters.get('region') ?? undefined,
+				failureDomain: parameters.get('failureDomain') ?? undefined,
+			}));
+		}],
 	]);
 	const callerServer = createCallerServer({
 		entryName: settings.name,
@@ -149,6 +185,7 @@
 		getNow: host.getNow,
 		getView: () => view,
 		isLeaving,
+		isEntriesAnswerOld: membership.isStale,
 		handle,
 	}, settings.limits);
 
@@ -158,36 +195,29 @@
 		return neverthrow.err(listening.error);
 	}
 
-	callerAddress = listening.value;
-	tableReader.start();
-	const instanceTimer = setInterval(() => {
-		void pollInstances();
-	}, settings.platform.instanceListPollMilliseconds);
-	await pollInstances();
-	logger.info('entry-started', {incarnation, address: callerAddress, failureDomain: settings.failureDomain});
-
-	async function pollInstances(): Promise<void> {
-		const result = await host.instanceList.list(settings.platform.timeoutMilliseconds);
-		if (result.isErr()) {
-			logger.warn('instance-list-failed', {reason: result.error.message});
-			return;
-		}
-
-		if (JSON.stringify(instances) === JSON.stringify(result.value)) {
-			return;
-		}
-
-		instances = result.value;
-		services.setFleet(createFleetView(settings, instances));
-		services.setUpstreams(groupUpstreams(instances));
+	const peerListening = await createPeerServer({host: settings.listen.host, port: settings.listen.peerPort, routes: [membership.routes]});
+	if (peerListening.isErr()) {
+		services.close();
+		callerServer.server.close();
+		return neverthrow.err(createDiagnostic(diagnostics.settingsAddressUnavailable, `${settings.listen.host}:${settings.listen.peerPort}`, peerListening.error.message));
 	}
 
+	const callerAddress = listening.value;
+	const peerServer = peerListening.value;
+	const peerAddress = formatPeerAddress(peerServer, settings);
+	tableReader.start();
+	await membership.start({address: callerAddress, peerAddress});
+	logger.info('entry-started', {
+		incarnation, address: callerAddress, peerAddress, failureDomain: settings.failureDomain,
+	});
+
 	async function leave(): Promise<void> {
 		const leftAt = host.getNow();
 		if (!lifeCycle.take('leave')) {
 			return;
 		}
 
+		await membership.leave();
 		if (lifeCycle.getState() === 'leaving') {
 			await wait(settings.leaving.noticeMilliseconds);
 			lifeCycle.take('notice-over');
@@ -195,15 +225,16 @@
 
 		await drain(callerServer, host, settings.leaving.graceMilliseconds);
 		lifeCycle.take('calls-ended');
-		clearInterval(instanceTimer);
+		membership.stop();
 		tableReader.stop();
 		services.close();
+		await peerServer.close(peerGraceMilliseconds);
 		await tracing.close();
 		logger.info('entry-stopped', {durationMilliseconds: Math.round(host.getNow() - leftAt), cutOff: callerServer.countOpen()});
 	}
 
 	return neverthrow.ok({
-		name: settings.name, incarnation, callerAddress, leave,
+		name: settings.name, incarnation, callerAddress, peerAddress, leave,
 	});
 }
 
@@ -238,35 +269,9 @@
 	return `${settings.listen.announcedHost ?? settings.listen.host}:${port}`;
 }
 
-function createFleetView(settings: EntrySettings, instances: readonly InstanceRecord[]): FleetView {
-	const others = instances.filter(instance => instance.role === 'entry' && instance.state === 'live' && instance.name !== settings.name);
-	return {
-		self: settings.name,
-		selfFailureDomain: settings.failureDomain,
-		entries: [{name: settings.name, failureDomain: settings.failureDomain}, ...others],
-	};
-}
-
-function groupUpstreams(instances: readonly InstanceRecord[]): ReadonlyMap<string, readonly UpstreamDescription[]> {
-	const groups = new Map<string, UpstreamDescription[]>();
-	for (const instance of instances) {
-		if (instance.role === 'upstream' && instance.service !== undefined) {
-			const group = groups.get(instance.service) ?? [];
-			group.push(instance);
-			groups.set(instance.service, group);
-		}
-	}
-
-	return groups;
-}
-
-function getEntries(settings: EntrySettings, instances: readonly InstanceRecord[], isSelfLeaving: boolean) {
-	return instances
-		.filter(instance => instance.role === 'entry' && instance.state === 'live' && !(isSelfLeaving && instance.name === settings.name))
-		.map(({name, address, failureDomain}) => ({
-			name, address, failureDomain, weight: 1,
-		}))
-		.toSorted((left, right) => Number(right.failureDomain === settings.failureDomain) - Number(left.failureDomain === settings.failureDomain));
+function formatPeerAddress(server: PeerServer, settings: EntrySettings): string {
+	const {host, announcedHost, announcedPeerPort} = settings.listen;
+	return `${announcedHost ?? host}:${announcedPeerPort ?? server.port}`;
 }
 
 function createTextAnswer(statusCode: number, body: string): PlainAnswer {
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -13,6 +13,8 @@
 	entry: 'fescuering-entry',
 	/** `refresh` tells the caller to ask for the entries again. */
 	entries: 'fescuering-entries',
+	/** Version of the list of entries that the caller uses. */
+	entriesVersion: 'fescuering-entries-version',
 	/** Load of an upstream. */
 	load: 'fescuering-load',
 	idempotencyKey: 'idempotency-key',
@@ -26,7 +28,7 @@
 
 /** Headers that the entry sets itself. */
 const ownRequestHeaders = new Set<string>([
-	'host', 'expect', 'content-length', headerNames.timeout, headerNames.depth, headerNames.retry, headerNames.traceparent, headerNames.idempotencyKey,
+	'host', 'expect', 'content-length', headerNames.timeout, headerNames.depth, headerNames.retry, headerNames.traceparent, headerNames.idempotencyKey, headerNames.entriesVersion,
 ]);
 const ownAnswerHeaders = new Set<string>([
 	headerNames.outcome, headerNames.entry, headerNames.entries, headerNames.load,
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -5,8 +5,10 @@
 
 export type HttpSinkOptions = {
 	readonly entryName: string;
-	/** Whether the connection closes after this answer and the caller should ask for the entries again. */
+	/** Whether the connection closes after this answer. */
 	isLeaving(): boolean;
+	/** Whether the caller should ask for the entries again. */
+	isEntriesAnswerOld(): boolean;
 };
 
 /** Creates a sink for the answer to one request. An aborted answer resets the connection, so that it can't look whole. */
@@ -19,7 +21,8 @@
 				head.outcome,
 				headerNames.entry,
 				options.entryName,
-				...(options.isLeaving() ? [headerNames.entries, 'refresh', 'connection', 'close'] : []),
+				...(options.isEntriesAnswerOld() ? [headerNames.entries, 'refresh'] : []),
+				...(options.isLeaving() ? ['connection', 'close'] : []),
 			]);
 		},
 		write: chunk => response.write(chunk),
--- a/src/entry/membership.ts
+++ b/src/entry/membership.ts
@@ -3,7 +3,7 @@
 import {joiningExchangeCount} from '../decisions/membership/constants.ts';
 import {createDigest} from '../decisions/membership/digest.ts';
 import {
-	type CallerPlace, createEntriesAnswer, type EntriesAnswer, isStale,
+	type CallerPlace, createEntriesAnswer, type EntriesAnswer, getEntriesVersion,
 } from '../decisions/membership/entries-answer.ts';
 import {
 	advanceMembership, beat, createInitialMembership, isSuperseded, leave, mergeDigest, observeUpstream, setListing, setWeight,
@@ -70,6 +70,8 @@
 	/** Whether a caller that sent a version along should ask for the entries again. */
 	isStale(sentVersion: string | undefined): boolean;
 	getStatuses(): readonly EntryStatus[];
+	/** Counts the members by state. */
+	countStates(): Readonly<Record<string, number>>;
 	getDrains(): readonly DrainRecord[];
 };
 
@@ -90,6 +92,9 @@
 	const measured = new Map<string, {readonly report: PeerReport; readonly at: number}>();
 	let membership = createInitialMembership({...identity, address: '', peerAddress: ''}, host.getNow());
 	let listedUpstreams: UpstreamsByService = new Map();
+	let statuses: readonly EntryStatus[] | undefined;
+	let entriesVersion: string | undefined;
+	let isSupersededKnown = false;
 	let joiningExchanges = joiningExchangeCount;
 	let publishedFleet = '';
 	let publishedStates: ReadonlyMap<string, string> = new Map();
@@ -172,9 +177,16 @@
 		return [...measured.values()].toReversed().map(({report, at}) => ({...report, ageMilliseconds: now - at}));
 	}
 
-	/** Takes a new state and tells the others parts what has changed in it. */
+	function getCachedStatuses(): readonly EntryStatus[] {
+		statuses ??= getStatuses(membership);
+		return statuses;
+	}
+
+	/** Takes a new state and tells the other parts what has changed in it. */
 	function apply(next: Membership): void {
 		membership = next;
+		statuses = undefined;
+		entriesVersion = undefined;
 		publishStates();
 		const fleet = getFleetView(membership);
 		const text = JSON.stringify(fleet);
@@ -188,7 +200,9 @@
 			publishUpstreams();
 		}
 
-		if (isSuperseded(membership)) {
+		if (!isSupersededKnown && isSuperseded(membership)) {
+			isSupersededKnown = true;
+			logger.error('entry-superseded', {incarnation: identity.incarnation});
 			host.onSuperseded();
 		}
 	}
@@ -227,7 +241,7 @@
 		routes,
 		directory: {
 			getByIncarnation: incarnation => getStatus(membership, incarnation),
-			getLive: () => getStatuses(membership).filter(status => status.state === 'live'),
+			getLive: () => getCachedStatuses().filter(status => status.state === 'live'),
 		},
 		async start(addresses) {
 			membership = createInitialMembership({...identity, ...addresses}, host.getNow());
@@ -281,9 +295,21 @@
 		},
 		getFleet: () => getFleetView(membership),
 		getUpstreams,
-		getEntries: caller => createEntriesAnswer(getStatuses(membership), caller, random),
-		isStale: sentVersion => isStale(getStatuses(membership), sentVersion),
-		getStatuses: () => getStatuses(membership),
+		getEntries: caller => createEntriesAnswer(getCachedStatuses(), caller, random),
+		isStale(sentVersion) {
+			const cached = getCachedStatuses();
+			entriesVersion ??= getEntriesVersion(cached);
+			return cached.find(status => status.isSelf)?.state === 'leaving' || (sentVersion !== undefined && sentVersion !== entriesVersion);
+		},
+		getStatuses: getCachedStatuses,
+		countStates() {
+			const counts: Record<string, number> = {};
+			for (const {state} of membership.members.values()) {
+				counts[state] = (counts[state] ?? 0) + 1;
+			}
+
+			return counts;
+		},
 		getDrains: () => [...membership.drains.values()].map(drain => drain.record),
 	};
 }
--- a/src/entry/services.ts
+++ b/src/entry/services.ts
@@ -1,4 +1,5 @@
 /** The services of the table, each with its scheduler, its runner and the connections to its upstreams. */
+import {getSubsetShare, type SubsetLimits} from '../decisions/membership/subsets.ts';
 import {createRandomSource} from '../decisions/random.ts';
 import {createServiceScheduler} from '../decisions/routing/scheduler.ts';
 import {
@@ -127,7 +128,11 @@
 
 	/** This entry's share of the connections to one upstream. */
 	function getConnectionLimit(service: Service): number {
-		return Math.max(1, Math.floor(service.view.service.connectionsPerUpstream / Math.max(1, fleet.entries.length)));
+		return getSubsetShare(fleet.entries.length, getSubsetLimits(service)).connections;
+	}
+
+	function getSubsetLimits({view: {service}}: Service): SubsetLimits {
+		return {connectionsPerUpstream: service.connectionsPerUpstream, slots: service.slotsPerUpstream};
 	}
 
 	function closeIdleConnections(): void {
--- a/src/entry/table-exchange.ts
+++ b/src/entry/table-exchange.ts
@@ -58,6 +58,15 @@
 		logger.info('table-update-taken', {peer: address, isNew, version: tableReader.getStatus().version});
 	}
 
+	async function fetchOnce(address: string, position: number): Promise<void> {
+		isFetching = true;
+		try {
+			await fetchUpdate(address, position);
+		} finally {
+			isFetching = false;
+		}
+	}
+
 	return {
 		getPosition,
 		getUpdate(position) {
@@ -69,11 +78,7 @@
 				return;
 			}
 
-			isFetching = true;
-			// eslint-disable-next-line promise/prefer-await-to-then
-			void fetchUpdate(address, position).finally(() => {
-				isFetching = false;
-			});
+			void fetchOnce(address, position);
 		},
 	};
 }
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -57,13 +57,16 @@
 		}),
 		getNow: () => performance.now(),
 		getWallTime: () => Date.now(),
+		onSuperseded() {
+			process.kill(process.pid, 'SIGTERM');
+		},
 	});
 	if (result.isErr()) {
 		exitWithDiagnostic(result.error);
 	}
 
 	const entry = result.value;
-	process.stdout.write(`ready address=${entry.callerAddress} incarnation=${entry.incarnation}\n`);
+	process.stdout.write(`ready address=${entry.callerAddress} peer=${entry.peerAddress} incarnation=${entry.incarnation}\n`);
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.once(signal, () => {
 			void leave(entry);
