--- a/stand-ins/processes.ts
+++ b/stand-ins/processes.ts
@@ -21,7 +21,7 @@
 /** Starts `dist/NAME.mjs` and resolves when it prints its `ready` line. */
 export async function startProgram(name: string, ...programArguments: readonly string[]): Promise<RunningProgram> {
 	const file = path.resolve('dist', `${name}.mjs`);
-	const child = childProcess.spawn(process.execPath, [file, ...programArguments], {stdio: ['ignore', 'pipe', 'pipe']});
+	const child = childProcess.spawn(process.execPath, [...getNodeArguments(), file, ...programArguments], {stdio: ['ignore', 'pipe', 'pipe']});
 	let log = '';
 	let output = '';
 	let isReady = false;
@@ -68,6 +68,11 @@
 	};
 }
 
+/** Arguments of node for all programs, e.g. `FESCUERING_NODE_ARGUMENTS=--cpu-prof` to profile them. */
+function getNodeArguments(): readonly string[] {
+	return (process.env.FESCUERING_NODE_ARGUMENTS ?? '').split(' ').filter(argument => argument !== '');
+}
+
 /** Reads `key=value` pairs of a ready line. */
 export function getReadyValues(readyLine: string): ReadonlyMap<string, string> {
 	return new Map(readyLine.split(' ').slice(1).map(pair => {
--- a/stand-ins/upstream.ts
+++ b/stand-ins/upstream.ts
@@ -235,11 +235,18 @@
 			runs.set(key, (runs.get(key) ?? 0) + 1);
 		}
 
-		setTimeout(() => {
+		const complete = () => {
 			running--;
 			finish(job);
 			runNext();
-		}, getDuration(job.request.url ?? '/'));
+		};
+
+		const duration = getDuration(job.request.url ?? '/');
+		if (duration === 0) {
+			setImmediate(complete);
+		} else {
+			setTimeout(complete, duration);
+		}
 	}
 
 	function getDuration(path: string): number {
