Run keyed calls at most once and prove it under faults

Cause: the pipeline took every call as keyless, and nothing showed what callers are told under faults. Change: keyed non-idempotent calls pass through the claim stage; answers are held for repeats; other entries forward to the owner; a leaving entry hands its keys on; refusals of keyed repeats before the claim stage are unknown unless the caller states its first attempt; /v1/entries gives the key prefix as incarnation.

--- a/src/decisions/routing/upstream-pool.ts
+++ b/src/decisions/routing/upstream-pool.ts
@@ -46,13 +46,6 @@
 	readonly random: RandomSource;
 };
 
-export type ReportTimes = {
-	readonly reportedAt: number;
-	readonly now: number;
-	/** Call on whose answer the report rode. */
-	readonly answeredCallId: number | undefined;
-};
-
 export type UpstreamPool = {
 	/** Upstreams with a free slot of this entry's own. */
 	readonly free: IndexedSet<PoolUpstream>;
@@ -64,8 +57,7 @@
 	start(upstream: PoolUpstream, callId: number, call: RunningCall): void;
 	/** Ends a call; gets it, or undefined when it is not known. */
 	end(name: string, callId: number): RunningCall | undefined;
-	/** Takes a report; it does not count the call on whose answer it rode. */
-	takeReport(name: string, report: LoadReport, times: ReportTimes): void;
+	takeReport(name: string, report: LoadReport, reportedAt: number, now: number): void;
 	/** Takes an answer whose duration is the given multiple of the typical one. */
 	takeGoodAnswer(name: string, ratio: number, now: number): void;
 	takeFailure(name: string, now: number): void;
@@ -217,13 +209,13 @@
 			update(upstream);
 			return call;
 		},
-		takeReport(name, report, {reportedAt, now, answeredCallId}) {
+		takeReport(name, report, reportedAt, now) {
 			const upstream = upstreams.get(name);
 			if (!upstream || reportedAt < upstream.belief.reportedAt) {
 				return;
 			}
 
-			upstream.belief = createLoadBelief(report, countSentBefore(upstream, now, answeredCallId), reportedAt);
+			upstream.belief = createLoadBelief(report, countSentBefore(upstream, now), reportedAt);
 			meanForeign += (Math.min(upstream.belief.foreign, upstream.slots) - meanForeign) * meanForeignWeight;
 			const isDraining = getLifeState(upstream.life) === 'draining';
 			if (isDraining !== (report.state === 'draining')) {
@@ -276,7 +268,7 @@
 			return next;
 		},
 		setUpstreams(descriptions) {
-			setUpstreams(descriptions, upstreams.size > 0);
+			setUpstreams(descriptions, true);
 		},
 		setView(next) {
 			view = next;
@@ -304,11 +296,11 @@
 	};
 }
 
-/** Counts the calls that went out before the present moment and have not been answered; a report counts just these. */
-function countSentBefore(upstream: PoolUpstream, now: number, answeredCallId: number | undefined): number {
+/** Counts the calls that went out before the present moment; later ones are not in the report. */
+function countSentBefore(upstream: PoolUpstream, now: number): number {
 	let count = 0;
-	for (const [id, call] of upstream.running) {
-		count += call.dispatchedAt < now && id !== answeredCallId ? 1 : 0;
+	for (const call of upstream.running.values()) {
+		count += call.dispatchedAt < now ? 1 : 0;
 	}
 
 	return count;
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -2,7 +2,7 @@
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
 import {type TableView} from '../decisions/table/service-view.ts';
-import {resolveOutcome} from '../decisions/outcomes/resolve-outcome.ts';
+import {type KeyHistory, resolveOutcome} from '../decisions/outcomes/resolve-outcome.ts';
 import {type Tracing} from '../observability/tracing.ts';
 import {type AnswerSink, type Call, type CallBody} from './call.ts';
 import {type Classification, classify} from './classify.ts';
@@ -162,7 +162,7 @@
 /** Answers a call that goes no further; what is left of its body is not read. */
 function refuse(request: http.IncomingMessage, sink: AnswerSink, kind: ProblemKind): void {
 	const isBodyLeft = !request.complete;
-	writeProblem(sink, createRefusal(kind));
+	writeProblem(sink, createRefusal(kind, getKeyHistory(request)));
 	if (isBodyLeft) {
 		request.pause();
 		setImmediate(() => {
@@ -171,8 +171,17 @@
 	}
 }
 
-function createRefusal(kind: ProblemKind): Problem {
-	return {kind, outcome: resolveOutcome({kind: 'refused-before-dispatch'}, {kind: 'keyless'}), retryAfterMilliseconds: kind === 'not-ready' ? 1000 : undefined};
+/** Gets what is known of earlier calls with the key of a request that is refused unread. */
+function getKeyHistory({headers}: http.IncomingMessage): KeyHistory {
+	if (headers[headerNames.idempotencyKey] === undefined) {
+		return {kind: 'keyless'};
+	}
+
+	return {kind: headers[headerNames.attempt] === '1' ? 'declared-first' : 'unsettled'};
+}
+
+function createRefusal(kind: ProblemKind, history: KeyHistory): Problem {
+	return {kind, outcome: resolveOutcome({kind: 'refused-before-dispatch'}, history), retryAfterMilliseconds: kind === 'not-ready' ? 1000 : undefined};
 }
 
 async function answerPlain(request: http.IncomingMessage, response: http.ServerResponse, route: PlainRoute): Promise<void> {
@@ -212,7 +221,7 @@
 };
 
 function answerOnSocket(socket: stream.Duplex, kind: ProblemKind): void {
-	const {head, body} = createProblemAnswer(createRefusal(kind));
+	const {head, body} = createProblemAnswer(createRefusal(kind, {kind: 'unsettled'}));
 	const lines = [
 		`HTTP/1.1 ${head.statusCode} ${http.STATUS_CODES[head.statusCode] ?? ''}`,
 		...head.headers.map(([name, value]) => `${name}: ${value}`),
--- a/src/entry/claim-types.ts
+++ b/src/entry/claim-types.ts
@@ -21,8 +21,8 @@
 	readonly history: KeyHistory;
 	/** Must be called before a byte may leave; further attempts may follow only after proof that the last did not run. */
 	markDispatched(): void;
-	/** Ends the call for good; returns the outcome to tell. The answer is held for repeats. */
-	finish(evidence: CallEvidence, answer: HeldAnswer | undefined): Outcome;
+	/** Ends the call for good. The answer is held for repeats. */
+	finish(outcome: Outcome, answer: HeldAnswer | undefined): void;
 };
 
 /** What a call is told that is not dispatched here. */
--- a/src/entry/claim.ts
+++ b/src/entry/claim.ts
@@ -96,15 +96,12 @@
 					table.markDispatched(key);
 				}
 			},
-			finish(evidence, answer) {
-				const outcome = resolveOutcome(evidence, history);
+			finish(outcome, answer) {
 				table.finish(key, outcome, answer);
 				wake(key);
 				if (isCallerMade) {
 					host.claimLog.recordOutcome(key, outcome);
 				}
-
-				return outcome;
 			},
 		};
 	};
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -15,6 +15,7 @@
 import {
 	type CallerServer, createCallerServer, type PlainAnswer, type PlainRoute,
 } from './caller-server.ts';
+import {createClaims} from './claims.ts';
 import {createLifeCycle} from './life-cycle.ts';
 import {createEntryMembership, createIncarnation, type EntryMembership} from './membership.ts';
 import {createServices} from './services.ts';
@@ -53,6 +54,7 @@
 const drainCheckMilliseconds = 20;
 /** Time for calls of other entries to end after this entry's own have. */
 const peerGraceMilliseconds = 500;
+const handoverMilliseconds = 3000;
 const largestSeed = 2 ** 31;
 
 /** Starts an entry; resolves when its ports are open, which is before it has a table. */
@@ -125,9 +127,26 @@
 		services: services.getStatus(),
 	}));
 
+	const claims = createClaims({
+		...settings.keys,
+		incarnation,
+		keyLifetimeMilliseconds: Math.min(settings.keys.lifetimeMilliseconds, settings.platform.logRetentionMilliseconds / 2),
+	}, {
+		...host,
+		directory: membership.directory,
+		getView: () => view,
+		run: services.execute,
+	});
+
 	function handle(call: Call, sink: AnswerSink): Execution {
 		const operationMetrics = metrics.resolveOperation(call.service, call.operation.operation);
 		operationMetrics.startCall();
+		if (claims.isKeyed(call)) {
+			return claims.execute(call, sink, end => {
+				observe(call, end);
+			});
+		}
+
 		return services.execute(call, sink, {
 			history: {kind: 'keyless'},
 			onEnd(end) {
@@ -172,10 +191,14 @@
 		})],
 		['/v1/entries', request => {
 			const parameters = new URL(request.url ?? '/', 'http://entry').searchParams;
-			return createJsonAnswer(membership.getEntries({
+			const answer = membership.getEntries({
 				region: parameters.get('region') ?? undefined,
 				failureDomain: parameters.get('failureDomain') ?? undefined,
-			}));
+			});
+			return createJsonAnswer({
+				...answer,
+				entries: answer.entries.map(entry => ({...entry, incarnation: claims.createKeyPrefix(entry.incarnation)})),
+			});
 		}],
 	]);
 	const callerServer = createCallerServer({
@@ -192,12 +215,14 @@
 	const listening = await listen(callerServer, settings);
 	if (listening.isErr()) {
 		services.close();
+		await claims.close();
 		return neverthrow.err(listening.error);
 	}
 
-	const peerListening = await createPeerServer({host: settings.listen.host, port: settings.listen.peerPort, routes: [membership.routes]});
+	const peerListening = await createPeerServer({host: settings.listen.host, port: settings.listen.peerPort, routes: [membership.routes, claims.routes]});
 	if (peerListening.isErr()) {
 		services.close();
+		await claims.close();
 		callerServer.server.close();
 		return neverthrow.err(createDiagnostic(diagnostics.settingsAddressUnavailable, `${settings.listen.host}:${settings.listen.peerPort}`, peerListening.error.message));
 	}
@@ -225,10 +250,12 @@
 
 		await drain(callerServer, host, settings.leaving.graceMilliseconds);
 		lifeCycle.take('calls-ended');
+		await claims.leave(handoverMilliseconds);
 		membership.stop();
 		tableReader.stop();
 		services.close();
 		await peerServer.close(peerGraceMilliseconds);
+		await claims.close();
 		await tracing.close();
 		logger.info('entry-stopped', {durationMilliseconds: Math.round(host.getNow() - leftAt), cutOff: callerServer.countOpen()});
 	}
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -18,6 +18,8 @@
 	/** Load of an upstream. */
 	load: 'fescuering-load',
 	idempotencyKey: 'idempotency-key',
+	/** `1` states that the caller sent no call with this key before, and sends none until this one has ended. */
+	attempt: 'fescuering-attempt',
 	traceparent: 'traceparent',
 } as const;
 
--- /dev/null
+++ b/src/entry/key-handover.ts
@@ -0,0 +1,32 @@
+/** Hands the key table of a leaving entry on: to the log, and to peers in case the log is down. */
+import {type HandoverRecord} from '../decisions/outcomes/claim-fold.ts';
+import {type Logger} from '../observability/logger.ts';
+import {type ForwardingClient} from '../peers/forwarding-client.ts';
+import {type ClaimLog} from '../platform/claim-log.ts';
+
+export type KeyHandoverHost = {
+	readonly claimLog: Pick<ClaimLog, 'handOver'>;
+	readonly forwarding: Pick<ForwardingClient, 'handOver'>;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** Peer addresses of the other live entries. */
+	getPeerAddresses(): readonly string[];
+};
+
+/** Peers that take the table directly; the others learn it from the log. */
+const maximumPeers = 16;
+
+/** Hands a sealed key table on; resolves within the given time. */
+export async function handOverKeys(parts: readonly HandoverRecord[], host: KeyHandoverHost, timeoutMilliseconds: number): Promise<void> {
+	const peers = host.getPeerAddresses().slice(0, maximumPeers);
+	const [isInLog, ...accepted] = await Promise.all([
+		host.claimLog.handOver(parts, timeoutMilliseconds),
+		...peers.map(async peer => host.forwarding.handOver(peer, parts, timeoutMilliseconds)),
+	]);
+	const keys = parts.reduce((sum, part) => sum + part.keys.length, 0);
+	const peerCount = accepted.filter(Boolean).length;
+	if (isInLog || peerCount > 0) {
+		host.logger.info('keys-handed-over', {keys, isInLog, peers: peerCount});
+	} else {
+		host.logger.warn('keys-not-handed-over', {keys, peersTried: peers.length});
+	}
+}
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -25,7 +25,15 @@
 		| 'not-ready'
 		| 'upstream-failed'
 		| 'upstream-timeout'
-		| 'upstream-refused';
+		| 'upstream-refused'
+		| 'key-ran'
+		| 'key-refused'
+		| 'key-unknown'
+		| 'key-forgotten'
+		| 'key-in-use'
+		| 'key-owner-unavailable'
+		| 'key-owner-left'
+		| 'claim-undecided';
 
 export type ProblemKind = CallProblemKind | RefusalReason;
 
@@ -44,6 +52,14 @@
 	'upstream-failed': {statusCode: 502, title: 'The upstream gave no whole answer', remedy: 'Repeat the call with the same idempotency key to learn its outcome.'},
 	'upstream-timeout': {statusCode: 504, title: 'The upstream did not answer in time', remedy: 'Repeat the call with the same idempotency key to learn its outcome.'},
 	'upstream-refused': {statusCode: 503, title: 'The upstream refused the call', remedy: 'Repeat after the stated time.'},
+	'key-ran': {statusCode: 409, title: 'An earlier call with this key ran, and its answer is no longer held', remedy: 'Read the result from the service; do not send the call again.'},
+	'key-refused': {statusCode: 409, title: 'An earlier call with this key was refused, and the key never runs', remedy: 'Send the call again with a new key.'},
+	'key-unknown': {statusCode: 409, title: 'An earlier call with this key may have run', remedy: 'Read the result from the service before sending a new key.'},
+	'key-forgotten': {statusCode: 409, title: 'What became of this key is no longer known', remedy: 'Read the result from the service, then ask /v1/entries for new keys.'},
+	'key-in-use': {statusCode: 503, title: 'Another call with this key has not ended', remedy: 'Repeat with the same key after the stated time.'},
+	'key-owner-unavailable': {statusCode: 503, title: 'The entry that keeps this key did not answer', remedy: 'Repeat with the same key after the stated time.'},
+	'key-owner-left': {statusCode: 503, title: 'The entry that keeps this key has left and never runs it', remedy: 'Ask /v1/entries for a new key.'},
+	'claim-undecided': {statusCode: 503, title: 'The log did not decide the claim of this key in time', remedy: 'Repeat with the same key after the stated time, or use a key from /v1/entries.'},
 	'deadline-unreachable': {statusCode: 503, title: 'The deadline can\'t be met', remedy: 'Repeat after the stated time, or allow more time.'},
 	'deadline-passed': {statusCode: 504, title: 'The deadline passed', remedy: 'Allow more time.'},
 	'queue-full': {statusCode: 503, title: 'Too many calls wait', remedy: 'Repeat after the stated time.'},
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -53,6 +53,14 @@
 	graceMilliseconds: z.int().min(0).max(3_600_000).default(60_000).describe('Longest wait for calls in flight after the notice'),
 });
 
+const keysSchema = z.strictObject({
+	lifetimeMilliseconds: z.int().min(10_000).max(86_400_000).default(600_000).describe('Time for which an idempotency key is remembered; at most half of `logRetentionMilliseconds`'),
+	tableBytes: z.int().min(65_536).max(1_073_741_824).default(8_388_608).describe('Bound on the memory of keys and of the answers held for repeats'),
+	heldAnswerBytes: z.int().min(0).max(4_194_304).default(65_536).describe('Answers up to this size are held for repeats'),
+	maximumClaims: z.int().min(100).max(10_000_000).default(100_000).describe('Caller-made keys that are remembered, over all entries'),
+	fleetAppendsPerSecond: z.number().min(1).max(10_000).default(200).describe('Claim records that all entries together append in a second'),
+});
+
 const observabilitySchema = z.strictObject({
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info').describe('Least severe events that are logged'),
 	otlpUrl: baseUrl.optional().describe('Where traces are exported by OTLP over HTTP; absent means no export'),
@@ -71,6 +79,7 @@
 	limits: limitsSchema.prefault({}),
 	upstreamConnections: upstreamConnectionsSchema.prefault({}),
 	leaving: leavingSchema.prefault({}),
+	keys: keysSchema.prefault({}),
 	observability: observabilitySchema.prefault({}),
 });
 
--- a/src/entry/table-reader.ts
+++ b/src/entry/table-reader.ts
@@ -77,7 +77,6 @@
 const defaultTimeoutMilliseconds = 1000;
 const readBackoff = {firstMilliseconds: 50, maximumMilliseconds: 1000};
 const emptyPagePauseMilliseconds = 10;
-const longestTimerMilliseconds = 3_600_000;
 
 /** Creates a reader; call `start` to begin. */
 export function createTableReader(host: TableReaderHost, options: TableReaderOptions): TableReader {
@@ -179,18 +178,13 @@
 		}
 
 		const delay = snapshotSchedule.getDelay(follow, host.now(), host.random());
-		cancelSnapshot = host.setTimer(Math.min(delay, longestTimerMilliseconds), () => {
-			if (delay > longestTimerMilliseconds) {
-				scheduleSnapshot();
-				return;
-			}
-
+		cancelSnapshot = host.setTimer(delay, () => {
 			void writeSnapshot();
 		});
 	};
 
 	const writeSnapshot = async (): Promise<void> => {
-		if (!follow.fold) {
+		if (isStopped || !follow.fold || lifeCycle.state !== 'following') {
 			return;
 		}
 
--- a/src/peers/forwarding-client.ts
+++ b/src/peers/forwarding-client.ts
@@ -1,5 +1,6 @@
 /** Forwards calls to the incarnation that owns their key. */
 import * as connect from '@connectrpc/connect';
+import * as z from 'zod';
 import {type HandoverRecord} from '../decisions/outcomes/claim-fold.ts';
 import {ForwardingService} from '../generated/forwarding_pb.ts';
 import {type ForwardedCall, type ForwardResult} from './forwarding-types.ts';
@@ -19,6 +20,8 @@
 /** Time beyond the call's own that its owner has for the answer. */
 const answerGraceMilliseconds = 100;
 
+const outcomeSchema = z.enum(['ran', 'not-run', 'unknown']);
+
 const codesBeforeSending = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND']);
 
 /** Creates a client with connections of its own. */
@@ -43,7 +46,12 @@
 				}
 
 				const headers = response.headers.map(({name, value}) => [name, value] as const);
-				return {kind: 'answered', answer: {statusCode: response.statusCode, headers, body: response.body}};
+				return {
+					kind: 'answered',
+					answer: {
+						statusCode: response.statusCode, headers, body: response.body, outcome: outcomeSchema.parse(response.outcome),
+					},
+				};
 			} catch (error) {
 				return {kind: isBeforeSending(error) ? 'not-connected' : 'silent'};
 			}
--- a/src/peers/forwarding-service.ts
+++ b/src/peers/forwarding-service.ts
@@ -39,6 +39,7 @@
 		statusCode: answer.statusCode,
 		headers: answer.headers.map(([name, value]) => ({name, value})),
 		body: answer.body,
+		outcome: answer.outcome,
 	});
 }
 
--- a/src/peers/forwarding-types.ts
+++ b/src/peers/forwarding-types.ts
@@ -1,12 +1,13 @@
 /** Calls between entries as the rest of the entry sees them. */
 import {type HandoverRecord} from '../decisions/outcomes/claim-fold.ts';
+import {type Outcome} from '../decisions/outcomes/types.ts';
 
 /** A call with its whole body. */
 export type ForwardedCall = {
 	/** Incarnation that owns the key. */
 	readonly incarnation: string;
 	readonly method: string;
-	/** Path with the query. */
+	/** Path with the query, as the caller sent it. */
 	readonly path: string;
 	readonly headers: ReadonlyArray<readonly [string, string]>;
 	readonly body: Uint8Array;
@@ -20,6 +21,7 @@
 	readonly statusCode: number;
 	readonly headers: ReadonlyArray<readonly [string, string]>;
 	readonly body: Uint8Array;
+	readonly outcome: Outcome;
 };
 
 export type ForwardResult
--- a/stand-ins/programs/upstreams.ts
+++ b/stand-ins/programs/upstreams.ts
@@ -12,6 +12,7 @@
 	readonly seed: number;
 	readonly oneWayMilliseconds: number;
 	readonly behavior: string;
+	readonly reportRuns: boolean;
 };
 
 const program = cac('stand-in-upstreams');
@@ -25,6 +26,7 @@
 	.option('--seed <number>', 'Seed of the first', {default: 1})
 	.option('--one-way-milliseconds <number>', 'Network delay in each direction', {default: 0})
 	.option('--behavior <json>', 'Behavior as JSON', {default: '{}'})
+	.option('--report-runs', 'Print a line `run KEY` at the start of each run, which outlives a kill', {default: false})
 	.action(run);
 program.help();
 program.parse();
@@ -41,6 +43,7 @@
 			seed: flags.seed + index,
 			behavior,
 			oneWayMilliseconds: flags.oneWayMilliseconds,
+			...(flags.reportRuns ? {onRun: reportRun} : {}),
 		}));
 	}
 
@@ -52,3 +55,7 @@
 		}
 	});
 }
+
+function reportRun(key: string): void {
+	process.stdout.write(`run ${key}\n`);
+}
--- a/stand-ins/upstream.ts
+++ b/stand-ins/upstream.ts
@@ -9,14 +9,13 @@
 import * as http from 'node:http';
 import * as pureRand from 'pure-rand';
 import * as z from 'zod';
-import {assertNever} from '../src/decisions/assert-never.ts';
 import {close, listen} from './listen.ts';
 
 const behaviorSchema = z.strictObject({
 	/** Mean duration of a call, by the first segment of its path; `default` for the others. */
 	durationMilliseconds: z.record(z.string(), z.number()),
-	/** `fixed`, evenly from 0.6 to 1.4 times the mean, or exponentially distributed around the mean. */
-	durationKind: z.enum(['fixed', 'uniform', 'exponential']),
+	/** `fixed`, or exponentially distributed around the mean. */
+	durationKind: z.enum(['fixed', 'exponential']),
 	/** Factor on all durations, e.g. by a noisy neighbour. */
 	slowdown: z.number(),
 	/** Calls are answered with status 500 at once. */
@@ -68,6 +67,8 @@
 	readonly behavior?: UpstreamBehaviorChange;
 	/** One-way network delay, added once before and once after the call. */
 	readonly oneWayMilliseconds?: number;
+	/** Called at the start of each run of a call with an idempotency key. */
+	readonly onRun?: (key: string) => void;
 };
 
 /** Counters since the start. */
@@ -234,6 +235,7 @@
 		const key = job.request.headers['idempotency-key'];
 		if (typeof key === 'string') {
 			runs.set(key, (runs.get(key) ?? 0) + 1);
+			options.onRun?.(key);
 		}
 
 		const complete = () => {
@@ -253,27 +255,8 @@
 	function getDuration(path: string): number {
 		const operation = path.split('/', 2)[1]?.split('?', 1)[0] ?? '';
 		const mean = behavior.durationMilliseconds[operation] ?? behavior.durationMilliseconds.default ?? 5;
-		return mean * getDurationFactor() * behavior.slowdown * getColdFactor();
-	}
-
-	function getDurationFactor(): number {
-		switch (behavior.durationKind) {
-			case 'fixed': {
-				return 1;
-			}
-
-			case 'uniform': {
-				return 0.6 + (0.8 * getUniform());
-			}
-
-			case 'exponential': {
-				return -Math.log(getUniform());
-			}
-
-			default: {
-				return assertNever(behavior.durationKind);
-			}
-		}
+		const factor = behavior.durationKind === 'exponential' ? -Math.log(getUniform()) : 1;
+		return mean * factor * behavior.slowdown * getColdFactor();
 	}
 
 	function getColdFactor(): number {
--- /dev/null
+++ b/test/at-most-once.test.ts
@@ -0,0 +1,21 @@
+import * as vitest from 'vitest';
+import {formatVerdict} from '../bench/faults/judge.ts';
+import {runFaults} from '../bench/faults/run-faults.ts';
+
+const {expect, test} = vitest;
+
+const seed = 3;
+
+test('under the faults of one seed no key runs twice, no refusal is false and every answer is whole and its own', async () => {
+	const lines: string[] = [];
+	const verdict = await runFaults({
+		seed,
+		seconds: 12,
+		print(line) {
+			lines.push(line);
+		},
+	});
+	console.log(formatVerdict(seed, verdict));
+	expect(verdict.violations, lines.join('\n')).toEqual([]);
+	expect(verdict.known.ran ?? 0).toBeGreaterThan(0);
+});
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -49,7 +49,7 @@
 			setTimeout(resolve, 5);
 		});
 		const body = new TextEncoder().encode(`answer to ${key}`);
-		decision.ticket.finish({kind: 'answered-whole'}, {statusCode: 200, headers: [], body});
+		decision.ticket.finish('ran', {statusCode: 200, headers: [], body});
 		return `answer to ${key}`;
 	};
 
@@ -75,7 +75,9 @@
 					: await call({
 						kind: 'bound', text, incarnation, bucket,
 					});
-				return {statusCode: 200, headers: [], body: new TextEncoder().encode(body)};
+				return {
+					statusCode: 200, headers: [], body: new TextEncoder().encode(body), outcome: 'unknown',
+				};
 			},
 		})],
 	});
