--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -12,12 +12,11 @@
 import {createPeerServer, type PeerServer} from '../peers/peer-server.ts';
 import {type InstanceListHost, type LogHost} from '../platform/types.ts';
 import {type Call, type AnswerSink} from './call.ts';
-import {
-	type CallerServer, createCallerServer, type PlainAnswer, type PlainRoute,
-} from './caller-server.ts';
+import {type CallerServer, createCallerServer} from './caller-server.ts';
 import {createClaims} from './claims.ts';
 import {createLifeCycle} from './life-cycle.ts';
 import {createEntryMembership, createIncarnation, type EntryMembership} from './membership.ts';
+import {createPlainRoutes} from './plain-routes.ts';
 import {createServices} from './services.ts';
 import {type CallEnd, type Execution} from './service-runner.ts';
 import {type EntrySettings} from './settings.ts';
@@ -173,11 +172,18 @@
 	}
 
 	const isLeaving = () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining';
-	const plainRoutes = new Map<string, PlainRoute>([
-		['/healthz', () => createTextAnswer(200, 'ok\n')],
-		['/readyz', () => lifeCycle.getState() === 'serving' ? createTextAnswer(200, 'ready\n') : createTextAnswer(503, `${lifeCycle.getState()}\n`)],
-		['/metrics', async () => ({statusCode: 200, contentType: metrics.contentType, body: await metrics.getText()})],
-		['/v1/status', () => createJsonAnswer({
+	const plainRoutes = createPlainRoutes({
+		getState: lifeCycle.getState,
+		getMetrics: metrics.getText,
+		metricsContentType: metrics.contentType,
+		getEntries(place) {
+			const answer = membership.getEntries(place);
+			return {
+				...answer,
+				entries: answer.entries.map(entry => ({...entry, incarnation: claims.createKeyPrefix(entry.incarnation)})),
+			};
+		},
+		getStatus: () => ({
 			name: settings.name,
 			incarnation,
 			failureDomain: settings.failureDomain,
@@ -188,19 +194,8 @@
 			services: services.getStatus(),
 			members: membership.getStatuses(),
 			drains: membership.getDrains(),
-		})],
-		['/v1/entries', request => {
-			const parameters = new URL(request.url ?? '/', 'http://entry').searchParams;
-			const answer = membership.getEntries({
-				region: parameters.get('region') ?? undefined,
-				failureDomain: parameters.get('failureDomain') ?? undefined,
-			});
-			return createJsonAnswer({
-				...answer,
-				entries: answer.entries.map(entry => ({...entry, incarnation: claims.createKeyPrefix(entry.incarnation)})),
-			});
-		}],
-	]);
+		}),
+	});
 	const callerServer = createCallerServer({
 		entryName: settings.name,
 		tracing,
@@ -301,14 +296,6 @@
 	return `${announcedHost ?? host}:${announcedPeerPort ?? server.port}`;
 }
 
-function createTextAnswer(statusCode: number, body: string): PlainAnswer {
-	return {statusCode, contentType: 'text/plain; charset=utf-8', body};
-}
-
-function createJsonAnswer(value: unknown): PlainAnswer {
-	return {statusCode: 200, contentType: 'application/json', body: JSON.stringify(value)};
-}
-
 async function wait(milliseconds: number): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, milliseconds);
