Keep a slot for short work at upstreams in their slow start

Cause: the demo's price call waited 1,630 ms behind 12 long reports. A trace of the dispatches showed all upstreams in their slow start with one call each, and that one call was long work, so nothing was left for short work. Ruled out: the runner and the connections (the call was not dispatched before). Change: an upstream in its slow start gets one short and one long call, not one call of any kind.

--- a/src/decisions/routing/product-scheduler.test.ts
+++ b/src/decisions/routing/product-scheduler.test.ts
@@ -341,3 +341,15 @@
 	expect(countAt(entry, 'upstream-new')).toBeLessThanOrEqual(1);
 	expect(entry.scheduler.getStatus(0).find(({upstream}) => upstream === 'upstream-new')?.state).toBe('starting');
 });
+
+test('long work in a slow start leaves a slot for short work', () => {
+	const entry = createTestEntry(0);
+	const added = Array.from({length: upstreamCount}, (_, index) => ({...upstreams[0]!, name: `new-${index}`}));
+	entry.scheduler.setUpstreams(added, 0);
+	for (let id = 0; id < 100; id++) {
+		offer(entry, createCall(id, 0, true), 0);
+	}
+
+	offer(entry, createCall(100, 1), 1);
+	expect(entry.dispatched.has(100)).toBe(true);
+});
--- a/src/decisions/routing/upstream-pool.ts
+++ b/src/decisions/routing/upstream-pool.ts
@@ -76,7 +76,7 @@
 
 const noShare: SlotShare = {slots: 0, longSlots: 0};
 const meanForeignWeight = 0.05;
-/** Calls that an upstream in its slow start gets from one entry at once. */
+/** Calls of each kind, short and long, that an upstream in its slow start gets from one entry at once. */
 const startingCalls = 1;
 
 /** Creates the pool; upstreams that are there from the start count as warm. */
@@ -136,18 +136,14 @@
 
 	/** Puts an upstream into the sets that it belongs to. */
 	function update(upstream: PoolUpstream): void {
-		const limit = getOwnLimit(upstream);
-		usable.set(upstream, isTakingWork(upstream));
-		free.set(upstream, upstream.running.size < limit);
-		freeLong.set(upstream, upstream.running.size < limit && upstream.runningLong < upstream.share.longSlots);
-	}
-
-	function getOwnLimit(upstream: PoolUpstream): number {
-		if (!isTakingWork(upstream)) {
-			return 0;
-		}
-
-		return getLifeState(upstream.life) === 'starting' ? Math.min(startingCalls, upstream.share.slots) : upstream.share.slots;
+		const {running, runningLong, share} = upstream;
+		const isTaking = isTakingWork(upstream);
+		const isFree = isTaking && running.size < share.slots;
+		const isStarting = getLifeState(upstream.life) === 'starting';
+		const longLimit = isStarting ? Math.min(startingCalls, share.longSlots) : share.longSlots;
+		usable.set(upstream, isTaking);
+		free.set(upstream, isFree && !(isStarting && running.size - runningLong >= startingCalls));
+		freeLong.set(upstream, isFree && runningLong < longLimit);
 	}
 
 	function isTakingWork(upstream: PoolUpstream): boolean {
