Make the slow-start test able to fail

Cause: with three entries no share exceeds one slot, so the test passed without the rule that it checks. Change: it runs with one entry, whose shares are whole upstreams. Result: fails with the earlier pool, passes with the present one.

--- a/src/decisions/routing/product-scheduler.test.ts
+++ b/src/decisions/routing/product-scheduler.test.ts
@@ -345,6 +345,7 @@
 test('long work in a slow start leaves a slot for short work', () => {
 	const entry = createTestEntry(0);
 	const added = Array.from({length: upstreamCount}, (_, index) => ({...upstreams[0]!, name: `new-${index}`}));
+	entry.scheduler.setFleet({self: 'entry-0', selfFailureDomain: 'riverside', entries: entries.slice(0, 1)}, 0);
 	entry.scheduler.setUpstreams(added, 0);
 	for (let id = 0; id < 100; id++) {
 		offer(entry, createCall(id, 0, true), 0);
