Poll upstreams within a budget of the whole fleet

Cause: polls summed over all entries must stay within the table's budget while entries disagree on membership.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -4,7 +4,12 @@
 import process from 'node:process';
 import * as esbuild from 'esbuild';
 
-const folders = {'src/programs': 'fescuering-', demo: 'fescuering-', 'stand-ins/programs': 'stand-in-', 'bench/programs': 'bench-'};
+const folders = {
+	'src/programs': 'fescuering-',
+	demo: 'fescuering-',
+	'stand-ins/programs': 'stand-in-',
+	'bench/programs': 'bench-',
+};
 const entryPoints = [];
 for (const [folder, prefix] of Object.entries(folders)) {
 	if (!fs.existsSync(folder)) {
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -20,6 +20,7 @@
 import {createServices} from './services.ts';
 import {type CallEnd, type Execution} from './service-runner.ts';
 import {type EntrySettings} from './settings.ts';
+import {createMeasurement, getPolledUpstreams, type Measurement} from './measurement.ts';
 import {createTableExchange} from './table-exchange.ts';
 import {createTableReader} from './table-reader.ts';
 
@@ -70,6 +71,7 @@
 		getNow: host.getNow,
 		noteReport(_service, upstream, report) {
 			membership.observe(upstream, report);
+			measurement.noteReport(upstream, host.getNow());
 		},
 		noteAttempt(call, result) {
 			metrics.resolveOperation(call.service, call.operation.operation).recordAttempt(result.kind);
@@ -77,7 +79,7 @@
 	}, {
 		policy: settings.policy,
 		seed: crypto.randomInt(largestSeed),
-		fleet: {self: settings.name, selfFailureDomain: settings.failureDomain, entries: [settings]},
+		fleet: {self: settings.name, selfFailureDomain: settings.failureDomain, entries: [{name: settings.name, failureDomain: settings.failureDomain}]},
 		...settings.upstreamConnections,
 	});
 	const tableReader = createTableReader({
@@ -108,7 +110,10 @@
 		getNow: host.getNow,
 		onFleet: services.setFleet,
 		onUpstreams: services.setUpstreams,
-		onReport: services.report,
+		onReport(service, upstream, report, reportedAt) {
+			measurement.noteReport(upstream, reportedAt);
+			services.report(service, upstream, report, reportedAt);
+		},
 		onSuperseded: host.onSuperseded,
 	}, {
 		name: settings.name,
@@ -120,6 +125,23 @@
 		timeoutMilliseconds: settings.platform.timeoutMilliseconds,
 	});
 
+	const measurement: Measurement = createMeasurement({
+		log: host.log,
+		logger,
+		random: createRandomSource(crypto.randomInt(largestSeed)),
+		getNow: host.getNow,
+		getUpstreams: () => getPolledUpstreams(membership.getUpstreams(), view),
+		countEntries: () => membership.getFleet().entries.length,
+		onReport(service, upstream, report) {
+			membership.observe(upstream, report);
+			membership.share(service, upstream, report);
+			services.report(service, upstream, report, host.getNow());
+		},
+		onMeasurement(observation) {
+			metrics.recordMeasurement({...observation, failureDomain: settings.failureDomain});
+		},
+	}, incarnation);
+
 	metrics.setGauges(() => ({
 		tableVersion: view?.version ?? -1,
 		members: membership.countStates(),
@@ -194,6 +216,7 @@
 			services: services.getStatus(),
 			members: membership.getStatuses(),
 			drains: membership.getDrains(),
+			measurementPositions: measurement.getPositions(),
 		}),
 	});
 	const callerServer = createCallerServer({
@@ -227,6 +250,7 @@
 	const peerAddress = formatPeerAddress(peerServer, settings);
 	tableReader.start();
 	await membership.start({address: callerAddress, peerAddress});
+	measurement.start();
 	logger.info('entry-started', {
 		incarnation, address: callerAddress, peerAddress, failureDomain: settings.failureDomain,
 	});
@@ -246,6 +270,7 @@
 		await drain(callerServer, host, settings.leaving.graceMilliseconds);
 		lifeCycle.take('calls-ended');
 		await claims.leave(handoverMilliseconds);
+		await measurement.stop();
 		membership.stop();
 		tableReader.stop();
 		services.close();
