--- a/bench/model/model.ts
+++ b/bench/model/model.ts
@@ -248,11 +248,11 @@
 		const {name} = descriptions[index]!;
 		at(now + options.oneWayMilliseconds, later => {
 			const {entry} = job.running;
+			act(entry, schedulers[entry]!.report(name, report, later, later, job.running.call.id), later);
 			const result = {kind: 'answered', statusCode, durationMilliseconds: later - job.dispatchedAt} as const;
 			end({
 				running: job.running, attempt: job.attempt, upstream: name, result,
 			}, later);
-			act(entry, schedulers[entry]!.report(name, report, later, later), later);
 		});
 	}
 
--- /dev/null
+++ b/bench/scenarios/table.ts
@@ -0,0 +1,11 @@
+/** The scenarios of the bench by name. */
+import * as routing from './routing.ts';
+import * as micro from './micro.ts';
+import * as model from './model.ts';
+import {type Scenario} from './types.ts';
+
+export const scenarios: Readonly<Record<string, Scenario>> = {
+	...routing.scenarios,
+	micro: micro.run,
+	model: model.run,
+};
--- a/src/decisions/retries/retry-rule.ts
+++ b/src/decisions/retries/retry-rule.ts
@@ -28,23 +28,3 @@
 export function isFailure(result: AttemptResult): boolean {
 	return result.kind !== 'answered' || retryableStatusCodes.has(result.statusCode);
 }
-
-export type RetryPermission = 'allowed' | 'denied';
-
-/** What a request says of its place in a chain of calls. */
-export type NestedCall = {
-	/** Nesting level; 0 for a call that comes from outside. */
-	readonly depth: number;
-	/** Permission sent along by the level above; undefined when it sent none. */
-	readonly permission: RetryPermission | undefined;
-};
-
-/**
-Resolves whether this level may retry, and what it tells the level below.
-
-Only one level of a chain retries, so that retries do not multiply: the outermost that goes through an entry.
-*/
-export function resolveRetryPermission(call: NestedCall): {readonly isAllowed: boolean; readonly next: RetryPermission} {
-	const isAllowed = call.permission === 'allowed' || (call.permission === undefined && call.depth === 0);
-	return {isAllowed, next: 'denied'};
-}
--- a/src/decisions/routing/product-scheduler.ts
+++ b/src/decisions/routing/product-scheduler.ts
@@ -296,8 +296,8 @@
 			}
 		},
 		tryChargeRetry: (call, result, now) => isRetryable(call, result, now) && budget.tryCharge(),
-		report(name, report, reportedAt, now) {
-			pool.takeReport(name, report, reportedAt, now);
+		report(name, report, reportedAt, now, answeredCallId) { // eslint-disable-line max-params
+			pool.takeReport(name, report, {reportedAt, now, answeredCallId});
 			const upstream = pool.get(name);
 			if (upstream && now - reportedAt < learner.getTypicalShort()) {
 				if (hints.length >= largestHints) {
--- a/src/decisions/routing/types.ts
+++ b/src/decisions/routing/types.ts
@@ -110,8 +110,8 @@
 	withdraw(callId: number, now: number): void;
 	/** Decides whether a call may go out again after an attempt, and charges the retry budget when it may. */
 	tryChargeRetry(call: WaitingCall, result: AttemptResult, now: number): boolean;
-	/** Takes a report that rode on an answer, came from a poll, or was passed on by a peer. */
-	report(upstream: string, report: LoadReport, reportedAt: number, now: number): readonly SchedulerAction[];
+	/** Takes a report that rode on the answer to `answeredCallId`, came from a poll, or was passed on by a peer. */
+	report(upstream: string, report: LoadReport, reportedAt: number, now: number, answeredCallId?: number): readonly SchedulerAction[];
 	setUpstreams(upstreams: readonly UpstreamDescription[], now: number): readonly SchedulerAction[];
 	setView(view: ServiceView, now: number): readonly SchedulerAction[];
 	setFleet(fleet: FleetView, now: number): readonly SchedulerAction[];
--- a/src/decisions/routing/upstream-pool.ts
+++ b/src/decisions/routing/upstream-pool.ts
@@ -46,6 +46,13 @@
 	readonly random: RandomSource;
 };
 
+export type ReportTimes = {
+	readonly reportedAt: number;
+	readonly now: number;
+	/** Call on whose answer the report rode. */
+	readonly answeredCallId: number | undefined;
+};
+
 export type UpstreamPool = {
 	/** Upstreams with a free slot of this entry's own. */
 	readonly free: IndexedSet<PoolUpstream>;
@@ -57,7 +64,8 @@
 	start(upstream: PoolUpstream, callId: number, call: RunningCall): void;
 	/** Ends a call; gets it, or undefined when it is not known. */
 	end(name: string, callId: number): RunningCall | undefined;
-	takeReport(name: string, report: LoadReport, reportedAt: number, now: number): void;
+	/** Takes a report; it does not count the call on whose answer it rode. */
+	takeReport(name: string, report: LoadReport, times: ReportTimes): void;
 	/** Takes an answer whose duration is the given multiple of the typical one. */
 	takeGoodAnswer(name: string, ratio: number, now: number): void;
 	takeFailure(name: string, now: number): void;
@@ -205,13 +213,13 @@
 			update(upstream);
 			return call;
 		},
-		takeReport(name, report, reportedAt, now) {
+		takeReport(name, report, {reportedAt, now, answeredCallId}) {
 			const upstream = upstreams.get(name);
 			if (!upstream || reportedAt < upstream.belief.reportedAt) {
 				return;
 			}
 
-			upstream.belief = createLoadBelief(report, countSentBefore(upstream, now), reportedAt);
+			upstream.belief = createLoadBelief(report, countSentBefore(upstream, now, answeredCallId), reportedAt);
 			meanForeign += (Math.min(upstream.belief.foreign, upstream.slots) - meanForeign) * meanForeignWeight;
 			const isDraining = getLifeState(upstream.life) === 'draining';
 			if (isDraining !== (report.state === 'draining')) {
@@ -264,7 +272,7 @@
 			return next;
 		},
 		setUpstreams(descriptions) {
-			setUpstreams(descriptions, true);
+			setUpstreams(descriptions, upstreams.size > 0);
 		},
 		setView(next) {
 			view = next;
@@ -292,11 +300,11 @@
 	};
 }
 
-/** Counts the calls that went out before the present moment; later ones are not in the report. */
-function countSentBefore(upstream: PoolUpstream, now: number): number {
+/** Counts the calls that went out before the present moment and have not been answered; a report counts just these. */
+function countSentBefore(upstream: PoolUpstream, now: number, answeredCallId: number | undefined): number {
 	let count = 0;
-	for (const call of upstream.running.values()) {
-		count += call.dispatchedAt < now ? 1 : 0;
+	for (const [id, call] of upstream.running) {
+		count += call.dispatchedAt < now && id !== answeredCallId ? 1 : 0;
 	}
 
 	return count;
--- a/src/decisions/table/snapshot-schedule.ts
+++ b/src/decisions/table/snapshot-schedule.ts
@@ -15,7 +15,7 @@
 const maximumEditsBetweenSnapshots = 256;
 
 export type SnapshotSchedule = {
-	/** Gets the time until this entry should append a snapshot; `random` is from 0 up to 1. */
+	/** Gets the time until this entry should append a snapshot, 0 when it should now; `random` is from 0 up to 1. */
 	getDelay(state: FollowState, now: number, random: number): number;
 	/** Forgets the time that was drawn, after a snapshot was tried. */
 	restart(): void;
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -162,7 +162,8 @@
 /** Answers a call that goes no further; what is left of its body is not read. */
 function refuse(request: http.IncomingMessage, sink: AnswerSink, kind: ProblemKind): void {
 	const isBodyLeft = !request.complete;
-	writeProblem(sink, createRefusal(kind, getKeyHistory(request)));
+	const history: KeyHistory = kind === 'malformed-key' ? {kind: 'keyless'} : getKeyHistory(request);
+	writeProblem(sink, createRefusal(kind, history));
 	if (isBodyLeft) {
 		request.pause();
 		setImmediate(() => {
--- a/src/entry/service-runner.ts
+++ b/src/entry/service-runner.ts
@@ -274,7 +274,7 @@
 		}
 
 		state.statusCode = statusCode;
-		noteLoadHeader(upstream, headers[headerNames.load]);
+		noteLoadHeader(upstream, headers[headerNames.load], state.call.id);
 		const isRefused = statusCode === 503 && headers[headerNames.outcome] === 'not-run';
 		const result = createAnswerResult(state, isRefused);
 		if (isRefused) {
@@ -297,7 +297,7 @@
 		});
 	}
 
-	function noteLoadHeader(upstream: string, value: string | string[] | undefined): void {
+	function noteLoadHeader(upstream: string, value: string | string[] | undefined, callId: number): void {
 		const report = typeof value === 'string' ? tryParseLoadHeader(value) : undefined;
 		if (!report) {
 			return;
@@ -305,7 +305,7 @@
 
 		const now = host.getNow();
 		host.noteReport(upstream, report);
-		apply(scheduler.report(upstream, report, now, now));
+		apply(scheduler.report(upstream, report, now, now, callId));
 	}
 
 	function createAnswerResult(state: RunningCall, isRefused: boolean): AttemptResult {
--- a/src/entry/table-reader.ts
+++ b/src/entry/table-reader.ts
@@ -77,6 +77,7 @@
 const defaultTimeoutMilliseconds = 1000;
 const readBackoff = {firstMilliseconds: 50, maximumMilliseconds: 1000};
 const emptyPagePauseMilliseconds = 10;
+const longestTimerMilliseconds = 3_600_000;
 
 /** Creates a reader; call `start` to begin. */
 export function createTableReader(host: TableReaderHost, options: TableReaderOptions): TableReader {
@@ -178,13 +179,18 @@
 		}
 
 		const delay = snapshotSchedule.getDelay(follow, host.now(), host.random());
-		cancelSnapshot = host.setTimer(delay, () => {
+		cancelSnapshot = host.setTimer(Math.min(delay, longestTimerMilliseconds), () => {
+			if (delay > longestTimerMilliseconds) {
+				scheduleSnapshot();
+				return;
+			}
+
 			void writeSnapshot();
 		});
 	};
 
 	const writeSnapshot = async (): Promise<void> => {
-		if (isStopped || !follow.fold || lifeCycle.state !== 'following') {
+		if (!follow.fold) {
 			return;
 		}
 
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -19,7 +19,8 @@
 		return neverthrow.ok(parsed.data);
 	}
 
-	const issue = parsed.error.issues[0]!;
+	const {issues} = parsed.error;
+	const issue = issues.find(candidate => candidate.code === 'unrecognized_keys') ?? issues[0]!;
 	const path = issue.path.map(String);
 	if (issue.code !== 'unrecognized_keys') {
 		return neverthrow.err(createDiagnostic(diagnostics.settingsInvalidValue, path.join('.') || '(root)', issue.message));
--- a/stand-ins/upstream.ts
+++ b/stand-ins/upstream.ts
@@ -9,13 +9,14 @@
 import * as http from 'node:http';
 import * as pureRand from 'pure-rand';
 import * as z from 'zod';
+import {assertNever} from '../src/decisions/assert-never.ts';
 import {close, listen} from './listen.ts';
 
 const behaviorSchema = z.strictObject({
 	/** Mean duration of a call, by the first segment of its path; `default` for the others. */
 	durationMilliseconds: z.record(z.string(), z.number()),
-	/** `fixed`, or exponentially distributed around the mean. */
-	durationKind: z.enum(['fixed', 'exponential']),
+	/** `fixed`, evenly from 0.6 to 1.4 times the mean, or exponentially distributed around the mean. */
+	durationKind: z.enum(['fixed', 'uniform', 'exponential']),
 	/** Factor on all durations, e.g. by a noisy neighbour. */
 	slowdown: z.number(),
 	/** Calls are answered with status 500 at once. */
@@ -255,8 +256,27 @@
 	function getDuration(path: string): number {
 		const operation = path.split('/', 2)[1]?.split('?', 1)[0] ?? '';
 		const mean = behavior.durationMilliseconds[operation] ?? behavior.durationMilliseconds.default ?? 5;
-		const factor = behavior.durationKind === 'exponential' ? -Math.log(getUniform()) : 1;
-		return mean * factor * behavior.slowdown * getColdFactor();
+		return mean * getDurationFactor() * behavior.slowdown * getColdFactor();
+	}
+
+	function getDurationFactor(): number {
+		switch (behavior.durationKind) {
+			case 'fixed': {
+				return 1;
+			}
+
+			case 'uniform': {
+				return 0.6 + (0.8 * getUniform());
+			}
+
+			case 'exponential': {
+				return -Math.log(getUniform());
+			}
+
+			default: {
+				return assertNever(behavior.durationKind);
+			}
+		}
 	}
 
 	function getColdFactor(): number {
--- /dev/null
+++ b/test/programs.test.ts
@@ -0,0 +1,90 @@
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as vitest from 'vitest';
+import * as z from 'zod';
+import {entrySettingsSchema} from '../src/entry/settings.ts';
+
+const {
+	afterAll, expect, test,
+} = vitest;
+
+const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'fescuering-programs-'));
+
+afterAll(() => {
+	fs.rmSync(folder, {recursive: true});
+});
+
+const goodSettings = {
+	name: 'entry-1',
+	failureDomain: 'north',
+	failureDomains: ['north', 'south'],
+	listen: {callerPort: 0, peerPort: 0},
+	platform: {logUrl: 'http://127.0.0.1:1', instanceListUrl: 'http://127.0.0.1:1'},
+};
+
+async function runEntry(settings: unknown, ...extra: string[]) {
+	const file = path.join(folder, 'settings.json');
+	fs.writeFileSync(file, JSON.stringify(settings));
+	return runProgram('--settings', file, ...extra);
+}
+
+async function runProgram(...programArguments: string[]): Promise<{code: number | undefined; output: string; errors: string}> {
+	return new Promise(resolve => {
+		childProcess.execFile(process.execPath, ['dist/fescuering-entry.mjs', ...programArguments], (error, output, errors) => {
+			resolve({code: error ? Number(error.code) : 0, output, errors});
+		});
+	});
+}
+
+test('good settings pass the check', async () => {
+	expect(await runEntry(goodSettings, '--check')).toEqual({code: 0, output: 'settings ok\n', errors: ''});
+});
+
+const mistakes = [
+	{name: 'an unknown key', settings: {...goodSettings, polices: {kind: 'random'}}, text: /FES1003.*"polices".*"policy"/v},
+	{name: 'a wrong value', settings: {...goodSettings, listen: {callerPort: 'x', peerPort: 0}}, text: /FES1004.*listen\.callerPort/v},
+	{name: 'an unlisted failure domain', settings: {...goodSettings, failureDomain: 'west'}, text: /FES1006.*"west".*north, south/v},
+];
+
+test.each(mistakes)('$name is one line that names the remedy, with exit code 2', async ({settings, text}) => {
+	const result = await runEntry(settings);
+	expect(result.code).toBe(2);
+	expect(result.errors.trim().split('\n')).toHaveLength(1);
+	expect(result.errors).toMatch(text);
+});
+
+test('an address in use is one line that names the remedy, with exit code 2', async () => {
+	const server = net.createServer().listen(0, '127.0.0.1');
+	await new Promise(resolve => {
+		server.once('listening', resolve);
+	});
+	const address = server.address();
+	const callerPort = typeof address === 'object' && address ? address.port : 0;
+	const result = await runEntry({...goodSettings, listen: {callerPort, peerPort: 0}});
+	server.close();
+	expect(result.code).toBe(2);
+	expect(result.errors).toMatch(/^error FES1005: .*EADDRINUSE/v);
+	expect(result.errors.trim().split('\n')).toHaveLength(1);
+});
+
+test('a missing or unknown option is one line with exit code 2', async () => {
+	expect(await runProgram()).toMatchObject({code: 2, errors: expect.stringMatching(/^error FES1007/v) as unknown});
+	expect(await runProgram('--sttings', 'x')).toMatchObject({code: 2, errors: expect.stringMatching(/^error FES1008/v) as unknown});
+});
+
+test('help and version are printed', async () => {
+	const help = await runProgram('--help');
+	const version = await runProgram('--version');
+	expect(help).toMatchObject({code: 0});
+	expect(help.output).toContain('--settings');
+	expect(version.output).toMatch(/\d+\.\d+\.\d+/v);
+});
+
+test('the committed JSON Schema is the one of the settings', () => {
+	const committed: unknown = JSON.parse(fs.readFileSync('docs/entry-settings.schema.json', 'utf8'));
+	expect(committed).toEqual(z.toJSONSchema(entrySettingsSchema, {io: 'input'}));
+});
