Bound the wait so that admitted calls are answered, and tell short calls what they waited behind long work

Change: a call goes out only with 1.6 typical durations left, and is admitted only when the estimated wait takes half of the time left. The wait before a slot of another entry is used grows with the number of own slots. Sums over the upstreams are kept instead of computed at each decision.

--- a/src/decisions/admission/admission.ts
+++ b/src/decisions/admission/admission.ts
@@ -8,8 +8,6 @@
 const windowMilliseconds = 50;
 /** Weight of the last window. */
 const windowWeight = 0.4;
-/** Part of the time left that the estimated wait may take; the rest covers the error of the estimate. */
-const waitShare = 0.8;
 const millisecondsPerSecond = 1000;
 
 export type Admission = {
@@ -18,11 +16,15 @@
 	/** Estimates the wait behind the calls ahead, in milliseconds. */
 	estimateWait(ahead: number, now: number): number;
 	/** Whether a call with so many calls ahead is likely to be answered in time. */
-	isReachable(ahead: number, typicalMilliseconds: number, deadlineAt: number, now: number): boolean;
+	isReachable(ahead: number, neededMilliseconds: number, deadlineAt: number, now: number): boolean;
 };
 
-/** Creates the estimate; `getAssumedRate` gives departures per millisecond while none were measured. */
-export function createAdmission(getAssumedRate: () => number): Admission {
+/**
+Creates the estimate; `getAssumedRate` gives departures per millisecond while none were measured.
+
+The estimated wait may take the given share of the time left; the rest covers the error of the estimate.
+*/
+export function createAdmission(waitShare: number, getAssumedRate: () => number): Admission {
 	let windowStartedAt = Number.NEGATIVE_INFINITY;
 	let departures = 0;
 	let rate: number | undefined;
@@ -58,8 +60,8 @@
 			roll(now);
 			departures += 1;
 		},
-		isReachable(ahead, typicalMilliseconds, deadlineAt, now) {
-			const left = deadlineAt - now - typicalMilliseconds;
+		isReachable(ahead, neededMilliseconds, deadlineAt, now) {
+			const left = deadlineAt - now - neededMilliseconds;
 			return left > 0 && estimateWait(ahead, now) <= left * waitShare;
 		},
 	};
--- a/src/decisions/routing/lane.ts
+++ b/src/decisions/routing/lane.ts
@@ -1,6 +1,7 @@
 /** Calls that wait for the same kind of slot, with their own estimate of the wait. */
 import {type Admission, createAdmission} from '../admission/admission.ts';
 import {createDeadlineQueue, type DeadlineQueue} from '../admission/deadline-queue.ts';
+import {tuning} from './tuning.ts';
 import {type WaitingCall} from './types.ts';
 
 export type QueuedCall = {
@@ -10,6 +11,8 @@
 	readonly queuedAt: number;
 	readonly isLong: boolean;
 	readonly call: WaitingCall;
+	/** Time until now in which long work held all own slots, in milliseconds. */
+	readonly allLongBefore: number;
 };
 
 export type Lane = {
@@ -19,5 +22,5 @@
 
 /** Creates an empty lane; `getAssumedRate` gives departures per millisecond while none were measured. */
 export function createLane(getAssumedRate: () => number): Lane {
-	return {queue: createDeadlineQueue(), admission: createAdmission(getAssumedRate)};
+	return {queue: createDeadlineQueue(), admission: createAdmission(tuning.waitShare, getAssumedRate)};
 }
--- a/src/decisions/routing/product-scheduler.test.ts
+++ b/src/decisions/routing/product-scheduler.test.ts
@@ -211,6 +211,31 @@
 	}
 });
 
+test('a short call that waits while long work holds all own slots is told so', () => {
+	const entry = createTestEntry(0);
+	entry.scheduler.setView({...view, service: {...view.service, longShare: 1}}, 0);
+	for (let id = 0; id < 100; id++) {
+		offer(entry, createCall(id, 0, true), 0);
+	}
+
+	for (const callId of entry.waiting.keys()) {
+		entry.waiting.delete(callId);
+		entry.scheduler.withdraw(callId, 0);
+	}
+
+	for (const {name} of upstreams) {
+		entry.scheduler.report(name, {
+			slots, running: slots, queued: 9, state: 'live',
+		}, 1, 1);
+	}
+
+	offer(entry, createCall(1000, 1), 1);
+	expect(entry.waiting.has(1000)).toBe(true);
+	const [first] = [...entry.dispatched];
+	const [action] = entry.scheduler.finish(first![0], first![1].upstream, results[0]!, 11);
+	expect(action).toMatchObject({kind: 'dispatch', callId: 1000, behindLongMilliseconds: 10});
+});
+
 test('reports of no load never draw more calls than the slots and one', () => {
 	fastCheck.assert(fastCheck.property(fastCheck.nat(upstreamCount - 1), fastCheck.integer({min: 1, max: 10}), (picked, pause) => {
 		const entry = createTestEntry(0);
--- a/src/decisions/routing/product-scheduler.ts
+++ b/src/decisions/routing/product-scheduler.ts
@@ -31,6 +31,8 @@
 /** Tries to find a free slot at an upstream without an overdue call. */
 const freeTries = 4;
 const largestHints = 16;
+/** Shortest time between two looks at the waiting calls. */
+const shortestStepMilliseconds = 1;
 
 /** Creates the scheduler of one service. */
 export function createProductScheduler(options: ProductSchedulerOptions): ServiceScheduler {
@@ -76,6 +78,7 @@
 			lane.admission.countDeparture(now);
 		}
 
+		const behindLongMilliseconds = queued.isLong ? 0 : pool.getAllLongMilliseconds(now) - queued.allLongBefore;
 		const typical = learner.getTypical(queued.call.operation);
 		pool.start(upstream, queued.id, {
 			operation: queued.call.operation,
@@ -83,7 +86,9 @@
 			dispatchedAt: now,
 			overdueAt: now + (tuning.overdueFactor * typical),
 		});
-		return {kind: 'dispatch', callId: queued.id, upstream: upstream.name};
+		return {
+			kind: 'dispatch', callId: queued.id, upstream: upstream.name, behindLongMilliseconds,
+		};
 	}
 
 	function isUntried(call: WaitingCall, upstream: PoolUpstream): boolean {
@@ -166,6 +171,12 @@
 		return best;
 	}
 
+	/** Wait after which a call uses a slot of another entry: the more own slots, the sooner one of them is free. */
+	function getBorrowAfter(): number {
+		const share = Math.min(tuning.longestBorrowAfterShare, tuning.borrowAfterShare * pool.countOwnSlots());
+		return share * learner.getTypicalShort();
+	}
+
 	function chooseForShort(queued: QueuedCall, now: number): PoolUpstream | undefined {
 		const own = chooseOwn(pool.free, queued.call, now);
 		if (own) {
@@ -180,12 +191,17 @@
 			return hint;
 		}
 
-		return waited >= tuning.borrowAfterShare * typical ? chooseByBelief(queued.call, now) : undefined;
+		return waited >= getBorrowAfter() ? chooseByBelief(queued.call, now) : undefined;
+	}
+
+	/** Time that a call needs before its deadline; a call that never had so much gets half of what it had. */
+	function getNeeded(call: WaitingCall): number {
+		return Math.min(tuning.neededFactor * learner.getTypical(call.operation), (call.deadlineAt - call.arrivedAt) / 2);
 	}
 
 	function pumpLane(lane: Lane, actions: SchedulerAction[], now: number): void {
 		for (let queued = lane.queue.peek(); queued; queued = lane.queue.peek()) {
-			if (queued.deadlineAt - (learner.getTypical(queued.call.operation) / 2) <= now) {
+			if (queued.deadlineAt - getNeeded(queued.call) <= now) {
 				lane.queue.take();
 				actions.push(drop(queued, 'deadline-unreachable', resolveRetryAfter(lane.admission.estimateWait(lane.queue.size, now))));
 				continue;
@@ -223,7 +239,7 @@
 			return refuse(call.id, 'queue-full', resolveRetryAfter(lane.admission.estimateWait(size, now)));
 		}
 
-		if (!lane.admission.isReachable(size, learner.getTypical(call.operation), call.deadlineAt, now)) {
+		if (!lane.admission.isReachable(size, getNeeded(call), call.deadlineAt, now)) {
 			return refuse(call.id, 'deadline-unreachable', resolveRetryAfter(lane.admission.estimateWait(size, now)));
 		}
 
@@ -273,13 +289,13 @@
 			}
 
 			lane.queue.add({
-				id: call.id, priority: call.operation.priority, deadlineAt: call.deadlineAt, queuedAt: now, isLong, call,
+				id: call.id, priority: call.operation.priority, deadlineAt: call.deadlineAt, queuedAt: now, isLong, call, allLongBefore: pool.getAllLongMilliseconds(now),
 			});
 			laneOfCall.set(call.id, lane);
 			return pump(now);
 		},
 		finish(callId, upstream, result, now) {
-			const ended = pool.end(upstream, callId);
+			const ended = pool.end(upstream, callId, now);
 			if (!ended) {
 				return [];
 			}
@@ -330,7 +346,7 @@
 		},
 		getNextAdvance(now) {
 			const pauseEnd = pool.endPauses(now);
-			const step = Math.max(1, tuning.borrowAfterShare * learner.getTypicalShort());
+			const step = Math.max(shortestStepMilliseconds, getBorrowAfter());
 			const isWaiting = lanes.some(lane => lane.queue.size > 0);
 			const next = Math.min(pauseEnd ?? Number.POSITIVE_INFINITY, isWaiting ? now + step : Number.POSITIVE_INFINITY);
 			return next === Number.POSITIVE_INFINITY ? undefined : next;
--- a/src/decisions/routing/tuning.ts
+++ b/src/decisions/routing/tuning.ts
@@ -5,8 +5,10 @@
 	borrowMargin: 0,
 	/** Age up to which a report that showed a free slot is used, in typical durations. */
 	hintLifetimeShare: 0.3,
-	/** Wait after which a call uses a slot of another entry without a fresh report, in typical durations. */
-	borrowAfterShare: 0.2,
+	/** Wait after which a call uses a slot of another entry without a fresh report, in typical durations for each own slot. */
+	borrowAfterShare: 0.06,
+	/** Longest such wait, in typical durations. */
+	longestBorrowAfterShare: 0.5,
 	/** Upstreams that are compared when a slot of another entry is used. */
 	borrowChoices: 3,
 	/** Wait from which the service counts as saturated, in typical durations. */
@@ -15,4 +17,8 @@
 	saturatedExtra: 1,
 	/** A call is overdue after this many typical durations. */
 	overdueFactor: 3,
+	/** Time that a call needs before its deadline to go out, in typical durations of its operation. */
+	neededFactor: 1.6,
+	/** Part of the time left that the estimated wait may take; the rest covers the error of the estimate. */
+	waitShare: 0.5,
 };
--- a/src/decisions/routing/upstream-pool.ts
+++ b/src/decisions/routing/upstream-pool.ts
@@ -37,6 +37,8 @@
 	belief: LoadBelief;
 	health: UpstreamHealth;
 	life: UpstreamLife;
+	/** Own slots that are counted in the sum over the upstreams that take work. */
+	countedSlots: number;
 };
 
 export type UpstreamPoolOptions = {
@@ -63,7 +65,9 @@
 	get(name: string): PoolUpstream | undefined;
 	start(upstream: PoolUpstream, callId: number, call: RunningCall): void;
 	/** Ends a call; gets it, or undefined when it is not known. */
-	end(name: string, callId: number): RunningCall | undefined;
+	end(name: string, callId: number, now: number): RunningCall | undefined;
+	/** Time since the start in which long work held all own slots, in milliseconds. */
+	getAllLongMilliseconds(now: number): number;
 	/** Takes a report; it does not count the call on whose answer it rode. */
 	takeReport(name: string, report: LoadReport, times: ReportTimes): void;
 	/** Takes an answer whose duration is the given multiple of the typical one. */
@@ -96,6 +100,10 @@
 	const usable = createIndexedSet<PoolUpstream>();
 	const paused = new Set<PoolUpstream>();
 	let meanForeign = 0;
+	let ownSlots = 0;
+	let longCalls = 0;
+	let allLongMilliseconds = 0;
+	let allLongCountedAt = 0;
 	setUpstreams(options.upstreams, false);
 
 	function setUpstreams(descriptions: readonly UpstreamDescription[], isCold: boolean): void {
@@ -118,7 +126,18 @@
 		divide();
 	}
 
+	/** Brings the sum up to date before the calls change. */
+	function getAllLongMilliseconds(now: number): number {
+		if (ownSlots > 0 && longCalls >= ownSlots) {
+			allLongMilliseconds += now - allLongCountedAt;
+		}
+
+		allLongCountedAt = now;
+		return allLongMilliseconds;
+	}
+
 	function remove(upstream: PoolUpstream): void {
+		longCalls -= upstream.runningLong;
 		upstreams.delete(upstream.name);
 		paused.delete(upstream);
 		upstream.life = advanceUpstreamLife(upstream.life, {type: 'removed'});
@@ -149,6 +168,9 @@
 		const isFree = isTaking && running.size < share.slots;
 		const isStarting = getLifeState(upstream.life) === 'starting';
 		const longLimit = isStarting ? Math.min(startingCalls, share.longSlots) : share.longSlots;
+		const ownNow = isTaking ? share.slots : 0;
+		ownSlots += ownNow - upstream.countedSlots;
+		upstream.countedSlots = ownNow;
 		usable.set(upstream, isTaking);
 		free.set(upstream, isFree && !(isStarting && running.size - runningLong >= startingCalls));
 		freeLong.set(upstream, isFree && runningLong < longLimit);
@@ -196,18 +218,23 @@
 		usable,
 		isOverdue,
 		get: name => upstreams.get(name),
+		getAllLongMilliseconds,
 		start(upstream, callId, call) {
+			getAllLongMilliseconds(call.dispatchedAt);
+			longCalls += call.isLong ? 1 : 0;
 			upstream.running.set(callId, call);
 			upstream.runningLong += call.isLong ? 1 : 0;
 			update(upstream);
 		},
-		end(name, callId) {
+		end(name, callId, now) {
 			const upstream = upstreams.get(name);
 			const call = upstream?.running.get(callId);
 			if (!upstream || !call) {
 				return undefined;
 			}
 
+			getAllLongMilliseconds(now);
+			longCalls -= call.isLong ? 1 : 0;
 			upstream.running.delete(callId);
 			upstream.runningLong -= call.isLong ? 1 : 0;
 			update(upstream);
@@ -282,14 +309,7 @@
 			fleet = next;
 			divide();
 		},
-		countOwnSlots() {
-			let slots = 0;
-			for (const upstream of usable.values()) {
-				slots += upstream.share.slots;
-			}
-
-			return slots;
-		},
+		countOwnSlots: () => ownSlots,
 		getStatus: () => [...upstreams.values()].map(upstream => ({
 			upstream: upstream.name,
 			state: upstream.description.state === 'leaving' ? 'leaving' : getLifeState(upstream.life),
@@ -322,6 +342,7 @@
 		belief: noBelief,
 		health: goodHealth,
 		life: createUpstreamLife(isCold),
+		countedSlots: 0,
 	};
 }
 
