--- a/src/decisions/diagnostics.ts
+++ b/src/decisions/diagnostics.ts
@@ -50,6 +50,8 @@
 	tableInstanceListUnreachable: {code: 'FES2018', category: 'table', message: 'The instance list can\'t be read ({0}). Try again when it is reachable.'},
 	tableOptionInvalid: {code: 'FES2019', category: 'table', message: 'Invalid value "{1}" of {0}. Pass {2}.'},
 	tableRecoveryRefused: {code: 'FES2020', category: 'table', message: 'The table is not lost: {0}. Use import to change it.'},
+	reviewOptionInvalid: {code: 'FES6001', category: 'settings', message: 'The option {0} is invalid: {1}. Run fescuering-review with --help for its usage.'},
+	reviewLogUnreadable: {code: 'FES6002', category: 'platform', message: 'The log service at {0} can\'t be read ({1}). Check "logUrl" in the settings and that the service is up, then run again.'},
 } as const satisfies Record<string, DiagnosticMessage>;
 
 /** Fills in the placeholders of a diagnostic message. */
--- a/src/decisions/review/durations.ts
+++ b/src/decisions/review/durations.ts
@@ -24,33 +24,42 @@
 	return durations.totalCount === 0 ? undefined : durations.getValueAtPercentile(share * 100) / microsecondsPerMillisecond;
 }
 
-/** Calls back for each distinct duration, in microseconds and ascending. */
-export function forEachDuration(durations: Durations, callback: (microseconds: number, count: number) => void): void {
-	const iterator = durations.recordedValuesIterator;
-	iterator.reset();
-	while (iterator.hasNext()) {
-		const {valueIteratedTo, countAddedInThisIterationStep} = iterator.next();
-		callback(valueIteratedTo, countAddedInThisIterationStep);
-	}
+/** Counts the recorded durations that were not 0. */
+export function countPositive(durations: Durations): number {
+	return durations.totalCount - durations.getCountAtIndex(0);
 }
 
-/** Encodes a histogram as pairs of duration step and count. */
+/** Encodes a histogram as pairs of class step and count. */
 export function encodeDurations(durations: Durations): string {
 	const numbers: number[] = [];
 	let previous = 0;
-	forEachDuration(durations, (microseconds, count) => {
-		numbers.push(microseconds - previous, count);
-		previous = microseconds;
-	});
+	for (let index = 0; index < durations.countsArrayLength; index++) {
+		const count = durations.getCountAtIndex(index);
+		if (count > 0) {
+			numbers.push(index - previous, count);
+			previous = index;
+		}
+	}
+
 	return encodeNumbers(numbers);
 }
 
 /** Adds a histogram that `encodeDurations` made. */
 export function addEncodedDurations(target: Durations, text: string): void {
 	const numbers = decodeNumbers(text);
-	let microseconds = 0;
+	let classIndex = 0;
 	for (let index = 0; index + 1 < numbers.length; index += 2) {
-		microseconds += numbers[index]!;
-		target.recordValueWithCount(microseconds, numbers[index + 1]!);
+		classIndex += numbers[index]!;
+		target.recordValueWithCount(target.valueFromIndex(classIndex), numbers[index + 1]!);
+	}
+}
+
+/** Adds the counts of one histogram to another. */
+export function addDurations(target: Durations, source: Durations): void {
+	for (let index = 0; index < source.countsArrayLength; index++) {
+		const count = source.getCountAtIndex(index);
+		if (count > 0) {
+			target.recordValueWithCount(target.valueFromIndex(index), count);
+		}
 	}
 }
--- a/src/decisions/review/number-list.ts
+++ b/src/decisions/review/number-list.ts
@@ -74,3 +74,10 @@
 export function addCount<Key>(target: Map<Key, number>, key: Key, count: number): void {
 	target.set(key, (target.get(key) ?? 0) + count);
 }
+
+/** Adds counts key by key. */
+export function addCounts<Key>(target: Map<Key, number>, source: ReadonlyMap<Key, number>): void {
+	for (const [key, count] of source) {
+		addCount(target, key, count);
+	}
+}
--- a/src/decisions/review/report.ts
+++ b/src/decisions/review/report.ts
@@ -1,11 +1,11 @@
 /** The figures of a period: tail latency, waiting behind long work, service at the crest and the cost of measuring. */
 import {
-	addEncodedDurations, createDurations, encodeDurations, forEachDuration, getQuantile, type Durations,
+	addDurations, countPositive, createDurations, getQuantile, type Durations,
 } from './durations.ts';
 import {listGaps, type Gap} from './holdings.ts';
-import {type Merger, type Slice} from './merge.ts';
-import {presenceService} from './records.ts';
-import {mergeClosed} from './roll-up.ts';
+import {getDayStart, type Merger, type Slice} from './merge.ts';
+import {dayMilliseconds, presenceService} from './records.ts';
+import {createClosedTally, mergeTallies} from './roll-up.ts';
 import {type CellTally, type RateTally, type ServiceTally} from './tally.ts';
 
 const secondMilliseconds = 1000;
@@ -100,49 +100,51 @@
 	readonly silenceMilliseconds: number;
 };
 
+/** An hour or day of one service with its seconds closed. */
+type ClosedSlice = {readonly slice: Slice; readonly tally: ServiceTally};
+
 /** Creates the report of the hours and days that overlap a period. */
 export function createReport(merger: Merger, options: ReportOptions): Report {
 	const isCovered = (span: {start: number; end: number}) => span.start < options.to && span.end > options.from;
 	const slices = merger.getSlices().filter(slice => isCovered(slice));
-	const withCalls = slices.filter(slice => slice.service !== presenceService);
-	const services = [...new Set(withCalls.map(slice => slice.service))].toSorted();
+	const closed = slices.filter(slice => slice.service !== presenceService).map(slice => ({slice, tally: createClosedTally(slice)}));
+	const services = [...new Set(closed.map(({slice}) => slice.service))].toSorted();
 	return {
 		from: Math.min(...slices.map(slice => slice.start), options.to),
 		to: Math.max(...slices.map(slice => slice.end), options.from),
-		services: services.map(service => createServiceReport(service, withCalls.filter(slice => slice.service === service))),
-		steps: createSteps(withCalls),
+		services: services.map(service => createServiceReport(service, closed.filter(({slice}) => slice.service === service))),
+		steps: createSteps(closed),
 		gaps: listGaps(merger.getHoldings(), options.now, options.silenceMilliseconds)
 			.filter(gap => isCovered({start: gap.from, end: gap.to ?? options.now})),
 		overlaps: merger.getOverlaps(),
 	};
 }
 
-/** Reports each hour or day by itself; hours of a day that is rolled up count to that day. */
-function createSteps(slices: readonly Slice[]): ReportStep[] {
-	const days = slices.filter(slice => slice.kind === 'day');
-	const groups = new Map<string, {start: number; end: number; slices: Slice[]}>();
-	for (const slice of slices) {
-		const day = days.find(candidate => candidate.service === slice.service && candidate.start <= slice.start && slice.end <= candidate.end);
-		const {start, end} = day ?? slice;
-		const key = `${slice.service}/${start}`;
-		const group = groups.get(key) ?? {start, end, slices: []};
-		group.slices.push(slice);
-		groups.set(key, group);
+/** Reports each day by itself, or each hour when no day is rolled up. */
+function createSteps(closed: readonly ClosedSlice[]): ReportStep[] {
+	const isByDay = closed.some(({slice}) => slice.kind === 'day');
+	const groups = new Map<string, ClosedSlice[]>();
+	for (const one of closed) {
+		const start = isByDay ? getDayStart(one.slice.start) : one.slice.start;
+		const key = `${one.slice.service}/${start}`;
+		groups.set(key, [...(groups.get(key) ?? []), one]);
 	}
 
-	return [...groups.values()].map(group => ({
-		start: group.start,
-		end: group.end,
-		report: createServiceReport(group.slices[0]!.service, group.slices),
-	}));
+	return [...groups.values()].map(group => {
+		const {slice} = group[0]!;
+		return {
+			start: isByDay ? getDayStart(slice.start) : slice.start,
+			end: isByDay ? getDayStart(slice.start) + dayMilliseconds : slice.end,
+			report: createServiceReport(slice.service, group),
+		};
+	});
 }
 
-function createServiceReport(service: string, slices: readonly Slice[]): ServiceReport {
-	const tally = mergeClosed(service, slices);
+function createServiceReport(service: string, closed: readonly ClosedSlice[]): ServiceReport {
+	const tally = mergeTallies(service, closed.map(one => one.tally));
 	const cells = [...tally.cells].toSorted(([left], [right]) => (left < right ? -1 : 1)).map(([, cell]) => cell);
 	const groups = [...cells.map(cell => [cell]), ...groupByOperation(cells)];
-	const starts = new Set(slices.map(slice => slice.start));
-	const seconds = slices.filter(slice => starts.delete(slice.start)).reduce((sum, slice) => sum + slice.end - slice.start, 0) / secondMilliseconds;
+	const seconds = getCoveredMilliseconds(closed.map(one => one.slice)) / secondMilliseconds;
 	return {
 		service,
 		latency: groups.map(group => createLatencyRow(service, group)),
@@ -152,6 +154,13 @@
 	};
 }
 
+/** Gets the length of the hours and days, where hours of a day that is also there don't count again. */
+function getCoveredMilliseconds(slices: readonly Slice[]): number {
+	const days = new Set(slices.filter(slice => slice.kind === 'day').map(slice => slice.start));
+	const counted = slices.filter(slice => slice.kind === 'day' || !days.has(getDayStart(slice.start)));
+	return sumOf(counted.map(slice => slice.end - slice.start));
+}
+
 /** Groups the cells of an operation where more than one place has it. */
 function groupByOperation(cells: readonly CellTally[]): CellTally[][] {
 	const operations = new Set(cells.map(cell => cell.operation));
@@ -166,7 +175,7 @@
 function mergeDurations(group: readonly CellTally[], select: (cell: CellTally) => Durations): Durations {
 	const merged = createDurations();
 	for (const cell of group) {
-		addEncodedDurations(merged, encodeDurations(select(cell)));
+		addDurations(merged, select(cell));
 	}
 
 	return merged;
@@ -217,12 +226,8 @@
 		return undefined;
 	}
 
-	let delayed = 0;
-	forEachDuration(durations, (microseconds, count) => {
-		delayed += microseconds > 0 ? count : 0;
-	});
 	return {
-		...createRowKey(service, group), shortCalls: durations.totalCount, delayedShare: delayed / durations.totalCount, delay,
+		...createRowKey(service, group), shortCalls: durations.totalCount, delayedShare: countPositive(durations) / durations.totalCount, delay,
 	};
 }
 
--- a/src/decisions/review/roll-up.ts
+++ b/src/decisions/review/roll-up.ts
@@ -4,7 +4,7 @@
 import {getDayStart, type Slice} from './merge.ts';
 import {dayMilliseconds, type Holding, type RollUp} from './records.ts';
 import {
-	addFigures, closeSeconds, createTally, encodeTally, type ServiceTally,
+	addTally, closeSeconds, createTally, encodeTally, type ServiceTally,
 } from './tally.ts';
 
 export type RollUpOptions = {
@@ -61,20 +61,25 @@
 			holdings.add(slice.holdings.list());
 		}
 
-		rollUps.push(createRollUp('day', start, holdings.list(), mergeClosed(service, ofService)));
+		rollUps.push(createRollUp('day', start, holdings.list(), mergeTallies(service, ofService.map(slice => createClosedTally(slice)))));
 	}
 
 	return rollUps;
 }
 
-/** Merges slices of one service with their seconds closed; the slices stay as they are. */
-export function mergeClosed(service: string, slices: readonly Slice[]): ServiceTally {
+/** Copies the tally of a slice and closes the seconds of the copy. */
+export function createClosedTally(slice: Slice): ServiceTally {
+	const closed = createTally(slice.service);
+	addTally(closed, slice.tally);
+	closeSeconds(closed);
+	return closed;
+}
+
+/** Merges tallies of one service. */
+export function mergeTallies(service: string, tallies: readonly ServiceTally[]): ServiceTally {
 	const merged = createTally(service);
-	for (const slice of slices) {
-		const closed = createTally(service);
-		addFigures(closed, encodeTally(slice.tally));
-		closeSeconds(closed);
-		addFigures(merged, encodeTally(closed));
+	for (const tally of tallies) {
+		addTally(merged, tally);
 	}
 
 	return merged;
--- a/src/decisions/review/tally.ts
+++ b/src/decisions/review/tally.ts
@@ -1,8 +1,10 @@
 /** Figures of one service while they are counted and merged; `encodeTally` turns them into a record. */
 import {
-	addEncodedDurations, createDurations, encodeDurations, type Durations,
+	addDurations, addEncodedDurations, createDurations, encodeDurations, type Durations,
 } from './durations.ts';
-import {addCount, addEncodedCounts, encodeCounts} from './number-list.ts';
+import {
+	addCount, addCounts, addEncodedCounts, encodeCounts,
+} from './number-list.ts';
 import {type CellFigures, type ServiceFigures} from './records.ts';
 
 export type CellTally = {
@@ -99,6 +101,49 @@
 	}
 }
 
+/** Adds the figures of another tally of the same service. */
+export function addTally(tally: ServiceTally, source: ServiceTally): void {
+	raiseBudget(tally, source.budgetPerSecond);
+	tally.callsAcrossHours += source.callsAcrossHours;
+	for (const cell of source.cells.values()) {
+		addCellTally(getCell(tally, cell.failureDomain, cell.operation), cell);
+	}
+
+	for (const [name, upstream] of source.upstreams) {
+		const target = getUpstream(tally, name);
+		addCounts(target.requests, upstream.requests);
+		for (const [failureDomain, place] of upstream.places) {
+			addMeasurement(getMeasurement(target, failureDomain), place);
+		}
+	}
+
+	for (const [rate, {seconds, offered, answered}] of source.rates) {
+		const target = getRate(tally, rate);
+		target.seconds += seconds;
+		addCounts(target.offered, offered);
+		addCounts(target.answered, answered);
+	}
+
+	addCounts(tally.requestRates, source.requestRates);
+}
+
+function addCellTally(target: CellTally, source: CellTally): void {
+	addDurations(target.total, source.total);
+	addDurations(target.queued, source.queued);
+	addDurations(target.behindLong, source.behindLong);
+	addDurations(target.upstream, source.upstream);
+	target.attempts += source.attempts;
+	addCounts(target.calls, source.calls);
+	addCounts(target.offered, source.offered);
+	addCounts(target.answered, source.answered);
+}
+
+function addMeasurement(target: MeasurementTally, source: MeasurementTally): void {
+	target.probes += source.probes;
+	target.polls += source.polls;
+	target.microseconds += source.microseconds;
+}
+
 /** Adds encoded figures of the same service. */
 export function addFigures(tally: ServiceTally, figures: ServiceFigures): void {
 	raiseBudget(tally, figures.budgetPerSecond);
@@ -111,10 +156,7 @@
 		const target = getUpstream(tally, upstream.upstream);
 		addEncodedCounts(target.requests, upstream.requests);
 		for (const place of upstream.places) {
-			const measurement = getMeasurement(target, place.failureDomain);
-			measurement.probes += place.probes;
-			measurement.polls += place.polls;
-			measurement.microseconds += place.microseconds;
+			addMeasurement(getMeasurement(target, place.failureDomain), place);
 		}
 	}
 
