Write the review figures from every entry

Cause: the entry observed its calls only in its metrics. Change: the entry feeds the review writer, takes its turns at rolling up and appends a final record when it leaves. The budget of probes comes from the table.

--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -4,6 +4,7 @@
 import * as neverthrow from 'neverthrow';
 import {createDiagnostic, diagnostics, type Diagnostic} from '../decisions/diagnostics.ts';
 import {createRandomSource} from '../decisions/random.ts';
+import {dayMilliseconds} from '../decisions/review/records.ts';
 import {createTableView, type TableView} from '../decisions/table/service-view.ts';
 import {type Logger} from '../observability/logger.ts';
 import {type Metrics} from '../observability/metrics.ts';
@@ -17,6 +18,8 @@
 import {createLifeCycle} from './life-cycle.ts';
 import {createEntryMembership, createIncarnation, type EntryMembership} from './membership.ts';
 import {createPlainRoutes} from './plain-routes.ts';
+import {createReviewRollUp} from './review-roll-up.ts';
+import {createReviewWriter} from './review-writer.ts';
 import {createServices} from './services.ts';
 import {type CallEnd, type Execution} from './service-runner.ts';
 import {type EntrySettings} from './settings.ts';
@@ -55,6 +58,10 @@
 /** Time for calls of other entries to end after this entry's own have. */
 const peerGraceMilliseconds = 500;
 const handoverMilliseconds = 3000;
+/** Time for the last record of the review figures to reach the log. */
+const reviewMilliseconds = 5000;
+/** Time for which roll-ups of the review figures are kept. */
+const reviewKeepMilliseconds = 62 * dayMilliseconds;
 const largestSeed = 2 ** 31;
 
 /** Starts an entry; resolves when its ports are open, which is before it has a table. */
@@ -67,6 +74,15 @@
 	const lifeCycle = createLifeCycle(state => {
 		logger.info('entry-state', {state});
 	});
+	const reviewHost = {
+		log: host.log, logger, now: host.getWallTime, random: Math.random,
+	};
+	const reviewWriter = createReviewWriter(reviewHost, {
+		entry: settings.name, incarnation, failureDomain: settings.failureDomain, intervalMilliseconds: settings.observability.reviewIntervalMilliseconds,
+	});
+	const reviewRollUp = createReviewRollUp(reviewHost, {
+		incarnation, retentionMilliseconds: settings.platform.logRetentionMilliseconds, keepMilliseconds: reviewKeepMilliseconds,
+	});
 	const services = createServices({
 		getNow: host.getNow,
 		noteReport(_service, upstream, report) {
@@ -96,6 +112,10 @@
 		onChange(table) {
 			view = createTableView(table);
 			services.setTable(view);
+			for (const {service} of view.services.values()) {
+				reviewWriter.setBudget(service.service, service.probesPerSecondPerUpstream);
+			}
+
 			lifeCycle.take('table-known');
 			membership.announceTable();
 		},
@@ -138,7 +158,9 @@
 			services.report(service, upstream, report, host.getNow());
 		},
 		onMeasurement(observation) {
-			metrics.recordMeasurement({...observation, failureDomain: settings.failureDomain});
+			const measured = {...observation, failureDomain: settings.failureDomain};
+			metrics.recordMeasurement(measured);
+			reviewWriter.recordMeasurement(measured);
 		},
 	}, incarnation);
 
@@ -183,13 +205,15 @@
 			operationMetrics.recordRefusal(refusalReason);
 		}
 
-		operationMetrics.finishCall({
+		const observation = {
 			...rest,
 			service: call.service,
 			operation: call.operation.operation,
 			failureDomain: settings.failureDomain,
 			totalMilliseconds: host.getNow() - call.receivedAt,
-		});
+		};
+		operationMetrics.finishCall(observation);
+		reviewWriter.record(observation);
 		call.hop.end(end.result === 'answered' ? undefined : end.result);
 	}
 
@@ -249,6 +273,8 @@
 	const peerServer = peerListening.value;
 	const peerAddress = formatPeerAddress(peerServer, settings);
 	tableReader.start();
+	reviewWriter.start();
+	reviewRollUp.start();
 	await membership.start({address: callerAddress, peerAddress});
 	measurement.start();
 	logger.info('entry-started', {
@@ -269,8 +295,9 @@
 
 		await drain(callerServer, host, settings.leaving.graceMilliseconds);
 		lifeCycle.take('calls-ended');
-		await claims.leave(handoverMilliseconds);
 		await measurement.stop();
+		reviewRollUp.close();
+		await Promise.all([claims.leave(handoverMilliseconds), reviewWriter.close(reviewMilliseconds)]);
 		membership.stop();
 		tableReader.stop();
 		services.close();
