Test membership, drains and the polling budget with real processes

Change: five entries that are killed, paused, restarted and leave while the instance list stays stale; a drain and its end; the budget counted at the upstreams; a start with the log down; a partition with silent connections. A call at an entry that owns no slot of an upstream never reaches it, so the drain test calls all entries in turn.

--- a/stand-ins/fleet.ts
+++ b/stand-ins/fleet.ts
@@ -25,6 +25,8 @@
 	/** Settings merged over the defaults of each entry. */
 	readonly entrySettings?: Readonly<Record<string, unknown>>;
 	readonly seed: number;
+	/** Settings of a single entry, merged over the others. */
+	createEntrySettings?(index: number): Promise<Readonly<Record<string, unknown>>>;
 	/** Replaces the address of the log service for the entries, e.g. by that of a proxy. */
 	mapAddress?(kind: 'log' | 'instance-list' | 'upstream', address: string, name: string): Promise<string>;
 };
@@ -137,6 +139,7 @@
 			listen: {callerPort: 0, peerPort: 0},
 			platform: {logUrl: mappedLogUrl, instanceListUrl: mappedInstanceListUrl, instanceListPollMilliseconds: 200},
 			...options.entrySettings,
+			...await options.createEntrySettings?.(index),
 		}));
 		const program = await startProgram('fescuering-entry', '--settings', file);
 		programs.push(program);
--- /dev/null
+++ b/test/membership.test.ts
@@ -0,0 +1,241 @@
+import * as net from 'node:net';
+import * as undici from 'undici';
+import * as vitest from 'vitest';
+import * as z from 'zod';
+import {type Row, rowSchema} from '../src/decisions/table/rows.ts';
+import {createFaultProxy, type FaultProxy} from '../stand-ins/fault-proxy.ts';
+import {
+	type Fleet, type FleetEntry, sendJson, startFleet,
+} from '../stand-ins/fleet.ts';
+
+const {
+	afterAll, beforeAll, describe, expect, test,
+} = vitest;
+
+/** Longest wait for a change that nothing but its own timeout delays. */
+const patienceMilliseconds = 50_000;
+const budgetPerSecond = 6;
+
+const statusSchema = z.object({
+	state: z.string(),
+	incarnation: z.string(),
+	members: z.array(z.object({
+		name: z.string(), incarnation: z.string(), state: z.string(), isReplaced: z.boolean(),
+	})),
+	drains: z.array(z.object({upstream: z.string(), isDraining: z.boolean()})),
+	measurementPositions: z.array(z.number()),
+});
+const entriesSchema = z.object({version: z.string(), entries: z.array(z.object({name: z.string(), incarnation: z.string()}))});
+const controlSchema = z.object({counters: z.object({polls: z.number(), maxPollsPerSecond: z.number()})});
+
+type Status = z.infer<typeof statusSchema>;
+
+async function readStatus(entry: FleetEntry): Promise<Status> {
+	return statusSchema.parse(await sendJson(`http://${entry.address}/v1/status`, 'GET'));
+}
+
+async function readEntries(entry: FleetEntry) {
+	return entriesSchema.parse(await sendJson(`http://${entry.address}/v1/entries`, 'GET'));
+}
+
+/** Waits until a condition holds at all of the entries. */
+async function waitForAll(entries: readonly FleetEntry[], isReached: (status: Status, entry: FleetEntry) => boolean): Promise<void> {
+	await vitest.vi.waitUntil(async () => {
+		const reached = await Promise.all(entries.map(async entry => isReached(await readStatus(entry), entry)));
+		return reached.every(Boolean);
+	}, {timeout: patienceMilliseconds, interval: 100});
+}
+
+const getState = (status: Status, name: string) => status.members.find(member => member.name === name && !member.isReplaced)?.state;
+const countLive = (status: Status) => status.members.filter(member => member.state === 'live').length;
+
+function createRows(service: string, probesPerSecondPerUpstream: number): Row[] {
+	return [
+		{
+			kind: 'service', service, slotsPerUpstream: 4, probesPerSecondPerUpstream,
+		},
+		{
+			kind: 'operation', service, operation: 'any', method: 'GET', pathPrefix: '/', idempotent: true,
+		},
+	].map(row => rowSchema.parse(row));
+}
+
+async function getCounters(address: string) {
+	const {counters} = controlSchema.parse(await sendJson(`http://${address}/control`, 'GET'));
+	return counters;
+}
+
+describe('five entries', () => {
+	let fleet: Fleet;
+
+	beforeAll(async () => {
+		fleet = await startFleet({
+			entries: 5,
+			failureDomains: ['north', 'south', 'west'],
+			seed: 11,
+			services: [
+				{
+					service: 'desk', upstreams: 4, slots: 4, rows: createRows('desk', budgetPerSecond),
+				},
+				{
+					service: 'quiet', upstreams: 2, slots: 4, rows: createRows('quiet', 0),
+				},
+			],
+			entrySettings: {leaving: {noticeMilliseconds: 3000, graceMilliseconds: 2000}},
+		});
+		await waitForAll(fleet.entries, status => countLive(status) === 5);
+	});
+
+	afterAll(async () => {
+		await fleet.stop();
+	});
+
+	test('a drain that one entry has seen is known to all', async () => {
+		await sendJson(`http://${fleet.upstreams.get('quiet-1')!}/control`, 'PUT', {isDraining: true});
+		const isKnown = (status: Status) => status.drains.some(drain => drain.upstream === 'quiet-1' && drain.isDraining);
+		let calls = 0;
+		await vitest.vi.waitUntil(async () => {
+			// An entry that owns no slot of the upstream doesn't call it.
+			const entry = fleet.entries[calls++ % fleet.entries.length]!;
+			const response = await undici.request(`http://${entry.address}/quiet/x`);
+			await response.body.dump();
+			return isKnown(await readStatus(entry));
+		}, {timeout: patienceMilliseconds, interval: 20});
+		await waitForAll(fleet.entries, isKnown);
+	});
+
+	test('the end of a drain is known to all', async () => {
+		const upstream = `http://${fleet.upstreams.get('desk-1')!}/control`;
+		const isDraining = (status: Status) => status.drains.some(drain => drain.upstream === 'desk-1' && drain.isDraining);
+		await sendJson(upstream, 'PUT', {isDraining: true});
+		await waitForAll(fleet.entries, isDraining);
+		await sendJson(upstream, 'PUT', {isDraining: false});
+		await waitForAll(fleet.entries, status => !isDraining(status));
+	});
+
+	test('killed and paused entries drop out, stay known while listed, and come back', async () => {
+		const [first, second, third, killed, paused] = fleet.entries;
+		const others = [first!, second!, third!];
+		await killed!.program.stop('SIGKILL');
+		paused!.program.signal('SIGSTOP');
+		await waitForAll(others, status => getState(status, 'entry-4') === 'suspected' && getState(status, 'entry-5') === 'suspected');
+		for (const entry of others) {
+			const {entries} = await readEntries(entry);
+			expect(entries.map(({name}) => name).toSorted()).toEqual(['entry-1', 'entry-2', 'entry-3']);
+		}
+
+		paused!.program.signal('SIGCONT');
+		fleet.entries[3] = await fleet.startEntry(3);
+		await waitForAll(fleet.entries, status => ['entry-4', 'entry-5'].every(name => getState(status, name) === 'live'));
+		const restarted = await readStatus(fleet.entries[3]);
+		for (const entry of fleet.entries) {
+			const {entries} = await readEntries(entry);
+			const named = entries.find(({name}) => name === 'entry-4');
+			expect(named?.incarnation).toContain(restarted.incarnation);
+		}
+	});
+
+	test('a leaving entry drops out everywhere and callers of the old list are told to ask again', async () => {
+		const [first] = fleet.entries;
+		const {version} = await readEntries(first!);
+		const others = fleet.entries.filter(entry => entry.name !== 'entry-2');
+		const left = fleet.entries[1]!.program.stop('SIGTERM');
+		await waitForAll(others, status => getState(status, 'entry-2') === 'leaving');
+		for (const entry of others) {
+			const {entries} = await readEntries(entry);
+			expect(entries.map(({name}) => name)).not.toContain('entry-2');
+		}
+
+		const response = await undici.request(`http://${first!.address}/quiet/x`, {headers: {'fescuering-entries-version': version}});
+		await response.body.dump();
+		expect(response.headers['fescuering-entries']).toBe('refresh');
+		expect(await left).toBe(0);
+		await waitForAll(others, status => getState(status, 'entry-2') === undefined);
+	});
+
+	test('polls stayed within the budget through all of this', async () => {
+		const counters = await Promise.all([...fleet.upstreams].map(async ([name, address]) => ({name, ...await getCounters(address)})));
+		const desk = counters.filter(({name}) => name.startsWith('desk'));
+		expect(Math.min(...desk.map(({polls}) => polls))).toBeGreaterThan(0);
+		expect(Math.max(...desk.map(({maxPollsPerSecond}) => maxPollsPerSecond))).toBeLessThanOrEqual(budgetPerSecond);
+		expect(counters.filter(({name}) => name.startsWith('quiet')).map(({polls}) => polls)).toEqual([0, 0]);
+		const remaining = await Promise.all(fleet.entries.filter(entry => entry.name !== 'entry-2').map(async entry => readStatus(entry)));
+		const positions = remaining.flatMap(status => status.measurementPositions);
+		expect(new Set(positions).size).toBe(positions.length);
+	});
+});
+
+describe('entries behind proxies', () => {
+	let fleet: Fleet;
+	let log: FaultProxy;
+	const proxies: FaultProxy[] = [];
+
+	beforeAll(async () => {
+		fleet = await startFleet({
+			entries: 3,
+			failureDomains: ['north', 'south'],
+			seed: 12,
+			services: [{
+				service: 'desk', upstreams: 1, slots: 4, rows: createRows('desk', 2),
+			}],
+			async mapAddress(kind, address) {
+				if (kind !== 'log') {
+					return address;
+				}
+
+				log = await createFaultProxy({targetHost: '127.0.0.1', targetPort: Number(address.split(':')[1])});
+				return `${log.host}:${log.port}`;
+			},
+			async createEntrySettings() {
+				const peerPort = await getFreePort();
+				const proxy = await createFaultProxy({targetHost: '127.0.0.1', targetPort: peerPort});
+				proxies.push(proxy);
+				return {listen: {callerPort: 0, peerPort, announcedPeerPort: proxy.port}};
+			},
+		});
+		await waitForAll(fleet.entries, status => countLive(status) === 3);
+	});
+
+	afterAll(async () => {
+		await fleet.stop();
+		await Promise.all([log, ...proxies].map(async proxy => proxy.close()));
+	});
+
+	test('an entry that starts while the log is down takes the table from the others', async () => {
+		log.setFaults({cut: true});
+		const added = await fleet.startEntry(3);
+		fleet.entries.push(added);
+		await waitForAll([added], status => status.state === 'serving');
+		log.setFaults({});
+	});
+
+	test('after a partition in which connections are silent, all find each other again', async () => {
+		for (const proxy of proxies) {
+			proxy.setFaults({silent: 'all'});
+		}
+
+		await waitForAll(fleet.entries, status => countLive(status) === 1);
+		for (const entry of fleet.entries) {
+			const {entries} = await readEntries(entry);
+			expect(entries).toHaveLength(4);
+		}
+
+		for (const proxy of proxies) {
+			proxy.setFaults({});
+		}
+
+		await waitForAll(fleet.entries, status => countLive(status) === 4);
+	});
+});
+
+async function getFreePort(): Promise<number> {
+	const server = net.createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = server.address();
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return typeof address === 'object' && address ? address.port : 0;
+}
