--- a/bench/scenarios/overhead.ts
+++ b/bench/scenarios/overhead.ts
@@ -3,15 +3,10 @@
 import * as undici from 'undici';
 import {rowSchema} from '../../src/decisions/table/rows.ts';
 import {startFleet} from '../../stand-ins/fleet.ts';
+import {type ScenarioOptions} from './types.ts';
 
-export type OverheadOptions = {
-	readonly seed: number;
-	readonly seconds: number;
-	/** Calls per second on each of the two ways. */
-	readonly rate?: number;
-};
-
-const defaultRate = 500;
+/** Calls per second on each of the two ways. */
+const rate = 500;
 const connections = 16;
 const upstreamCount = 4;
 const slots = 16;
@@ -29,8 +24,7 @@
 };
 
 /** Runs the scenario and returns the figures. */
-export async function run(options: OverheadOptions): Promise<Record<string, unknown>> {
-	const rate = options.rate ?? defaultRate;
+export async function run(options: ScenarioOptions): Promise<Record<string, unknown>> {
 	const fleet = await startFleet({
 		entries: 1,
 		failureDomains: ['local'],
@@ -62,7 +56,6 @@
 		await Promise.all([...direct.dispatchers, ...through.dispatchers].map(async dispatcher => dispatcher.close()));
 		await fleet.entries[0]!.program.stop();
 		return {
-			scenario: 'overhead',
 			ratePerSecond: rate,
 			calls,
 			failed: direct.failed + through.failed,
--- a/bench/scenarios/table.ts
+++ b/bench/scenarios/table.ts
@@ -2,10 +2,12 @@
 import * as routing from './routing.ts';
 import * as micro from './micro.ts';
 import * as model from './model.ts';
+import * as overhead from './overhead.ts';
 import {type Scenario} from './types.ts';
 
 export const scenarios: Readonly<Record<string, Scenario>> = {
 	...routing.scenarios,
 	micro: micro.run,
 	model: model.run,
+	overhead: overhead.run,
 };
