Measure the slopes of each role's state and cost

Change: scenario capacity fits a line through three or more sizes for decisions, digests, memberships, keys, the table and review records.

--- a/bench/scenarios/micro.ts
+++ b/bench/scenarios/micro.ts
@@ -30,7 +30,7 @@
 }
 
 /** Measures offer, report and finish of a call while most of the own slots are in use. */
-function measure(kind: PolicyName, upstreams: number, seed: number): number {
+export function measure(kind: PolicyName, upstreams: number, seed: number): number {
 	const scheduler = createScheduler(kind, upstreams, seed);
 	const running: Array<{id: number; upstream: string}> = [];
 	const target = Math.ceil(upstreams * slots / entryCount);
--- a/bench/scenarios/table.ts
+++ b/bench/scenarios/table.ts
@@ -1,4 +1,5 @@
 /** The scenarios of the bench by name. */
+import * as capacity from './capacity.ts';
 import * as routing from './routing.ts';
 import * as micro from './micro.ts';
 import * as model from './model.ts';
@@ -10,4 +11,5 @@
 	micro: micro.run,
 	model: model.run,
 	overhead: overhead.run,
+	capacity: capacity.run,
 };
