--- a/stand-ins/fleet.ts
+++ b/stand-ins/fleet.ts
@@ -27,6 +27,8 @@
 	readonly seed: number;
 	/** Settings of a single entry, merged over the others. */
 	createEntrySettings?(index: number): Promise<Readonly<Record<string, unknown>>>;
+	/** Time for which the log service keeps records. */
+	readonly retentionMilliseconds?: number;
 	/** Replaces the address of the log service for the entries, e.g. by that of a proxy. */
 	mapAddress?(kind: 'log' | 'instance-list' | 'upstream', address: string, name: string): Promise<string>;
 };
@@ -55,13 +57,15 @@
 	stop(): Promise<void>;
 };
 
+const defaultRetentionMilliseconds = 3_600_000;
 const readyPollMilliseconds = 20;
 const readyTimeoutMilliseconds = 20_000;
 
 /** Starts the processes; resolves when all entries are ready. */
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
 	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'fescuering-fleet-'));
-	const platform = await startProgram('stand-in-platform', '--seed', String(options.seed));
+	const retentionMilliseconds = options.retentionMilliseconds ?? defaultRetentionMilliseconds;
+	const platform = await startProgram('stand-in-platform', '--seed', String(options.seed), '--retention-milliseconds', String(retentionMilliseconds));
 	const platformValues = getReadyValues(platform.readyLine);
 	const logUrl = platformValues.get('log')!;
 	const instanceListUrl = platformValues.get('instances')!;
@@ -137,7 +141,9 @@
 			failureDomain,
 			failureDomains: options.failureDomains,
 			listen: {callerPort: 0, peerPort: 0},
-			platform: {logUrl: mappedLogUrl, instanceListUrl: mappedInstanceListUrl, instanceListPollMilliseconds: 200},
+			platform: {
+				logUrl: mappedLogUrl, instanceListUrl: mappedInstanceListUrl, instanceListPollMilliseconds: 200, logRetentionMilliseconds: retentionMilliseconds,
+			},
 			...options.entrySettings,
 			...await options.createEntrySettings?.(index),
 		}));
--- /dev/null
+++ b/stand-ins/table-readers.ts
@@ -0,0 +1,35 @@
+/** Table readers in this process, over the real protocol of the log service. */
+import process from 'node:process';
+import * as prand from 'pure-rand';
+import {createTableReader, type TableReader, type TableReaderOptions} from '../src/entry/table-reader.ts';
+import {createLogger} from '../src/observability/logger.ts';
+import {type LogHost} from '../src/platform/types.ts';
+
+export type RunningReader = TableReader & {
+	/** Versions in the order in which they came into force, and when in milliseconds of a monotonic clock. */
+	readonly versions: ReadonlyArray<{readonly version: number; readonly time: number}>;
+};
+
+/** Starts a reader; `seed` draws its back-off and its snapshots. */
+export function startTableReader(log: LogHost, seed: number, options: Partial<TableReaderOptions> = {}): RunningReader {
+	const generator = prand.xoroshiro128plus(seed);
+	const steps = 1_000_000;
+	const versions: Array<{version: number; time: number}> = [];
+	const reader = createTableReader({
+		log,
+		logger: createLogger('error', {reader: seed}, process.stderr),
+		now: Date.now,
+		random: () => prand.unsafeUniformIntDistribution(0, steps - 1, generator) / steps,
+		setTimer(milliseconds, callback) {
+			const timer = setTimeout(callback, milliseconds);
+			return () => {
+				clearTimeout(timer);
+			};
+		},
+		onChange(table) {
+			versions.push({version: table.version, time: performance.now()});
+		},
+	}, {name: `reader-${seed}`, retentionMilliseconds: 3_600_000, ...options});
+	reader.start();
+	return {...reader, versions};
+}
