Keep overlapping faults from starting a program twice

Cause: the at-most-once test failed three times in a row beside the table test with EADDRINUSE of upstream-2: a second fault killed the upstream while the first still held it stopped, and each of them started it again on the same port. Change: a program starts again when the last fault that stopped it ends; ports come from outside the ephemeral range.

--- a/bench/faults/cluster.ts
+++ b/bench/faults/cluster.ts
@@ -36,6 +36,10 @@
 type Program = {
 	child: Child;
 	readonly restart: () => Promise<Child>;
+	/** Faults that keep the program stopped at this time. */
+	stops: number;
+	/** Ends when the latest restart is done. */
+	restarted: Promise<void>;
 };
 
 /** Starts the fleet; resolves when every entry serves. */
@@ -53,7 +57,9 @@
 		const restart = async () => startChild({
 			program: path.join(dist, program), arguments: flags, logFile: path.join(logFolder, `${name}.log`), ...(onLine ? {onLine} : {}),
 		});
-		return {child: await restart(), restart};
+		return {
+			child: await restart(), restart, stops: 0, restarted: Promise.resolve(),
+		};
 	};
 
 	const createProxies = async (targets: readonly number[]): Promise<readonly FaultProxy[]> =>
@@ -123,13 +129,23 @@
 	await Promise.all(addresses.map(async address => waitUntilServing(address)));
 
 	const stopProgram = async (program: Program, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> => {
+		program.stops++;
+		await program.restarted;
 		program.child.signal(signal);
 		await program.child.exited;
 	};
 
 	const restartProgram = async (program: Program): Promise<void> => {
 		await sleep(restartMilliseconds);
-		program.child = await program.restart();
+		program.stops--;
+		if (program.stops > 0) {
+			return;
+		}
+
+		program.restarted = (async () => {
+			program.child = await program.restart();
+		})();
+		await program.restarted;
 	};
 
 	const setProxies = (proxies: ReadonlyArray<FaultProxy | undefined>, faults: Partial<FaultProxyFaults>): void => {
--- a/bench/faults/free-ports.ts
+++ b/bench/faults/free-ports.ts
@@ -1,18 +1,36 @@
 /** Finds ports for programs that must keep their port over restarts. */
+import * as crypto from 'node:crypto';
 import * as net from 'node:net';
 
+/** Ports that operating systems don't hand out themselves, so that no other program takes one between two uses. */
+const firstPort = 15_000;
+const lastPort = 32_000;
+
 /** Finds ports of the loopback address that are free now. */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-	const servers = Array.from({length: count}, () => net.createServer());
-	const ports = await Promise.all(servers.map(async server => new Promise<number>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(0, '127.0.0.1', () => {
-			const address = server.address();
-			resolve(typeof address === 'object' && address ? address.port : 0);
-		});
-	})));
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
+	const ports: number[] = [];
+	let candidate = crypto.randomInt(firstPort, lastPort - (10 * count));
+	while (ports.length < count && candidate < lastPort) {
+		if (await isFree(candidate)) {
+			ports.push(candidate);
+		}
+
+		candidate++;
+	}
+
 	return ports;
 }
+
+async function isFree(port: number): Promise<boolean> {
+	const server = net.createServer();
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
