--- a/stand-ins/fleet.ts
+++ b/stand-ins/fleet.ts
@@ -25,10 +25,10 @@
 	/** Settings merged over the defaults of each entry. */
 	readonly entrySettings?: Readonly<Record<string, unknown>>;
 	readonly seed: number;
-	/** Settings of a single entry, merged over the others. */
-	createEntrySettings?(index: number): Promise<Readonly<Record<string, unknown>>>;
 	/** Time for which the log service keeps records. */
 	readonly retentionMilliseconds?: number;
+	/** Settings of a single entry, merged over the others. */
+	createEntrySettings?(index: number): Promise<Readonly<Record<string, unknown>>>;
 	/** Replaces the address of the log service for the entries, e.g. by that of a proxy. */
 	mapAddress?(kind: 'log' | 'instance-list' | 'upstream', address: string, name: string): Promise<string>;
 };
