--- a/src/programs/review.ts
+++ b/src/programs/review.ts
@@ -13,12 +13,11 @@
 import {createCommandLine, exitWithDiagnostic, runCommandLine} from './shared/command-line.ts';
 
 const defaultPeriodMilliseconds = 31 * dayMilliseconds;
-/** An entry that wrote nothing for this long counts as ended. */
-const silenceMilliseconds = 2 * hourMilliseconds;
-
 const settingsSchema = z.strictObject({
 	/** Base address of the log service, e.g. `http://127.0.0.1:7000`. */
 	logUrl: z.url(),
+	/** An entry that wrote nothing for this long counts as ended. */
+	silenceMilliseconds: z.int().min(1000).max(dayMilliseconds).default(2 * hourMilliseconds),
 });
 
 const formats = {
@@ -73,7 +72,7 @@
 		return;
 	}
 
-	const {logUrl} = settings.value;
+	const {logUrl, silenceMilliseconds} = settings.value;
 	const contents = await readReview(createHttpLog(logUrl));
 	if (contents.isErr()) {
 		exitWithDiagnostic(createDiagnostic(diagnostics.reviewLogUnreadable, logUrl, contents.error.message));
