--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -29,8 +29,6 @@
 	recordMeasurement(observation: MeasurementObservation): void;
 	/** Counts an append to or a read from a stream of the log. */
 	recordLogRequest(stream: string, kind: 'append' | 'read', result: 'ok' | 'refused' | 'lost' | 'invalid'): void;
-	/** Counts an exchange with another entry. */
-	recordExchange(result: 'ok' | 'failed'): void;
 	/** Sets where state is read from when the metrics are asked for. */
 	setGauges(read: () => EntryGauges): void;
 	getText(): Promise<string>;
@@ -112,12 +110,6 @@
 		labelNames: ['stream', 'kind', 'result'] as const,
 		registers,
 	});
-	const exchanges = new prometheus.Counter({
-		name: 'fescuering_member_exchanges_total',
-		help: 'Exchanges with other entries, by result.',
-		labelNames: ['result'] as const,
-		registers,
-	});
 	const writeGauges = createGaugeWriter(registry);
 	let readGauges: (() => EntryGauges) | undefined;
 
@@ -176,9 +168,6 @@
 		recordLogRequest(stream, kind, result) {
 			logRequests.inc({stream, kind, result});
 		},
-		recordExchange(result) {
-			exchanges.inc({result});
-		},
 		setGauges(read) {
 			readGauges = read;
 		},
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -8,6 +8,7 @@
 import {createTracing} from '../observability/tracing.ts';
 import {createHttpInstanceList} from '../platform/http-instance-list.ts';
 import {createHttpLog} from '../platform/http-log.ts';
+import {createMeteredLog} from '../platform/metered-log.ts';
 import {readSettings} from '../platform/settings-file.ts';
 import {createCommandLine, exitWithDiagnostic, runCommandLine} from './shared/command-line.ts';
 
@@ -44,11 +45,12 @@
 
 async function start(settings: EntrySettings): Promise<void> {
 	const {observability, platform} = settings;
+	const metrics = createMetrics();
 	const result = await createEntry(settings, {
-		log: createHttpLog(platform.logUrl),
+		log: createMeteredLog(createHttpLog(platform.logUrl), metrics),
 		instanceList: createHttpInstanceList(platform.instanceListUrl),
 		logger: createLogger(observability.logLevel, {entry: settings.name}),
-		metrics: createMetrics(),
+		metrics,
 		tracing: createTracing({
 			otlpUrl: observability.otlpUrl,
 			sampleShare: observability.traceSampleShare,
--- /dev/null
+++ b/test/docs.test.ts
@@ -0,0 +1,98 @@
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as undici from 'undici';
+import * as vitest from 'vitest';
+import {rowSchema} from '../src/decisions/table/rows.ts';
+import {type Fleet, startFleet} from '../stand-ins/fleet.ts';
+
+const {
+	afterAll, beforeAll, describe, expect, test,
+} = vitest;
+
+function readDocument(file: string): string {
+	return fs.readFileSync(file, 'utf8');
+}
+
+function listSources(folder: string): string[] {
+	return fs.readdirSync(folder, {recursive: true, encoding: 'utf8'})
+		.filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts'))
+		.map(file => path.join(folder, file));
+}
+
+test('every log event of the product is described, and no other', () => {
+	const inSources = new Set(listSources('src').flatMap(file => [...readDocument(file).matchAll(/logger\.(?:error|warn|info|debug)\('(?<event>[^']+)'/gv)].map(match => match.groups!.event!)));
+	const [, logs = ''] = readDocument('docs/METRICS.md').split('## Logs');
+	const described = [...logs.matchAll(/^\| `(?<event>[^`]+)`/gmv)].map(match => match.groups!.event!);
+	expect(described.toSorted()).toEqual([...inSources].toSorted());
+});
+
+type Sample = {readonly script: string; readonly expected: readonly string[]};
+
+/** Lists the shell samples of a document with the text that each must print. */
+function listSamples(file: string): Sample[] {
+	return [...readDocument(file).matchAll(/^```sh sample\n(?<script>.*?)^```\n+```text expect\n(?<expected>.*?)^```/gmsv)].map(match => ({
+		script: match.groups!.script!,
+		expected: match.groups!.expected!.split('\n').filter(line => line !== ''),
+	}));
+}
+
+describe('samples', () => {
+	let fleet: Fleet;
+
+	beforeAll(async () => {
+		const rows = [
+			{
+				kind: 'operation', service: 'desk', operation: 'price', method: 'GET', pathPrefix: '/prices', idempotent: true,
+			},
+			{
+				kind: 'operation', service: 'desk', operation: 'credit', method: 'POST', pathPrefix: '/credits', idempotent: false,
+			},
+		];
+		fleet = await startFleet({
+			entries: 1,
+			failureDomains: ['north', 'south'],
+			seed: 3,
+			services: [{
+				service: 'desk', upstreams: 2, slots: 4, rows: rows.map(row => rowSchema.parse(row)),
+			}],
+		});
+	});
+
+	afterAll(async () => {
+		await fleet.stop();
+	});
+
+	test('each sample has the text that it must print', () => {
+		const text = readDocument('docs/INTERFACE.md');
+		expect(listSamples('docs/INTERFACE.md').length).toBe(text.match(/^```sh sample$/gmv)?.length);
+	});
+
+	test.each(listSamples('docs/INTERFACE.md'))('$script', async ({script, expected}) => {
+		const output = await runShell(script, `http://${fleet.entries[0]!.address}`);
+		for (const line of expected) {
+			expect(output.toLowerCase()).toContain(line.toLowerCase());
+		}
+	});
+
+	test('every metric of an entry is described, and no other', async () => {
+		const response = await undici.request(`http://${fleet.entries[0]!.address}/metrics`);
+		const text = await response.body.text();
+		const names = [...text.matchAll(/^# TYPE (?<name>fescuering_\S+)/gmv)].map(match => match.groups!.name!);
+		const described = [...readDocument('docs/METRICS.md').matchAll(/^\| `(?<name>fescuering_[^`]+)`/gmv)].map(match => match.groups!.name!);
+		expect(described.toSorted()).toEqual(names.toSorted());
+	});
+});
+
+async function runShell(script: string, url: string): Promise<string> {
+	return new Promise((resolve, reject) => {
+		childProcess.execFile('sh', ['-c', script], {env: {...process.env, FESCUERING_URL: url}}, (error, output) => { // eslint-disable-line @typescript-eslint/naming-convention
+			if (error) {
+				reject(new Error(`the sample failed: ${script}`, {cause: error}));
+			} else {
+				resolve(output);
+			}
+		});
+	});
+}
