Bind what comes from an upstream to its own attempt

Cause: the listener of an attempt acted on the call's state, so the late body of a refused first attempt went into the answer of the second: a test got "goodrefusal" for "goodbody". Ruled out: the connection pool (each connection carries one call at a time). Change: each listener knows the number of its attempt and is ignored once a newer one has begun; the state of a running call moved to a module of its own.

--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -21,7 +21,8 @@
 import {classify} from './classify.ts';
 import {getForwardedRequestHeaders, headerNames} from './headers.ts';
 import {handOverKeys} from './key-handover.ts';
-import {type CallEnd, type Execution, type ExecutionOptions} from './service-runner.ts';
+import {type CallEnd, type ExecutionOptions} from './running-call.ts';
+import {type Execution} from './service-runner.ts';
 import {createSettledAnswer} from './settled-answer.ts';
 
 export type ClaimsOptions = {
--- a/src/entry/service-runner.ts
+++ b/src/entry/service-runner.ts
@@ -5,31 +5,20 @@
 */
 import type * as http from 'node:http';
 import {assertNever} from '../decisions/assert-never.ts';
-import {type CallEvidence, type KeyHistory, resolveOutcome} from '../decisions/outcomes/resolve-outcome.ts';
-import {type Outcome} from '../decisions/outcomes/types.ts';
+import {resolveOutcome} from '../decisions/outcomes/resolve-outcome.ts';
 import {isFailure, isNotRun} from '../decisions/retries/retry-rule.ts';
 import {
-	type AttemptResult, type LoadReport, type RefusalReason, type SchedulerAction, type ServiceScheduler, type WaitingCall,
+	type AttemptResult, type LoadReport, type RefusalReason, type SchedulerAction, type ServiceScheduler,
 } from '../decisions/routing/types.ts';
-import {type Hop} from '../observability/tracing.ts';
-import {type Attempt, startAttempt} from './attempt.ts';
+import {type AttemptListener, startAttempt} from './attempt.ts';
 import {type AnswerSink, type Call} from './call.ts';
 import {type Connection, type ConnectionPool} from './connection-pool.ts';
 import {getForwardedAnswerHeaders, headerNames} from './headers.ts';
 import {tryParseLoadHeader} from './load-report.ts';
 import {type ProblemKind, writeProblem} from './problem.ts';
-
-/** How a call ended, for metrics and the review figures. */
-export type CallEnd = {
-	readonly result: 'answered' | 'refused' | 'failed';
-	readonly outcome: Outcome;
-	readonly refusalReason: RefusalReason | undefined;
-	readonly attempts: number;
-	readonly isLong: boolean;
-	readonly queuedMilliseconds: number;
-	readonly behindLongMilliseconds: number;
-	readonly upstreamMilliseconds: number;
-};
+import {
+	type CallEnd, createRequestHeaders, createRunningCall, type ExecutionOptions, getCallEnd, getOutcome, getWaitingCall, type RunningCall,
+} from './running-call.ts';
 
 export type ServiceRunnerHost = {
 	readonly scheduler: ServiceScheduler;
@@ -42,12 +31,6 @@
 	noteAttempt(call: Call, result: AttemptResult): void;
 };
 
-/** A call that the runner has taken. */
-export type ExecutionOptions = {
-	readonly history: KeyHistory;
-	onEnd(end: CallEnd): void;
-};
-
 export type Execution = {
 	/** The caller went away. A non-idempotent call that may have left is carried to its end. */
 	cancel(): void;
@@ -62,34 +45,9 @@
 	close(): void;
 };
 
-type Phase = 'waiting' | 'connecting' | 'sent' | 'answering' | 'ended';
-
-type RunningCall = {
-	readonly call: Call;
-	sink: AnswerSink;
-	readonly options: ExecutionOptions;
-	phase: Phase;
-	attempts: number;
-	readonly tried: string[];
-	/** How far the last attempt came. */
-	evidence: CallEvidence;
-	/** Whether an attempt before the last one may have run the call. */
-	mayHaveRunBefore: boolean;
-	waitingSince: number;
-	queuedMilliseconds: number;
-	behindLongMilliseconds: number;
-	dispatchedAt: number;
-	upstreamMilliseconds: number;
-	hop: Hop | undefined;
-	attempt: Attempt | undefined;
-	connection: Connection | undefined;
-	withdrawConnection: (() => void) | undefined;
-	statusCode: number;
-	deadlineTimer: NodeJS.Timeout | undefined;
-	isDetached: boolean;
-};
-
 const shortestTimerMilliseconds = 1;
+const refusedRetryAfterMilliseconds = 1000;
+const serviceUnavailable = 503;
 
 const ignoringSink: AnswerSink = {
 	start: () => undefined,
@@ -99,6 +57,8 @@
 	setDrainListener: () => undefined,
 };
 
+type AttemptConnection = {readonly pool: ConnectionPool; readonly connection: Connection};
+
 /** Creates a runner for the scheduler of one service. */
 export function createServiceRunner(host: ServiceRunnerHost): ServiceRunner {
 	const {scheduler} = host;
@@ -108,28 +68,7 @@
 
 	function execute(call: Call, sink: AnswerSink, options: ExecutionOptions): Execution {
 		const now = host.getNow();
-		const state: RunningCall = {
-			call,
-			sink,
-			options,
-			phase: 'waiting',
-			attempts: 0,
-			tried: [],
-			evidence: {kind: 'refused-before-dispatch'},
-			mayHaveRunBefore: false,
-			waitingSince: now,
-			queuedMilliseconds: 0,
-			behindLongMilliseconds: 0,
-			dispatchedAt: now,
-			upstreamMilliseconds: 0,
-			hop: undefined,
-			attempt: undefined,
-			connection: undefined,
-			withdrawConnection: undefined,
-			statusCode: 0,
-			deadlineTimer: undefined,
-			isDetached: false,
-		};
+		const state = createRunningCall(call, sink, options, now);
 		running.set(call.id, state);
 		sink.setDrainListener(() => state.attempt?.resume());
 		state.deadlineTimer = setTimeout(passDeadline, Math.max(shortestTimerMilliseconds, call.deadlineAt - now), state);
@@ -141,17 +80,6 @@
 		};
 	}
 
-	function getWaitingCall(state: RunningCall): WaitingCall {
-		return {
-			id: state.call.id,
-			operation: state.call.operation,
-			arrivedAt: state.call.receivedAt,
-			deadlineAt: state.call.deadlineAt,
-			attempts: state.attempts,
-			triedUpstreams: state.tried,
-		};
-	}
-
 	function apply(actions: readonly SchedulerAction[]): void {
 		for (const action of actions) {
 			const state = running.get(action.callId);
@@ -221,68 +149,55 @@
 		}
 
 		const {call} = state;
-		state.connection = connection;
 		state.attempt = startAttempt(connection.client, {
 			method: call.method,
 			path: call.path,
-			headers: createRequestHeaders(state),
+			headers: createRequestHeaders(state, host.getNow()),
 			body: call.body,
-		}, {
+		}, createAttemptListener(state, upstream, {pool, connection}));
+	}
+
+	/** Listens to one attempt; what comes after a newer attempt has begun belongs to nobody. */
+	function createAttemptListener(state: RunningCall, upstream: string, {pool, connection}: AttemptConnection): AttemptListener {
+		const number = state.attempts;
+		const isCurrent = () => state.attempts === number;
+		let statusCode = 0;
+		return {
 			onSent() {
 				state.phase = 'sent';
 				state.evidence = {kind: 'written-in-part'};
 			},
-			onHead(statusCode, headers) {
-				receiveHead(state, upstream, statusCode, headers);
+			onHead(headStatusCode, headers) {
+				statusCode = headStatusCode;
+				noteLoadHeader(upstream, headers[headerNames.load], state.call.id);
+				if (isCurrent() && state.phase === 'sent') {
+					receiveHead(state, upstream, statusCode, headers);
+				}
 			},
-			onData: chunk => state.phase !== 'answering' || state.sink.write(chunk),
+			onData: chunk => !isCurrent() || state.phase !== 'answering' || state.sink.write(chunk),
 			onEnd() {
 				pool.release(connection);
-				finishAnswer(state, upstream);
+				if (isCurrent() && state.phase === 'answering') {
+					finishAnswer(state, upstream, statusCode);
+				}
 			},
 			onFailed() {
 				pool.discard(connection);
-				failAttempt(state, upstream);
+				if (isCurrent()) {
+					failAttempt(state, upstream);
+				}
 			},
-		});
-	}
-
-	function createRequestHeaders(state: RunningCall): string[] {
-		const {call} = state;
-		const headers: string[] = [];
-		for (const [name, value] of call.headers) {
-			headers.push(name, value);
-		}
-
-		const timeLeft = Math.max(1, Math.floor(call.deadlineAt - host.getNow()));
-		const isRetryPassedOn = call.isRetryAllowed && !call.operation.idempotent;
-		headers.push(headerNames.timeout, String(timeLeft), headerNames.depth, String(call.depth + 1), headerNames.retry, isRetryPassedOn ? 'allowed' : 'denied', headerNames.traceparent, state.hop?.traceparent ?? call.hop.traceparent);
-		if (call.idempotencyKey !== undefined) {
-			headers.push(headerNames.idempotencyKey, call.idempotencyKey);
-		}
-
-		if (call.body.kind === 'streamed' && call.body.length !== undefined) {
-			headers.push('content-length', String(call.body.length));
-		}
-
-		return headers;
+		};
 	}
 
 	function receiveHead(state: RunningCall, upstream: string, statusCode: number, headers: http.IncomingHttpHeaders): void {
-		if (state.phase !== 'sent') {
-			return;
-		}
-
-		state.statusCode = statusCode;
-		noteLoadHeader(upstream, headers[headerNames.load], state.call.id);
-		const isRefused = statusCode === 503 && headers[headerNames.outcome] === 'not-run';
-		const result = createAnswerResult(state, isRefused);
-		if (isRefused) {
+		if (statusCode === serviceUnavailable && headers[headerNames.outcome] === 'not-run') {
 			state.evidence = {kind: 'refused-by-upstream'};
-			retryOrAnswer(state, upstream, result, 'upstream-refused');
+			retryOrAnswer(state, upstream, {kind: 'refused', durationMilliseconds: getAttemptDuration(state)}, 'upstream-refused');
 			return;
 		}
 
+		const result: AttemptResult = {kind: 'answered', statusCode, durationMilliseconds: getAttemptDuration(state)};
 		if (isFailure(result) && tryChargeRetry(state, result)) {
 			retry(state, upstream, result);
 			return;
@@ -297,6 +212,10 @@
 		});
 	}
 
+	function getAttemptDuration(state: RunningCall): number {
+		return host.getNow() - state.dispatchedAt;
+	}
+
 	function noteLoadHeader(upstream: string, value: string | string[] | undefined, callId: number): void {
 		const report = typeof value === 'string' ? tryParseLoadHeader(value) : undefined;
 		if (!report) {
@@ -308,22 +227,11 @@
 		apply(scheduler.report(upstream, report, now, now, callId));
 	}
 
-	function createAnswerResult(state: RunningCall, isRefused: boolean): AttemptResult {
-		const durationMilliseconds = host.getNow() - state.dispatchedAt;
-		return isRefused
-			? {kind: 'refused', durationMilliseconds}
-			: {kind: 'answered', statusCode: state.statusCode, durationMilliseconds};
-	}
-
-	function finishAnswer(state: RunningCall, upstream: string): void {
-		if (state.phase !== 'answering') {
-			return;
-		}
-
+	function finishAnswer(state: RunningCall, upstream: string, statusCode: number): void {
 		state.evidence = {kind: 'answered-whole'};
 		state.sink.end();
-		const result = createAnswerResult(state, false);
-		end(state, 'answered', 'ran');
+		const result: AttemptResult = {kind: 'answered', statusCode, durationMilliseconds: getAttemptDuration(state)};
+		end(state, 'answered');
 		finishScheduled(state, upstream, result);
 	}
 
@@ -342,7 +250,7 @@
 
 			case 'answering': {
 				state.sink.abort();
-				end(state, 'failed', getOutcome(state));
+				end(state, 'failed');
 				finishScheduled(state, upstream, {kind: 'broken'});
 				break;
 			}
@@ -372,7 +280,7 @@
 			return;
 		}
 
-		answerProblem(state, problem, undefined, isNotRun(result) ? 1000 : undefined);
+		answerProblem(state, problem, undefined, isNotRun(result) ? refusedRetryAfterMilliseconds : undefined);
 		finishScheduled(state, upstream, result);
 	}
 
@@ -387,7 +295,6 @@
 		state.phase = 'waiting';
 		state.mayHaveRunBefore ||= !isNotRun(result);
 		state.attempt = undefined;
-		state.connection = undefined;
 		state.waitingSince = host.getNow();
 		finishScheduled(state, upstream, result);
 		apply(scheduler.offer(getWaitingCall(state), host.getNow()));
@@ -395,7 +302,6 @@
 
 	function finishScheduled(state: RunningCall, upstream: string, result: AttemptResult): void {
 		const now = host.getNow();
-		state.upstreamMilliseconds = now - state.dispatchedAt;
 		state.hop?.end(result.kind === 'answered' ? undefined : result.kind);
 		state.hop = undefined;
 		host.noteAttempt(state.call, result);
@@ -405,33 +311,15 @@
 	function answerProblem(state: RunningCall, kind: ProblemKind, refusalReason?: RefusalReason, retryAfterMilliseconds?: number): void {
 		const outcome = getOutcome(state);
 		writeProblem(state.sink, {kind, outcome, retryAfterMilliseconds});
-		end(state, outcome === 'not-run' ? 'refused' : 'failed', outcome, refusalReason);
-	}
-
-	function getOutcome(state: RunningCall): Outcome {
-		const evidence: CallEvidence = state.mayHaveRunBefore ? {kind: 'written-in-part'} : state.evidence;
-		return resolveOutcome(evidence, state.options.history);
+		end(state, outcome === 'not-run' ? 'refused' : 'failed', refusalReason);
 	}
 
-	function end(state: RunningCall, result: CallEnd['result'], outcome: Outcome, refusalReason?: RefusalReason): void {
-		const now = host.getNow();
-		if (state.phase === 'waiting') {
-			state.queuedMilliseconds += now - state.waitingSince;
-		}
-
+	function end(state: RunningCall, result: CallEnd['result'], refusalReason?: RefusalReason): void {
+		const callEnd = getCallEnd(state, result, refusalReason, host.getNow());
 		state.phase = 'ended';
 		clearTimeout(state.deadlineTimer);
 		running.delete(state.call.id);
-		state.options.onEnd({
-			result,
-			outcome,
-			refusalReason,
-			attempts: state.attempts,
-			isLong: state.call.operation.duration === 'long',
-			queuedMilliseconds: state.queuedMilliseconds,
-			behindLongMilliseconds: state.behindLongMilliseconds,
-			upstreamMilliseconds: state.attempts === 0 ? 0 : now - state.dispatchedAt,
-		});
+		state.options.onEnd(callEnd);
 	}
 
 	function passDeadline(state: RunningCall): void {
@@ -462,10 +350,10 @@
 	/** Gives up the attempt in progress and the call with it. */
 	function abandon(state: RunningCall, result: AttemptResult): void {
 		const upstream = state.tried.at(-1)!;
-		const {phase, connection} = state;
+		const {phase} = state;
 		if (phase === 'answering') {
 			state.sink.abort();
-			end(state, 'failed', getOutcome(state));
+			end(state, 'failed');
 		} else {
 			state.evidence = phase === 'connecting' ? {kind: 'never-connected'} : state.evidence;
 			answerProblem(state, result.kind === 'timed-out' ? 'upstream-timeout' : 'upstream-failed');
@@ -473,7 +361,7 @@
 
 		state.withdrawConnection?.();
 		state.attempt?.abort();
-		if (connection && result.kind === 'timed-out') {
+		if (phase === 'sent' && result.kind === 'timed-out') {
 			host.resolvePool(upstream)?.dropUnheardSince(state.dispatchedAt);
 		}
 
@@ -489,7 +377,7 @@
 		state.isDetached = true;
 		if (state.phase === 'waiting') {
 			scheduler.withdraw(state.call.id, host.getNow());
-			end(state, 'refused', getOutcome(state));
+			end(state, 'refused');
 			return;
 		}
 
--- a/src/entry/services.ts
+++ b/src/entry/services.ts
@@ -7,9 +7,10 @@
 } from '../decisions/routing/types.ts';
 import {type ServiceView, type TableView} from '../decisions/table/service-view.ts';
 import {type AnswerSink, type Call} from './call.ts';
+import {type ExecutionOptions} from './running-call.ts';
 import {type ConnectionPool, createConnectionPool} from './connection-pool.ts';
 import {
-	createServiceRunner, type Execution, type ExecutionOptions, type ServiceRunner,
+	createServiceRunner, type Execution, type ServiceRunner,
 } from './service-runner.ts';
 
 export type ServicesHost = {
