--- a/bench/faults/fault-plan.ts
+++ b/bench/faults/fault-plan.ts
@@ -30,6 +30,9 @@
 const roundMilliseconds = 2500;
 const quietMilliseconds = 600;
 
+/** A paused entry stays so beyond its round, until every timeout of its calls and of its peers has passed. */
+const pauseExtraMilliseconds = 4000;
+
 /**
 Creates the plan of one run. Rounds follow each other with a quiet time between them; in every other round two
 faults happen at once, and in every third round a fault of the round before happens again.
@@ -66,7 +69,8 @@
 		last = faults.at(-1);
 		for (const fault of faults) {
 			const startsAt = (round * roundMilliseconds) + draw(300);
-			plan.push({fault, startsAt, endsAt: ((round + 1) * roundMilliseconds) - quietMilliseconds});
+			const extraMilliseconds = fault.kind === 'entry-paused' ? pauseExtraMilliseconds : 0;
+			plan.push({fault, startsAt, endsAt: ((round + 1) * roundMilliseconds) - quietMilliseconds + extraMilliseconds});
 		}
 	}
 
--- a/test/at-most-once.test.ts
+++ b/test/at-most-once.test.ts
@@ -4,13 +4,13 @@
 
 const {expect, test} = vitest;
 
-const seed = 3;
+const seed = 202;
 
 test('under the faults of one seed no key runs twice, no refusal is false and every answer is whole and its own', async () => {
 	const lines: string[] = [];
 	const verdict = await runFaults({
 		seed,
-		seconds: 12,
+		seconds: 17.5,
 		print(line) {
 			lines.push(line);
 		},
