Refuse new caller-made keys before the memory of claims is full

Cause: a fold that must drop young claims can decide no new one for a whole window. Change: at 90% of the bound new caller-made keys are refused before the claim. Result: unit tests pass; the rule is not measured under load.

--- a/src/entry/claim.ts
+++ b/src/entry/claim.ts
@@ -28,7 +28,7 @@
 };
 
 export type ClaimStageHost = KeyOwnerHost & {
-	readonly claimLog: Pick<ClaimLog, 'claim' | 'recordOutcome' | 'getClaim' | 'getHandover'>;
+	readonly claimLog: Pick<ClaimLog, 'claim' | 'recordOutcome' | 'isFull' | 'getClaim' | 'getHandover'>;
 	/** Milliseconds since the epoch. */
 	wallNow(): number;
 };
@@ -194,6 +194,10 @@
 			return settle({kind: 'refused-before-dispatch'}, getCallerHistory(call));
 		}
 
+		if (host.claimLog.isFull()) {
+			return settle({kind: 'claim-undecided'}, getCallerHistory(call));
+		}
+
 		const nowBucket = getIssueBucket(host.wallNow());
 		const verdict = table.begin(key, nowBucket, nowBucket);
 		return verdict.kind === 'started' ? claim(call) : settle({kind: 'key-expired'}, {kind: 'unsettled'});
--- a/src/platform/claim-log.ts
+++ b/src/platform/claim-log.ts
@@ -47,6 +47,8 @@
 	claim(key: string, timeoutMilliseconds: number): Promise<ClaimResult>;
 	/** Records the outcome of a key that was won, along with the next claims. */
 	recordOutcome(key: string, outcome: Outcome): void;
+	/** Whether so many claims are remembered that no new one should be made. */
+	isFull(): boolean;
 	getClaim(key: string): ClaimStatus | undefined;
 	getHandover(incarnation: string, key: string, bucket: number): HandoverStatus;
 	/** Takes a key table that came from a peer. */
@@ -57,6 +59,9 @@
 	stop(): Promise<void>;
 };
 
+/** Share of the remembered claims at which new ones are refused, so that young ones need not be dropped. */
+const fullShare = 0.9;
+
 const maximumClaimsPerRecord = 500;
 const maximumBatchesInFlight = 2;
 const maximumQueuedOutcomes = 20_000;
@@ -258,6 +263,7 @@
 			flush();
 		}),
 		recordOutcome,
+		isFull: () => fold.getSize().claims >= options.maximumClaims * fullShare,
 		getClaim: key => fold.getClaim(key),
 		getHandover: (incarnation, key, bucket) => fold.getHandover(incarnation, key, bucket),
 		takeHandover(record) {
