Make an idempotent call elsewhere when its connection is silent

Cause: a call on a connection that went silent waited for its whole deadline. Change: after ten typical durations without an answer, at least 100 ms, an idempotent attempt is given up and made elsewhere within the retry budget, and idle connections that were not heard since it went out are dropped. Result: the new test gets its answer from the second upstream; a non-idempotent call is not sent again.

--- a/src/decisions/routing/duration-learner.ts
+++ b/src/decisions/routing/duration-learner.ts
@@ -23,6 +23,8 @@
 	/** Expected duration of short work in milliseconds. */
 	getTypicalShort(): number;
 	isLong(operation: OperationRow): boolean;
+	/** Whether enough answers were seen to know the duration. */
+	isKnown(operation: OperationRow): boolean;
 };
 
 /** Creates a learner that knows nothing yet. */
@@ -62,5 +64,6 @@
 		getTypical: operation => operations.get(operation.operation)?.mean ?? short,
 		getTypicalShort: () => short,
 		isLong,
+		isKnown: operation => (operations.get(operation.operation)?.samples ?? 0) >= leastSamples,
 	};
 }
--- a/src/decisions/routing/immediate-scheduler.ts
+++ b/src/decisions/routing/immediate-scheduler.ts
@@ -122,6 +122,7 @@
 		withdraw() {
 			// Nothing waits.
 		},
+		getPatience: () => undefined,
 		tryChargeRetry: (call, result, now) => isRetryable(call, result, now) && budget.tryCharge(),
 		report: () => [],
 		setUpstreams(next) {
--- a/src/decisions/routing/product-scheduler.ts
+++ b/src/decisions/routing/product-scheduler.ts
@@ -311,6 +311,9 @@
 				limits.release();
 			}
 		},
+		getPatience: operation => learner.isKnown(operation)
+			? Math.max(tuning.leastPatienceMilliseconds, tuning.patienceFactor * learner.getTypical(operation))
+			: undefined,
 		tryChargeRetry: (call, result, now) => isRetryable(call, result, now) && budget.tryCharge(),
 		report(name, report, reportedAt, now, answeredCallId) { // eslint-disable-line max-params
 			pool.takeReport(name, report, {reportedAt, now, answeredCallId});
--- a/src/decisions/routing/tuning.ts
+++ b/src/decisions/routing/tuning.ts
@@ -17,6 +17,10 @@
 	saturatedExtra: 1,
 	/** A call is overdue after this many typical durations. */
 	overdueFactor: 3,
+	/** An idempotent attempt is made elsewhere after this many typical durations without an answer. */
+	patienceFactor: 10,
+	/** Shortest time after which it is. */
+	leastPatienceMilliseconds: 100,
 	/** Time that a call needs before its deadline to go out, in typical durations of its operation. */
 	neededFactor: 1.6,
 	/** Part of the time left that the estimated wait may take; the rest covers the error of the estimate. */
--- a/src/decisions/routing/types.ts
+++ b/src/decisions/routing/types.ts
@@ -110,6 +110,8 @@
 	withdraw(callId: number, now: number): void;
 	/** Decides whether a call may go out again after an attempt, and charges the retry budget when it may. */
 	tryChargeRetry(call: WaitingCall, result: AttemptResult, now: number): boolean;
+	/** Time after which an idempotent attempt without an answer should be made elsewhere, in milliseconds; undefined for never. */
+	getPatience(operation: OperationRow): number | undefined;
 	/** Takes a report that rode on the answer to `answeredCallId`, came from a poll, or was passed on by a peer. */
 	report(upstream: string, report: LoadReport, reportedAt: number, now: number, answeredCallId?: number): readonly SchedulerAction[];
 	setUpstreams(upstreams: readonly UpstreamDescription[], now: number): readonly SchedulerAction[];
--- a/src/entry/running-call.ts
+++ b/src/entry/running-call.ts
@@ -47,7 +47,8 @@
 	attempt: Attempt | undefined;
 	/** Takes the request for a connection back. */
 	withdrawConnection: (() => void) | undefined;
-	deadlineTimer: NodeJS.Timeout | undefined;
+	/** Runs at the end of the patience with the attempt, or at the deadline. */
+	timer: NodeJS.Timeout | undefined;
 	/** Whether the caller went away. */
 	isDetached: boolean;
 };
@@ -70,7 +71,7 @@
 		hop: undefined,
 		attempt: undefined,
 		withdrawConnection: undefined,
-		deadlineTimer: undefined,
+		timer: undefined,
 		isDetached: false,
 	};
 }
--- a/src/entry/service-runner.test.ts
+++ b/src/entry/service-runner.test.ts
@@ -29,7 +29,7 @@
 }
 
 /** Sends each attempt to the next address and allows every retry. */
-function createRunner(addresses: readonly string[]) {
+function createRunner(addresses: readonly string[], patienceMilliseconds?: number) {
 	const pools = new Map(addresses.map(address => [address, createConnectionPool({
 		address, connectTimeoutMilliseconds: 500, idleMilliseconds: 10_000, trustMilliseconds: 1000, spares: 0, getLimit: () => 10, getNow: () => performance.now(),
 	})]));
@@ -38,6 +38,7 @@
 		finish: () => [],
 		withdraw: () => undefined,
 		tryChargeRetry: call => call.attempts < addresses.length,
+		getPatience: () => patienceMilliseconds,
 		report: () => [],
 		setUpstreams: () => [],
 		setView: () => [],
@@ -75,7 +76,7 @@
 
 type Answer = {statusCode: number; outcome: string; body: string; isWhole: boolean};
 
-async function execute(addresses: readonly string[], call: Call): Promise<Answer> {
+async function execute(addresses: readonly string[], call: Call, patienceMilliseconds?: number): Promise<Answer> {
 	return new Promise(resolve => {
 		const answer: Answer = {
 			statusCode: 0, outcome: '', body: '', isWhole: false,
@@ -95,7 +96,7 @@
 			abort: () => undefined,
 			setDrainListener: () => undefined,
 		};
-		createRunner(addresses).execute(call, sink, {
+		createRunner(addresses, patienceMilliseconds).execute(call, sink, {
 			history: {kind: 'keyless'},
 			onEnd() {
 				resolve(answer);
@@ -166,3 +167,13 @@
 	const silent = await startServer(() => undefined);
 	expect(await execute([silent], createCall(false, 100))).toMatchObject({statusCode: 504, outcome: 'unknown'});
 });
+
+test('an idempotent call on a silent connection is made elsewhere, a non-idempotent one is not', async () => {
+	const silent = await startServer(() => undefined);
+	const answering = await startServer((_request, response) => {
+		response.end('ok');
+	});
+	const addresses = [silent, answering];
+	expect(await execute(addresses, createCall(true), 50)).toMatchObject({statusCode: 200, body: 'ok', isWhole: true});
+	expect(await execute(addresses, createCall(false, 300), 50)).toMatchObject({statusCode: 504, outcome: 'unknown'});
+});
--- a/src/entry/service-runner.ts
+++ b/src/entry/service-runner.ts
@@ -71,7 +71,7 @@
 		const state = createRunningCall(call, sink, options, now);
 		running.set(call.id, state);
 		sink.setDrainListener(() => state.attempt?.resume());
-		state.deadlineTimer = setTimeout(passDeadline, Math.max(shortestTimerMilliseconds, call.deadlineAt - now), state);
+		armTimer(state, call.deadlineAt);
 		apply(scheduler.offer(getWaitingCall(state), now));
 		return {
 			cancel() {
@@ -137,6 +137,11 @@
 			return;
 		}
 
+		const patience = state.call.operation.idempotent ? scheduler.getPatience(state.call.operation) : undefined;
+		if (patience !== undefined && now + patience < state.call.deadlineAt) {
+			armTimer(state, now + patience);
+		}
+
 		state.withdrawConnection = pool.acquire(!state.call.operation.idempotent, connection => {
 			send(state, upstream, pool, connection);
 		});
@@ -317,11 +322,39 @@
 	function end(state: RunningCall, result: CallEnd['result'], refusalReason?: RefusalReason): void {
 		const callEnd = getCallEnd(state, result, refusalReason, host.getNow());
 		state.phase = 'ended';
-		clearTimeout(state.deadlineTimer);
+		clearTimeout(state.timer);
 		running.delete(state.call.id);
 		state.options.onEnd(callEnd);
 	}
 
+	function armTimer(state: RunningCall, at: number): void {
+		clearTimeout(state.timer);
+		state.timer = setTimeout(passTime, Math.max(shortestTimerMilliseconds, Math.ceil(at - host.getNow())), state);
+	}
+
+	function passTime(state: RunningCall): void {
+		if (host.getNow() >= state.call.deadlineAt) {
+			passDeadline(state);
+			return;
+		}
+
+		armTimer(state, state.call.deadlineAt);
+		losePatience(state);
+	}
+
+	/** Makes an attempt elsewhere when this one got no answer for so long that its connection may be silent. */
+	function losePatience(state: RunningCall): void {
+		if (state.phase !== 'sent' || !tryChargeRetry(state, {kind: 'timed-out'})) {
+			return;
+		}
+
+		const upstream = state.tried.at(-1)!;
+		const {attempt, dispatchedAt} = state;
+		retry(state, upstream, {kind: 'timed-out'});
+		attempt?.abort();
+		host.resolvePool(upstream)?.dropUnheardSince(dispatchedAt);
+	}
+
 	function passDeadline(state: RunningCall): void {
 		switch (state.phase) {
 			case 'waiting': {
