Bound connections at any fleet size, spread urgent news in two rounds, measure membership

Cause: subsets aren't applied to routing yet, so their share must not be used where all entries connect; one urgent round left some entries to the steady exchange. Change: equal share of connections, two urgent rounds, weight 0 while the event loop is late, bench scenario membership with member-only processes.

--- a/bench/scenarios/table.ts
+++ b/bench/scenarios/table.ts
@@ -1,6 +1,7 @@
 /** The scenarios of the bench by name. */
 import * as capacity from './capacity.ts';
 import * as routing from './routing.ts';
+import * as membership from './membership.ts';
 import * as micro from './micro.ts';
 import * as model from './model.ts';
 import * as overhead from './overhead.ts';
@@ -8,6 +9,7 @@
 
 export const scenarios: Readonly<Record<string, Scenario>> = {
 	...routing.scenarios,
+	membership: membership.run,
 	micro: micro.run,
 	model: model.run,
 	overhead: overhead.run,
--- a/src/decisions/membership/constants.ts
+++ b/src/decisions/membership/constants.ts
@@ -43,5 +43,7 @@
 export const exchangeIntervalMilliseconds = 500;
 /** Shortest time between two rounds of urgent exchanges. */
 export const urgentIntervalMilliseconds = 200;
-/** Partners that an urgent change is sent to at once. */
+/** Partners in one round of urgent exchanges. */
 export const urgentPartnerCount = 3;
+/** Rounds of urgent exchanges after each change. */
+export const urgentRoundCount = 2;
--- a/src/decisions/membership/subsets.ts
+++ b/src/decisions/membership/subsets.ts
@@ -41,6 +41,13 @@
 	return {entries, connections: Math.max(1, Math.min(2 * wanted, Math.floor(usable / entries)))};
 }
 
+/** Gets the connections of one entry to one upstream where all entries connect to all upstreams. */
+export function getEqualShare(entryCount: number, limits: SubsetLimits): number {
+	const usable = Math.floor(limits.connectionsPerUpstream * (1 - reservedShare));
+	const wanted = limits.slots + spareConnections;
+	return Math.max(1, Math.min(2 * wanted, Math.floor(usable / Math.max(1, entryCount))));
+}
+
 /** Chooses the entries that connect to an upstream, evenly over the failure domains. */
 export function chooseSubset(upstream: string, entries: readonly SubsetEntry[], size: number): ReadonlySet<string> {
 	const ranked = entries
--- a/src/decisions/membership/views.test.ts
+++ b/src/decisions/membership/views.test.ts
@@ -2,8 +2,9 @@
 import * as vitest from 'vitest';
 import {createRandomSource} from '../random.ts';
 import {createEntriesAnswer, getEntriesVersion} from './entries-answer.ts';
+import {createOverloadDetector} from './overload.ts';
 import {
-	chooseSubset, chooseUpstreams, getSubsetShare, type SubsetEntry,
+	chooseSubset, chooseUpstreams, getEqualShare, getSubsetShare, type SubsetEntry,
 } from './subsets.ts';
 import {type EntryStatus, type MemberState} from './types.ts';
 
@@ -67,6 +68,13 @@
 	});
 });
 
+test('an entry is overloaded and recovers only after several samples in a row', () => {
+	const detector = createOverloadDetector();
+	const {take} = detector;
+	expect([150, 150, 20, 150, 150, 150].map(delay => take(delay))).toEqual([1, 1, 1, 1, 1, 0]);
+	expect([50, 20, 20, 50, 20, 20, 20].map(delay => take(delay))).toEqual([0, 0, 0, 0, 0, 0, 1]);
+});
+
 function countInDomain(entries: readonly SubsetEntry[], failureDomain: string): number {
 	return entries.filter(entry => entry.failureDomain === failureDomain).length;
 }
@@ -107,6 +115,14 @@
 		}), {seed, numRuns: 30});
 	});
 
+	test('and equal shares keep connections within the limit, up to 16 entries even when each knows only itself', () => {
+		for (let count = 1; count <= 160; count++) {
+			expect(count * getEqualShare(count, limits)).toBeLessThanOrEqual(limits.connectionsPerUpstream);
+		}
+
+		expect(16 * getEqualShare(1, limits)).toBeLessThanOrEqual(limits.connectionsPerUpstream);
+	});
+
 	test('leave no entry of a large fleet without upstreams', () => {
 		const upstreams = Array.from({length: 39}, (_, index) => `upstream-${index}`);
 		const entries = createEntries(120);
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -25,6 +25,7 @@
 import {type Execution} from './service-runner.ts';
 import {type EntrySettings} from './settings.ts';
 import {createMeasurement, getPolledUpstreams, type Measurement} from './measurement.ts';
+import {startOverloadMonitor} from './overload-monitor.ts';
 import {createTableExchange} from './table-exchange.ts';
 import {createTableReader} from './table-reader.ts';
 
@@ -278,6 +279,7 @@
 	reviewRollUp.start();
 	await membership.start({address: callerAddress, peerAddress});
 	measurement.start();
+	const stopOverloadMonitor = startOverloadMonitor(membership.setWeight);
 	logger.info('entry-started', {
 		incarnation, address: callerAddress, peerAddress, failureDomain: settings.failureDomain,
 	});
@@ -296,6 +298,7 @@
 
 		await drain(callerServer, host, settings.leaving.graceMilliseconds);
 		lifeCycle.take('calls-ended');
+		stopOverloadMonitor();
 		await measurement.stop();
 		reviewRollUp.close();
 		await Promise.all([claims.leave(handoverMilliseconds), reviewWriter.close(reviewMilliseconds)]);
--- a/src/entry/exchange-loop.ts
+++ b/src/entry/exchange-loop.ts
@@ -1,6 +1,6 @@
 /** Starts exchanges: one at a steady interval, and a few at once when something urgent changed. */
 import {
-	exchangeIntervalMilliseconds, partnerRotationMilliseconds, urgentIntervalMilliseconds, urgentPartnerCount,
+	exchangeIntervalMilliseconds, partnerRotationMilliseconds, urgentIntervalMilliseconds, urgentPartnerCount, urgentRoundCount,
 } from '../decisions/membership/constants.ts';
 import {choosePartners, shuffle} from '../decisions/membership/partners.ts';
 import {type RandomSource} from '../decisions/random.ts';
@@ -38,7 +38,8 @@
 	let rotatedAt = host.getNow();
 	let wokenAt = Number.NEGATIVE_INFINITY;
 	let timer: NodeJS.Timeout | undefined;
-	let pendingWake: Promise<void> | undefined;
+	let urgent: Promise<void> | undefined;
+	let roundsLeft = 0;
 	let isStopped = false;
 
 	function updatePartners(): void {
@@ -93,33 +94,40 @@
 		timer = setTimeout(runSteady, exchangeIntervalMilliseconds * factor);
 	}
 
+	/** Runs the rounds that are due, each with partners that it need not wait for. */
 	async function runUrgent(): Promise<void> {
-		const delay = wokenAt + urgentIntervalMilliseconds - host.getNow();
-		if (delay > 0) {
-			await new Promise(resolve => {
-				setTimeout(resolve, delay);
-			});
+		const exchanges: Array<Promise<void>> = [];
+		while (roundsLeft > 0) {
+			roundsLeft--;
+			await wait(wokenAt + urgentIntervalMilliseconds - host.getNow());
+			wokenAt = host.getNow();
+			updatePartners();
+			exchanges.push(...getFree().slice(0, urgentPartnerCount).map(async partner => exchange(partner)));
 		}
 
-		pendingWake = undefined;
-		wokenAt = host.getNow();
-		if (isStopped) {
-			return;
-		}
-
-		updatePartners();
-		await Promise.all(getFree().slice(0, urgentPartnerCount).map(async partner => exchange(partner)));
+		urgent = undefined;
+		await Promise.all(exchanges);
 	}
 
 	return {
 		start: runSteady,
 		async wake() {
-			pendingWake ??= runUrgent();
-			return pendingWake;
+			roundsLeft = isStopped ? 0 : urgentRoundCount;
+			urgent ??= runUrgent();
+			return urgent;
 		},
 		stop() {
 			isStopped = true;
+			roundsLeft = 0;
 			clearTimeout(timer);
 		},
 	};
 }
+
+async function wait(milliseconds: number): Promise<void> {
+	if (milliseconds > 0) {
+		await new Promise(resolve => {
+			setTimeout(resolve, milliseconds);
+		});
+	}
+}
--- a/src/entry/services.ts
+++ b/src/entry/services.ts
@@ -1,5 +1,5 @@
 /** The services of the table, each with its scheduler, its runner and the connections to its upstreams. */
-import {getSubsetShare, type SubsetLimits} from '../decisions/membership/subsets.ts';
+import {getEqualShare, type SubsetLimits} from '../decisions/membership/subsets.ts';
 import {createRandomSource} from '../decisions/random.ts';
 import {createServiceScheduler} from '../decisions/routing/scheduler.ts';
 import {
@@ -129,7 +129,7 @@
 
 	/** This entry's share of the connections to one upstream. */
 	function getConnectionLimit(service: Service): number {
-		return getSubsetShare(fleet.entries.length, getSubsetLimits(service)).connections;
+		return getEqualShare(fleet.entries.length, getSubsetLimits(service));
 	}
 
 	function getSubsetLimits({view: {service}}: Service): SubsetLimits {
