--- a/src/entry/instance-poller.ts
+++ b/src/entry/instance-poller.ts
@@ -1,4 +1,8 @@
-/** Reads the instance list at an interval and keeps the last answer through outages. */
+/**
+Reads the instance list at an interval and keeps the last answer through outages.
+
+A long list is read less often, so that reading it takes a bounded part of the network.
+*/
 import {type Logger} from '../observability/logger.ts';
 import {type InstanceListHost, type InstanceRecord} from '../platform/types.ts';
 
@@ -20,6 +24,9 @@
 	stop(): void;
 };
 
+/** Bytes of the list that are read in a second, on average. */
+const bytesPerSecond = 4096;
+
 /** Creates the poller; call `start` to begin. */
 export function createInstancePoller(host: InstancePollerHost, options: InstancePollerOptions): InstancePoller {
 	let last = '';
@@ -37,25 +44,28 @@
 		isFailing = reason !== undefined;
 	}
 
+	function take(instances: readonly InstanceRecord[]): void {
+		const text = JSON.stringify(instances);
+		if (text !== last) {
+			last = text;
+			host.onChange(instances);
+		}
+	}
+
 	async function poll(): Promise<void> {
 		const result = await host.instanceList.list(options.timeoutMilliseconds);
 		if (isStopped) {
 			return;
 		}
 
-		timer = setTimeout(() => {
-			void poll();
-		}, options.intervalMilliseconds);
 		noteHealth(result.isErr() ? result.error.message : undefined);
-		if (result.isErr()) {
-			return;
+		if (result.isOk()) {
+			take(result.value);
 		}
 
-		const text = JSON.stringify(result.value);
-		if (text !== last) {
-			last = text;
-			host.onChange(result.value);
-		}
+		timer = setTimeout(() => {
+			void poll();
+		}, Math.max(options.intervalMilliseconds, 1000 * last.length / bytesPerSecond));
 	}
 
 	return {
