Learn long operations from the first call and give every entry a slot for long work

An entry without an own slot for long work (fewer such slots than entries) could not send long calls at all; the model showed it with 5,000 entries in view. Change: short work is judged by a quantile of the durations, so that the first answer decides, and a first call that has not come back counts by its age. An entry without a slot for long work gets one at an upstream where it has a slot.

--- a/bench/model/model.ts
+++ b/bench/model/model.ts
@@ -38,6 +38,8 @@
 	readonly operations: readonly ModelOperation[];
 	readonly oneWayMilliseconds: number;
 	readonly seconds: number;
+	/** Number of entries that each entry sees; all unless given. */
+	readonly viewedEntries?: number | undefined;
 	/** Relative load of an entry. */
 	getEntryWeight?: (entry: number) => number;
 	/** Calls per second over all entries at a time in milliseconds. */
@@ -118,7 +120,7 @@
 	const schedulers: ServiceScheduler[] = fleetEntries.map((entry, index) => createServiceScheduler({
 		policy: options.policy,
 		view: options.view,
-		fleet: {self: entry.name, selfFailureDomain: entry.failureDomain, entries: fleetEntries},
+		fleet: {self: entry.name, selfFailureDomain: entry.failureDomain, entries: createView(fleetEntries, options.viewedEntries)},
 		upstreams: descriptions,
 		random: createRandomSource((options.seed * 1000) + index),
 		now: 0,
@@ -367,6 +369,13 @@
 	};
 }
 
+type ModelEntry = {readonly name: string; readonly failureDomain: string};
+
+/** The members that an entry sees: some of them, or more than there are. */
+function createView(entries: readonly ModelEntry[], count = entries.length): readonly ModelEntry[] {
+	return Array.from({length: count}, (_, index) => entries[index] ?? {name: `absent-${index}`, failureDomain: entries[0]!.failureDomain});
+}
+
 function createDescriptions(options: ModelOptions): UpstreamDescription[] {
 	return Array.from({length: options.upstreams}, (_, index) => ({
 		name: `upstream-${index}`,
--- a/src/decisions/routing/product-scheduler.ts
+++ b/src/decisions/routing/product-scheduler.ts
@@ -42,9 +42,10 @@
 	const learner = createDurationLearner();
 	const limits = createFleetLimits(view, options.fleet, options.now);
 	const budget = createRetryBudget(() => view.service.retryShare);
-	const shortLane = createLane(() => pool.countOwnSlots() / learner.getTypicalShort());
-	const longLane = createLane(() => pool.countOwnSlots() * view.service.longShare / typicalLong);
-	const retryLane = createLane(() => pool.countOwnSlots() / learner.getTypicalShort());
+	const getShortRate = () => Math.max(1, pool.countOwnSlots()) / learner.getTypicalShort();
+	const shortLane = createLane(getShortRate);
+	const longLane = createLane(() => Math.max(1, pool.countOwnSlots() * view.service.longShare) / typicalLong);
+	const retryLane = createLane(getShortRate);
 	const lanes = [longLane, retryLane, shortLane];
 	const laneOfCall = new Map<number, Lane>();
 	/** Upstreams that showed a free slot of another entry, the latest last. */
@@ -80,6 +81,7 @@
 
 		const behindLongMilliseconds = queued.isLong ? 0 : pool.getAllLongMilliseconds(now) - queued.allLongBefore;
 		const typical = learner.getTypical(queued.call.operation);
+		learner.noteStart(queued.call.operation, now);
 		pool.start(upstream, queued.id, {
 			operation: queued.call.operation,
 			isLong: queued.isLong,
@@ -234,6 +236,10 @@
 			return refuse(call.id, 'no-upstream', noUpstreamRetryMilliseconds);
 		}
 
+		if (lane === longLane && view.service.longShare === 0) {
+			return refuse(call.id, 'no-upstream', noUpstreamRetryMilliseconds);
+		}
+
 		const {size} = lane.queue;
 		if (size >= largestQueue) {
 			return refuse(call.id, 'queue-full', resolveRetryAfter(lane.admission.estimateWait(size, now)));
@@ -267,8 +273,8 @@
 		}
 
 		const ratio = result.durationMilliseconds / learner.getTypical(operation);
-		learner.learn(operation, result.durationMilliseconds);
-		if (learner.isLong(operation)) {
+		learner.learn(operation, result.durationMilliseconds, now);
+		if (learner.isLong(operation, now)) {
 			typicalLong = learner.getTypical(operation);
 		}
 
@@ -281,7 +287,7 @@
 				budget.countFirstAttempt();
 			}
 
-			const isLong = learner.isLong(call.operation);
+			const isLong = learner.isLong(call.operation, now);
 			const lane = chooseLane(call, isLong);
 			const refusal = admit(call, lane, now);
 			if (refusal) {
--- a/src/decisions/routing/slot-shares.ts
+++ b/src/decisions/routing/slot-shares.ts
@@ -52,22 +52,50 @@
 	}
 
 	const taken = new Set<string>();
+	const isLongAllowed = longShare > 0;
 	const long = assignSlots(longSlots, names, taken, false);
 	const short = assignSlots(shortSlots, names, taken, true);
 	const shares = new Map<string, SlotShare>();
+	let ownLong = 0;
 	for (const upstream of upstreams) {
-		const share = {
-			slots: (long.get(`${self}/${upstream.name}`) ?? 0) + (short.get(`${self}/${upstream.name}`) ?? 0),
-			longSlots: long.get(`${self}/${upstream.name}`) ?? 0,
-		};
-		if (share.slots > 0) {
-			shares.set(upstream.name, share);
+		const longCount = long.get(`${self}/${upstream.name}`) ?? 0;
+		const count = longCount + (short.get(`${self}/${upstream.name}`) ?? 0);
+		ownLong += longCount;
+		if (count > 0) {
+			shares.set(upstream.name, {slots: count, longSlots: longCount});
 		}
 	}
 
+	if (isLongAllowed && ownLong === 0) {
+		addLongSlot(shares, upstreams, self);
+	}
+
 	return shares;
 }
 
+/**
+Gives an entry without a slot for long work one all the same, so that its long calls get through.
+
+Over the fleet, long work then holds at most as many slots as there are entries, where that is more than its share.
+*/
+function addLongSlot(shares: Map<string, SlotShare>, upstreams: readonly DividedUpstream[], self: string): void {
+	const candidates = shares.size > 0 ? upstreams.filter(upstream => shares.has(upstream.name)) : upstreams;
+	const selfKey = hashText(self);
+	let best: string | undefined;
+	let bestRank = -1;
+	for (const {name} of candidates) {
+		const rank = mixHashes(hashText(name), selfKey);
+		if (rank > bestRank) {
+			best = name;
+			bestRank = rank;
+		}
+	}
+
+	if (best !== undefined) {
+		shares.set(best, {slots: Math.max(1, shares.get(best)?.slots ?? 0), longSlots: 1});
+	}
+}
+
 /** Assigns slots to entries; gets the number of slots by `entry/upstream`. */
 function assignSlots(slots: readonly Slot[], entries: readonly string[], taken: Set<string>, isReversed: boolean): Map<string, number> {
 	const counts = new Map<string, number>();
