--- a/bench/scenarios/routing.ts
+++ b/bench/scenarios/routing.ts
@@ -1,5 +1,6 @@
 /** Scenarios of load and faults against a fleet of real processes at today's sizes. */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createFaultProxy, type FaultProxy} from '../../stand-ins/fault-proxy.ts';
 import {
 	type FleetService, type Fleet, sendJson, startFleet,
 } from '../../stand-ins/fleet.ts';
@@ -36,6 +37,8 @@
 	readonly names: readonly string[];
 	readonly seconds: number;
 	set(name: string, behavior: UpstreamBehaviorChange): Promise<void>;
+	/** Makes the connections silent that are open to some of the upstreams; new ones work. */
+	silence(names: readonly string[]): void;
 	/** Waits until a time in milliseconds since the start of the load. */
 	waitUntil(at: number): Promise<void>;
 };
@@ -48,6 +51,8 @@
 	/** Changes the behavior of upstreams while the load runs. */
 	readonly runFaults?: (faults: Faults) => Promise<void>;
 	readonly behavior?: UpstreamBehaviorChange;
+	/** Whether the upstreams of the main service stand behind fault-injecting proxies. */
+	readonly isProxied?: boolean;
 };
 
 const steadyLoad = () => 0.7;
@@ -72,6 +77,9 @@
 	'cold-start': {
 		operations: [short], durationMilliseconds: shortDurations, getLoad: quietLoad, behavior: {coldFactor: 1, coldMilliseconds: 0}, runFaults: runColdStart,
 	},
+	'silent-connections': {
+		operations: [short], durationMilliseconds: shortDurations, getLoad: () => 0.4, isProxied: true, runFaults: runSilence,
+	},
 	'stale-reports': {
 		operations: [short],
 		durationMilliseconds: shortDurations,
@@ -99,6 +107,12 @@
 	await set(names[3]!, change);
 }
 
+/** A quarter of the upstreams lose their open connections to silence. */
+async function runSilence({names, silence, waitUntil}: Faults): Promise<void> {
+	await waitUntil(faultAt);
+	silence(names.filter((_, index) => index % 4 === 0));
+}
+
 /** An upstream slows down as a cold one does and warms up in steps. */
 async function runColdStart({names, set, waitUntil}: Faults): Promise<void> {
 	const name = names[3]!;
@@ -110,20 +124,38 @@
 
 async function run(scenario: RoutingScenario, options: ScenarioOptions): Promise<Record<string, unknown>> {
 	const deployment = deployments[options.deployment];
+	const proxies = new Map<string, FaultProxy>();
 	const fleet = await startFleet({
 		entries: entryCount,
 		failureDomains: deployment.failureDomains,
 		seed: options.seed,
 		services: deployment.services.map((service, index) => createService(options.deployment, scenario, service, upstreamCounts[index]!)),
 		entrySettings: {policy: {kind: options.policy}, observability: {logLevel: 'error'}},
+		async mapAddress(kind, address, name) {
+			if (kind !== 'upstream' || !scenario.isProxied || !name.startsWith(deployment.services[0])) {
+				return address;
+			}
+
+			const [targetHost, targetPort] = address.split(':');
+			const proxy = await createFaultProxy({targetHost: targetHost!, targetPort: Number(targetPort)});
+			proxies.set(name, proxy);
+			return `${proxy.host}:${proxy.port}`;
+		},
 	});
 	try {
-		return await measure(scenario, options, fleet);
+		return await measure(scenario, options, {fleet, proxies});
 	} finally {
 		await fleet.stop();
+		await Promise.all([...proxies.values()].map(async proxy => proxy.close()));
 	}
 }
 
+type Running = {
+	readonly fleet: Fleet;
+	/** Proxies before the upstreams, by the name of the upstream. */
+	readonly proxies: ReadonlyMap<string, FaultProxy>;
+};
+
 function createService(deployment: Deployment, scenario: RoutingScenario, service: string, upstreams: number): FleetService {
 	const {slots, oneWayMilliseconds} = deployments[deployment];
 	return {
@@ -138,7 +170,7 @@
 	};
 }
 
-async function measure(scenario: RoutingScenario, options: ScenarioOptions, fleet: Fleet): Promise<Record<string, unknown>> {
+async function measure(scenario: RoutingScenario, options: ScenarioOptions, {fleet, proxies}: Running): Promise<Record<string, unknown>> {
 	const deployment = deployments[options.deployment];
 	const service = deployment.services[0];
 	const names = [...fleet.upstreams.keys()].filter(name => name.startsWith(service));
@@ -160,6 +192,11 @@
 		names,
 		seconds: options.seconds,
 		waitUntil,
+		silence(silenced) {
+			for (const name of silenced) {
+				proxies.get(name)?.setFaults({silent: 'open'});
+			}
+		},
 		async set(name, behavior) {
 			await sendJson(`http://${fleet.upstreams.get(name)!}/control`, 'PUT', behavior);
 		},
