--- a/bench/scenarios/routing.ts
+++ b/bench/scenarios/routing.ts
@@ -89,10 +89,10 @@
 	},
 };
 
-/** Two upstreams at a time are slowed for a part of every period. */
+/** Two upstreams at a time are slowed for a part of every period; both times are many typical durations. */
 async function runNoise({names, seconds, set, waitUntil}: Faults): Promise<void> {
-	const period = 500;
-	const length = 300;
+	const period = 1600;
+	const length = 960;
 	for (let at = warmUpMilliseconds, turn = 0; at + period < seconds * 1000; at += period, turn++) {
 		const noisy = [names[(turn * 2) % names.length]!, names[((turn * 2) + 7) % names.length]!];
 		await waitUntil(at);
