Use one hash of texts

Cause: two modules hashed texts with the same constants in two ways. Change: membership and measurement use the hash of the slot shares.

--- a/src/decisions/measurement/poll-plan.ts
+++ b/src/decisions/measurement/poll-plan.ts
@@ -4,7 +4,7 @@
 An upstream is polled from a few positions only, and from each of them at most once in any second: the next poll starts
 more than a second after the previous one has ended. So the number of positions bounds the polls in any second.
 */
-import {hashText} from '../hash-text.ts';
+import {hashText} from '../hash.ts';
 import {positionCount} from './positions.ts';
 
 /** Pause between the end of a poll and the start of the next one from the same position. */
--- a/src/decisions/membership/entries-answer.ts
+++ b/src/decisions/membership/entries-answer.ts
@@ -1,5 +1,5 @@
 /** Decides which entries callers are told to use. */
-import {hashText} from '../hash-text.ts';
+import {hashText} from '../hash.ts';
 import {type RandomSource} from '../random.ts';
 import {shuffle} from './partners.ts';
 import {type EntryStatus} from './types.ts';
--- a/src/decisions/membership/subsets.ts
+++ b/src/decisions/membership/subsets.ts
@@ -4,7 +4,7 @@
 Rendezvous hashing (Thaler and Ravishankar, 1998) within each failure domain: the same names give the same subset on
 every entry, and a change of one entry moves few upstreams.
 */
-import {hashText} from '../hash-text.ts';
+import {hashText} from '../hash.ts';
 
 export type SubsetEntry = {
 	readonly name: string;
