Count calls for the metrics in plain numbers and roll up in small steps

Cause: the metrics of a call took 7.4 us, and an entry's turn at rolling up stalled its event loop for 777 ms.

--- a/bench/programs/review.ts
+++ b/bench/programs/review.ts
@@ -7,6 +7,7 @@
 import * as path from 'node:path';
 import * as fs from 'node:fs';
 import * as os from 'node:os';
+import * as performanceHooks from 'node:perf_hooks';
 import process from 'node:process';
 import * as cac from 'cac';
 import * as pureRand from 'pure-rand';
@@ -16,8 +17,12 @@
 	dayMilliseconds, dayStream, hourMilliseconds, hourStream, intervalStream, type IntervalRecord, type RollUp,
 } from '../../src/decisions/review/records.ts';
 import {createDueRollUps} from '../../src/decisions/review/roll-up.ts';
+import {createLogger} from '../../src/observability/logger.ts';
 import {createHttpLog} from '../../src/platform/http-log.ts';
-import {createLogService} from '../../stand-ins/log-service.ts';
+import {type LogHost} from '../../src/platform/types.ts';
+import {createReviewRollUp} from '../../src/entry/review-roll-up.ts';
+import {sendJson} from '../../stand-ins/fleet.ts';
+import {getReadyValues, startProgram} from '../../stand-ins/processes.ts';
 
 const minuteMilliseconds = 60_000;
 const minutesPerDay = 1440;
@@ -114,11 +119,15 @@
 }
 
 async function measure(day: number, records: readonly IntervalRecord[], days: number, page: string | undefined): Promise<void> {
-	const service = await createLogService({faults: {retentionMilliseconds: 100 * dayMilliseconds, appendsPerSecond: 1_000_000}});
-	const log = createHttpLog(service.url);
+	const platform = await startProgram('stand-in-platform');
+	const logUrl = getReadyValues(platform.readyLine).get('log')!;
+	await sendJson(`${logUrl}/control`, 'PUT', {retentionMilliseconds: 100 * dayMilliseconds, appendsPerSecond: 1_000_000});
+	const log = createHttpLog(logUrl);
+	const bytes = new Map<string, number>();
 	const append = async (stream: string, id: string, value: unknown) => {
 		const appended = await log.append(stream, id, value, appendTimeoutMilliseconds);
 		appended._unsafeUnwrap();
+		bytes.set(stream, (bytes.get(stream) ?? 0) + JSON.stringify(value).length);
 	};
 
 	const merger = createMerger();
@@ -144,10 +153,51 @@
 		await append(intervalStream, record.id, record);
 	}
 
-	await runReview(service.url, {day, days, ...(page === undefined ? {} : {page})});
-	const streams = [dayStream, hourStream, intervalStream].map(name => `${name}=${service.getRecords(name).length}/${Math.round(JSON.stringify(service.getRecords(name)).length / 1024)}KiB`);
+	await runReview(logUrl, {day, days, ...(page === undefined ? {} : {page})});
+	const streams = [...bytes].map(([stream, sum]) => `${stream}=${Math.round(sum / 1024)}KiB`);
 	process.stdout.write(`  streams: ${streams.join(' ')}\n`);
-	await service.close();
+	await measureTurn(log, day + dayMilliseconds - hourMilliseconds + (15 * minuteMilliseconds));
+	await platform.stop();
+}
+
+/** Measures the turn of one entry at rolling up. */
+async function measureTurn(log: LogHost, now: number): Promise<void> {
+	const delays = performanceHooks.monitorEventLoopDelay({resolution: 1});
+	const cpuBefore = process.cpuUsage();
+	delays.enable();
+	const rollUp = createReviewRollUp({log, logger: createLogger('error'), now: () => now}, {incarnation: 'bench', retentionMilliseconds: 100 * dayMilliseconds, keepMilliseconds: 100 * dayMilliseconds});
+	const appended = await rollUp.run();
+	delays.disable();
+	const cpu = process.cpuUsage(cpuBefore);
+	process.stdout.write(`  turn: rollUps=${appended._unsafeUnwrap()} cpuSeconds=${((cpu.user + cpu.system) / 1_000_000).toFixed(2)} longestStallMilliseconds=${(delays.max / 1_000_000).toFixed(1)} p99StallMilliseconds=${(delays.percentile(99) / 1_000_000).toFixed(1)}\n`);
+}
+
+const costCalls = 200_000;
+
+/** Measures what counting one call costs, and what ending an interval costs for each operation. */
+function measureRecorder(): void {
+	const recorder = createReviewRecorder({entry: 'entry', incarnation: 'entry-1', failureDomain: 'north'}, 0);
+	const operations = 100;
+	const startedAt = performance.now();
+	for (let call = 0; call < costCalls; call++) {
+		recorder.record({
+			service: 'orders',
+			operation: `operation-${call % operations}`,
+			failureDomain: 'north',
+			isLong: false,
+			result: 'answered',
+			outcome: 'ran',
+			attempts: 1,
+			totalMilliseconds: 5 + (call % 997),
+			queuedMilliseconds: call % 91,
+			behindLongMilliseconds: call % 7,
+			upstreamMilliseconds: 5 + (call % 499),
+		}, 60_000 + (call % 1000));
+	}
+
+	const recordedAt = performance.now();
+	const bytes = JSON.stringify(recorder.cut(120_000, false)).length;
+	process.stdout.write(`recordMicroseconds=${((recordedAt - startedAt) * 1000 / costCalls).toFixed(2)} cutMillisecondsPerOperation=${((performance.now() - recordedAt) / operations).toFixed(3)} bytesPerOperation=${Math.round(bytes / operations)}\n`);
 }
 
 type Period = {readonly day: number; readonly days: number; readonly page?: string};
@@ -181,6 +231,7 @@
 }
 
 if (options.help !== true) {
+	measureRecorder();
 	const day = Date.UTC(2026, 10, 30);
 	const startedAt = performance.now();
 	const records = createDay(day);
--- a/src/decisions/review/merge.ts
+++ b/src/decisions/review/merge.ts
@@ -25,8 +25,8 @@
 };
 
 export type Merger = {
-	/** Adds roll-ups; goes before the interval records. */
-	addRollUps(rollUps: readonly RollUp[]): void;
+	/** Adds a roll-up; goes before the interval records and in the order of `sortRollUps`. */
+	addRollUp(rollUp: RollUp): void;
 	/** Adds an interval record; returns whether any of it was new. */
 	addInterval(record: IntervalRecord): boolean;
 	getSlices(): readonly Slice[];
@@ -52,6 +52,14 @@
 	return time - (time % dayMilliseconds);
 }
 
+/** Sorts roll-ups so that those that hold the most records come first. */
+export function sortRollUps(rollUps: readonly RollUp[]): RollUp[] {
+	return rollUps
+		.map(rollUp => ({rollUp, size: countHeld(rollUp.holdings)}))
+		.toSorted((left, right) => right.size - left.size || (left.rollUp.id < right.rollUp.id ? -1 : 1))
+		.map(({rollUp}) => rollUp);
+}
+
 export function createMerger(): Merger {
 	const held = new Map<string, HoldingSet>();
 	const slices = new Map<string, Slice>();
@@ -110,15 +118,10 @@
 	}
 
 	return {
-		addRollUps(rollUps) {
-			const bySize = rollUps
-				.map(rollUp => ({rollUp, size: countHeld(rollUp.holdings)}))
-				.toSorted((left, right) => right.size - left.size || (left.rollUp.id < right.rollUp.id ? -1 : 1));
-			for (const {rollUp} of bySize) {
-				const slice = addUnit(rollUp);
-				if (slice) {
-					slice.rollUps++;
-				}
+		addRollUp(rollUp) {
+			const slice = addUnit(rollUp);
+			if (slice) {
+				slice.rollUps++;
 			}
 		},
 		addInterval(record) {
--- a/src/decisions/review/review.test.ts
+++ b/src/decisions/review/review.test.ts
@@ -1,6 +1,6 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
-import {createMerger, type Merger} from './merge.ts';
+import {createMerger, sortRollUps, type Merger} from './merge.ts';
 import {type Observation} from './observation.ts';
 import {createReviewRecorder, type ReviewRecorder} from './recorder.ts';
 import {
@@ -41,7 +41,10 @@
 
 function merge(records: readonly IntervalRecord[], rollUps: readonly RollUp[] = []): Merger {
 	const merger = createMerger();
-	merger.addRollUps(rollUps);
+	for (const rollUp of sortRollUps(rollUps)) {
+		merger.addRollUp(rollUp);
+	}
+
 	for (const record of records) {
 		merger.addInterval(record);
 	}
--- a/src/decisions/review/roll-up.ts
+++ b/src/decisions/review/roll-up.ts
@@ -16,21 +16,23 @@
 
 /** Creates the roll-ups that are due: days that have settled, and the settled hours of other days. */
 export function createDueRollUps(slices: readonly Slice[], now: number, options: RollUpOptions): RollUp[] {
-	const rollUps: RollUp[] = [];
+	return [...generateDueRollUps(slices, now, options)].filter(rollUp => rollUp !== undefined);
+}
+
+/** Creates the roll-ups that are due in steps; steps without a roll-up give the caller a chance to do other work. */
+export function * generateDueRollUps(slices: readonly Slice[], now: number, options: RollUpOptions): Generator<RollUp | undefined> {
 	for (const [start, ofDay] of groupByDay(slices)) {
 		if (start + dayMilliseconds + options.daySettleMilliseconds <= now) {
-			rollUps.push(...createDayRollUps(start, ofDay));
+			yield * generateDayRollUps(start, ofDay);
 			continue;
 		}
 
 		for (const slice of ofDay) {
 			if (slice.end + options.hourSettleMilliseconds <= now && isUnstored(slice)) {
-				rollUps.push(createRollUp('hour', slice.start, slice.holdings.list(), slice.tally));
+				yield createRollUp('hour', slice.start, slice.holdings.list(), slice.tally);
 			}
 		}
 	}
-
-	return rollUps;
 }
 
 /** Whether a slice holds more than one roll-up does. */
@@ -48,8 +50,7 @@
 	return days;
 }
 
-function createDayRollUps(start: number, slices: readonly Slice[]): RollUp[] {
-	const rollUps: RollUp[] = [];
+function * generateDayRollUps(start: number, slices: readonly Slice[]): Generator<RollUp | undefined> {
 	for (const service of new Set(slices.map(slice => slice.service))) {
 		const ofService = slices.filter(slice => slice.service === service);
 		if (ofService.length === 1 && ofService[0]!.kind === 'day' && !isUnstored(ofService[0]!)) {
@@ -57,14 +58,15 @@
 		}
 
 		const holdings = createHoldingSet();
+		const merged = createTally(service);
 		for (const slice of ofService) {
 			holdings.add(slice.holdings.list());
+			addTally(merged, createClosedTally(slice));
+			yield undefined;
 		}
 
-		rollUps.push(createRollUp('day', start, holdings.list(), mergeTallies(service, ofService.map(slice => createClosedTally(slice)))));
+		yield createRollUp('day', start, holdings.list(), merged);
 	}
-
-	return rollUps;
 }
 
 /** Copies the tally of a slice and closes the seconds of the copy. */
--- a/src/entry/review-reader.ts
+++ b/src/entry/review-reader.ts
@@ -2,14 +2,17 @@
 import * as timers from 'node:timers/promises';
 import * as neverthrow from 'neverthrow';
 import type * as z from 'zod';
-import {createMerger, getDayStart, type Merger} from '../decisions/review/merge.ts';
+import {
+	createMerger, getDayStart, sortRollUps, type Merger,
+} from '../decisions/review/merge.ts';
 import {getHourStart} from '../decisions/review/recorder.ts';
 import {
 	dayStream, dayStreamSchema, hourStream, intervalRecordSchema, intervalStream, rollUpSchema, type Mark, type RollUp,
 } from '../decisions/review/records.ts';
 import {type LogHost, type LogRecord, type PlatformError} from '../platform/types.ts';
 
-const pageLimit = 100;
+/** Records in one page; roll-ups are larger than records of intervals, and a page is parsed at one go. */
+const pageLimits: Readonly<Record<string, number>> = {[intervalStream]: 50, [hourStream]: 4, [dayStream]: 8};
 const readTimeoutMilliseconds = 10_000;
 /** Attempts at one page before reading is given up. */
 const largestAttempts = 5;
@@ -72,7 +75,11 @@
 		}
 	});
 	const merger = createMerger();
-	merger.addRollUps(stored.map(({rollUp}) => rollUp));
+	for (const rollUp of sortRollUps(stored.map(one => one.rollUp))) {
+		merger.addRollUp(rollUp);
+		await timers.setImmediate();
+	}
+
 	const unheldIntervals = new Map<number, number>();
 	let records = 0;
 	const intervalEnd = await readStream(log, intervalStream, Math.max(0, ...marks.map(mark => mark.intervalOffset)), record => {
@@ -146,7 +153,7 @@
 
 async function readPage(log: Pick<LogHost, 'read'>, stream: string, offset: number) {
 	for (let attempt = 1; ; attempt++) {
-		const page = await log.read(stream, offset, {limit: pageLimit, waitMilliseconds: 0, timeoutMilliseconds: readTimeoutMilliseconds});
+		const page = await log.read(stream, offset, {limit: pageLimits[stream] ?? 1, waitMilliseconds: 0, timeoutMilliseconds: readTimeoutMilliseconds});
 		if (page.isOk()) {
 			return page.value;
 		}
--- a/src/entry/review-roll-up.ts
+++ b/src/entry/review-roll-up.ts
@@ -10,7 +10,7 @@
 import {
 	dayMilliseconds, dayStream, hourMilliseconds, hourStream, type Mark, type RollUp,
 } from '../decisions/review/records.ts';
-import {createDueRollUps} from '../decisions/review/roll-up.ts';
+import {generateDueRollUps} from '../decisions/review/roll-up.ts';
 import {type Logger} from '../observability/logger.ts';
 import {type LogHost, type PlatformError} from '../platform/types.ts';
 import {findDayRecord, readReview, type ReviewContents} from './review-reader.ts';
@@ -119,7 +119,15 @@
 /** Appends what is due and expires soon; the mark goes last and only when all before it is in the log. */
 async function write(host: ReviewRollUpHost, contents: ReviewContents, run: Run): Promise<neverthrow.Result<number, PlatformError>> {
 	const rollUpOptions = {hourSettleMilliseconds, daySettleMilliseconds};
-	const due = createDueRollUps(contents.merger.getSlices(), run.now, rollUpOptions);
+	const due: RollUp[] = [];
+	for (const rollUp of generateDueRollUps(contents.merger.getSlices(), run.now, rollUpOptions)) {
+		if (rollUp) {
+			due.push(rollUp);
+		}
+
+		await timers.setImmediate();
+	}
+
 	const rollUps = [...due, ...getExpiring(contents, due, run)];
 	for (const rollUp of rollUps) {
 		const appended = await host.log.append(rollUp.kind === 'day' ? dayStream : hourStream, rollUp.id, rollUp, appendTimeoutMilliseconds);
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -3,6 +3,7 @@
 import {type Outcome} from '../decisions/outcomes/types.ts';
 import {type MeasurementObservation, type Observation} from '../decisions/review/observation.ts';
 import {type AttemptResult, type RefusalReason} from '../decisions/routing/types.ts';
+import {createCells} from './cells.ts';
 import {createGaugeWriter, type EntryGauges} from './entry-gauges.ts';
 
 const secondsPerMillisecond = 0.001;
@@ -54,12 +55,12 @@
 	const registry = new prometheus.Registry();
 	const registers = [registry];
 	prometheus.collectDefaultMetrics({register: registry});
-	const calls = new prometheus.Counter({
+	const calls = createCells(new prometheus.Counter({
 		name: 'fescuering_calls_total',
 		help: 'Calls that ended, by result and by the outcome told to the caller.',
 		labelNames: ['service', 'operation', 'result', 'outcome'] as const,
 		registers,
-	});
+	}));
 	const callDuration = new prometheus.Histogram({
 		name: 'fescuering_call_duration_seconds',
 		help: 'Time from the first byte received to the last byte of the answer.',
@@ -74,30 +75,30 @@
 		buckets: queueSeconds,
 		registers,
 	});
-	const behindLong = new prometheus.Counter({
+	const behindLong = createCells(new prometheus.Counter({
 		name: 'fescuering_call_behind_long_seconds_total',
 		help: 'Time that short calls waited while long work held all usable slots.',
 		labelNames: ['service', 'operation'] as const,
 		registers,
-	});
-	const inFlight = new prometheus.Gauge({
+	}));
+	const inFlight = createCells(new prometheus.Gauge({
 		name: 'fescuering_calls_in_flight',
 		help: 'Calls that came in and have not ended.',
 		labelNames: ['service', 'operation'] as const,
 		registers,
-	});
-	const attempts = new prometheus.Counter({
+	}));
+	const attempts = createCells(new prometheus.Counter({
 		name: 'fescuering_upstream_attempts_total',
 		help: 'Attempts at upstreams that ended, by result.',
 		labelNames: ['service', 'operation', 'result'] as const,
 		registers,
-	});
-	const refusals = new prometheus.Counter({
+	}));
+	const refusals = createCells(new prometheus.Counter({
 		name: 'fescuering_refusals_total',
 		help: 'Calls refused before they went out, by reason.',
 		labelNames: ['service', 'operation', 'reason'] as const,
 		registers,
-	});
+	}));
 	const measurements = new prometheus.Counter({
 		name: 'fescuering_measurement_requests_total',
 		help: 'Requests sent to upstreams to measure them, by kind.',
@@ -110,6 +111,7 @@
 		labelNames: ['stream', 'kind', 'result'] as const,
 		registers,
 	});
+	const cells = [calls, behindLong, inFlight, attempts, refusals];
 	const writeGauges = createGaugeWriter(registry);
 	let readGauges: (() => EntryGauges) | undefined;
 
@@ -117,33 +119,31 @@
 		const labels = {service, operation};
 		const duration = callDuration.labels(labels);
 		const queued = queueDuration.labels(labels);
-		const behind = behindLong.labels(labels);
-		const running = inFlight.labels(labels);
+		const behind = behindLong.create(labels);
+		const running = inFlight.create(labels);
 		const ended = createChildren((result: Observation['result']) =>
-			createChildren((outcome: Outcome) => calls.labels({...labels, result, outcome})));
-		const refused = createChildren((reason: RefusalReason) => refusals.labels({...labels, reason}));
-		const attempted = createChildren((result: AttemptResult['kind']) => attempts.labels({...labels, result}));
+			createChildren((outcome: Outcome) => calls.create({...labels, result, outcome})));
+		const refused = createChildren((reason: RefusalReason) => refusals.create({...labels, reason}));
+		const attempted = createChildren((result: AttemptResult['kind']) => attempts.create({...labels, result}));
 		return {
 			startCall() {
-				running.inc();
+				running.value++;
 			},
 			finishCall(observation) {
-				running.dec();
-				ended(observation.result)(observation.outcome).inc();
+				running.value--;
+				ended(observation.result)(observation.outcome).value++;
 				duration.observe(observation.totalMilliseconds * secondsPerMillisecond);
 				if (observation.result !== 'refused') {
 					queued.observe(observation.queuedMilliseconds * secondsPerMillisecond);
 				}
 
-				if (observation.behindLongMilliseconds > 0) {
-					behind.inc(observation.behindLongMilliseconds * secondsPerMillisecond);
-				}
+				behind.value += observation.behindLongMilliseconds * secondsPerMillisecond;
 			},
 			recordRefusal(reason) {
-				refused(reason).inc();
+				refused(reason).value++;
 			},
 			recordAttempt(result) {
-				attempted(result).inc();
+				attempted(result).value++;
 			},
 		};
 	}
@@ -172,6 +172,10 @@
 			readGauges = read;
 		},
 		async getText() {
+			for (const metric of cells) {
+				metric.write();
+			}
+
 			if (readGauges) {
 				writeGauges(readGauges());
 			}
