--- /dev/null
+++ b/src/decisions/admission/admission.test.ts
@@ -0,0 +1,47 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import {createAdmission, resolveRetryAfter} from './admission.ts';
+
+const {expect, test} = vitest;
+const seed = 20_268;
+const waitShare = 0.5;
+
+test('no call is admitted whose estimated wait takes more than its share of the time left', () => {
+	const cases = fastCheck.record({
+		ahead: fastCheck.nat(5000),
+		needed: fastCheck.integer({min: 1, max: 500}),
+		left: fastCheck.integer({min: -10, max: 5000}),
+		gap: fastCheck.integer({min: 1, max: 20}),
+	});
+	fastCheck.assert(fastCheck.property(cases, ({ahead, needed, left, gap}) => {
+		const admission = createAdmission(waitShare, () => 0.2);
+		let now = 0;
+		for (let departures = 0; departures < 100; departures++) {
+			now += gap;
+			admission.countDeparture(now);
+		}
+
+		const wait = admission.estimateWait(ahead, now);
+		const isReachable = admission.isReachable(ahead, needed, now + left, now);
+		expect(isReachable).toBe(left - needed > 0 && wait <= (left - needed) * waitShare);
+	}), {seed});
+});
+
+test('the estimate follows the measured rate of departures', () => {
+	const admission = createAdmission(waitShare, () => 1);
+	for (let now = 0; now < 2000; now += 2) {
+		admission.countDeparture(now);
+	}
+
+	expect(admission.estimateWait(100, 2000)).toBeCloseTo(200, -1);
+});
+
+test('a service without any rate refuses all but the first call', () => {
+	const admission = createAdmission(waitShare, () => 0);
+	expect(admission.isReachable(0, 10, 1000, 0)).toBe(true);
+	expect(admission.isReachable(1, 10, 1000, 0)).toBe(false);
+});
+
+test('a refused caller is asked back within a second, and never at once', () => {
+	expect([0, 300, Number.POSITIVE_INFINITY].map(wait => resolveRetryAfter(wait))).toEqual([10, 300, 1000]);
+});
