Bound the memory of held bodies, and survive errors of sessions to peers

Cause: bodies were bounded for each call but not over all of them (10,000 connections of 64 KiB each). Entries that left together could end with code 1: connect-node takes its listeners off a session that a GOAWAY has just destroyed, and the error reaches the process. Change: limits.heldBodyBytes reserves memory by the headers of a request and refuses what exceeds it; errors of peer sessions that nobody caught are logged, any other ends the process with one line.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -11,7 +11,7 @@
 import {
 	createProblemAnswer, type Problem, type ProblemKind, writeProblem,
 } from './problem.ts';
-import {receiveBody, type ReceiveLimits} from './receive.ts';
+import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive.ts';
 import {type Execution} from './service-runner.ts';
 
 /** Answer to a request that is no call, e.g. for the entries or the metrics. */
@@ -45,6 +45,8 @@
 	readonly requestTimeoutMilliseconds: number;
 	readonly keepAliveMilliseconds: number;
 	readonly connections: number;
+	/** Bodies that are held at the same time, in bytes over all calls. */
+	readonly heldBodyBytes: number;
 };
 
 export type CallerServer = {
@@ -55,11 +57,15 @@
 
 /** Interval at which connections are checked against the timeouts. */
 const connectionsCheckMilliseconds = 1000;
+const refusedRetryAfterMilliseconds = 1000;
+/** Problems that pass by themselves. */
+const repeatableKinds: ReadonlySet<ProblemKind> = new Set<ProblemKind>(['not-ready', 'queue-full']);
 
 /** Creates the server; the caller starts and stops it. */
 export function createCallerServer(host: CallerServerHost, limits: CallerServerLimits): CallerServer {
 	let nextId = 1;
 	let openRequests = 0;
+	let heldBytes = 0;
 	const server = http.createServer({
 		maxHeaderSize: limits.headerBytes,
 		headersTimeout: limits.headersTimeoutMilliseconds,
@@ -118,6 +124,16 @@
 			return;
 		}
 
+		const reservedBytes = getReservedBytes(request, limits);
+		if (heldBytes + reservedBytes > limits.heldBodyBytes) {
+			refuse(request, sink, 'queue-full');
+			return;
+		}
+
+		heldBytes += reservedBytes;
+		response.once('close', () => {
+			heldBytes -= reservedBytes;
+		});
 		receiveBody(request, limits, received => {
 			switch (received.kind) {
 				case 'too-large': {
@@ -182,7 +198,7 @@
 }
 
 function createRefusal(kind: ProblemKind, history: KeyHistory): Problem {
-	return {kind, outcome: resolveOutcome({kind: 'refused-before-dispatch'}, history), retryAfterMilliseconds: kind === 'not-ready' ? 1000 : undefined};
+	return {kind, outcome: resolveOutcome({kind: 'refused-before-dispatch'}, history), retryAfterMilliseconds: repeatableKinds.has(kind) ? refusedRetryAfterMilliseconds : undefined};
 }
 
 async function answerPlain(request: http.IncomingMessage, response: http.ServerResponse, route: PlainRoute): Promise<void> {
--- a/src/entry/receive.ts
+++ b/src/entry/receive.ts
@@ -17,6 +17,15 @@
 		/** The connection ended before the body did. */
 		| {readonly kind: 'cut'};
 
+/** Gets the memory that a body can take, in bytes, from the headers of its request. */
+export function getReservedBytes(request: http.IncomingMessage, limits: ReceiveLimits): number {
+	if (request.headers['transfer-encoding'] !== undefined) {
+		return limits.bufferedBodyBytes;
+	}
+
+	return Math.min(getLength(request) ?? 0, limits.bufferedBodyBytes);
+}
+
 /** Receives a body; the listener is called once. */
 export function receiveBody(request: http.IncomingMessage, limits: ReceiveLimits, listener: (received: ReceivedBody) => void): void {
 	const length = getLength(request);
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -37,6 +37,7 @@
 	requestTimeoutMilliseconds: z.int().min(100).max(3_600_000).default(60_000).describe('Time allowed to receive a whole request'),
 	bodyBytes: z.int().min(0).max(1_073_741_824).default(16_777_216).describe('Largest body of a request'),
 	bufferedBodyBytes: z.int().min(0).max(16_777_216).default(65_536).describe('Bodies up to this size are held, so that the call may be sent again'),
+	heldBodyBytes: z.int().min(65_536).max(1_073_741_824).default(33_554_432).describe('Bodies that are held at the same time, over all calls'),
 	connections: z.int().min(1).max(1_000_000).default(10_000).describe('Connections from callers'),
 	keepAliveMilliseconds: z.int().min(100).max(600_000).default(60_000).describe('Time after which an idle connection of a caller is closed'),
 });
--- /dev/null
+++ b/src/peers/peer-errors.test.ts
@@ -0,0 +1,13 @@
+import {Code, ConnectError} from '@connectrpc/connect';
+import * as vitest from 'vitest';
+import {isPeerSessionError} from './peer-errors.ts';
+
+const {expect, test} = vitest;
+
+test('only errors of sessions to other entries may be passed over', () => {
+	expect(isPeerSessionError(new ConnectError('received GOAWAY without any open streams', Code.Canceled))).toBe(true);
+	expect(isPeerSessionError(Object.assign(new Error('Session closed'), {code: 'ERR_HTTP2_SESSION_ERROR'}))).toBe(true);
+	expect(isPeerSessionError(new TypeError('x is not a function'))).toBe(false);
+	expect(isPeerSessionError(Object.assign(new Error('reset'), {code: 'ECONNRESET'}))).toBe(false);
+	expect(isPeerSessionError('text')).toBe(false);
+});
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -3,9 +3,10 @@
 import {createDiagnostic, diagnostics} from '../decisions/diagnostics.ts';
 import {createEntry, type Entry} from '../entry/create-entry.ts';
 import {checkEntrySettings, type EntrySettings, entrySettingsSchema} from '../entry/settings.ts';
-import {createLogger} from '../observability/logger.ts';
+import {createLogger, type Logger} from '../observability/logger.ts';
 import {createMetrics} from '../observability/metrics.ts';
 import {createTracing} from '../observability/tracing.ts';
+import {isPeerSessionError} from '../peers/peer-errors.ts';
 import {createHttpInstanceList} from '../platform/http-instance-list.ts';
 import {createHttpLog} from '../platform/http-log.ts';
 import {createMeteredLog} from '../platform/metered-log.ts';
@@ -45,11 +46,13 @@
 
 async function start(settings: EntrySettings): Promise<void> {
 	const {observability, platform} = settings;
+	const logger = createLogger(observability.logLevel, {entry: settings.name});
+	catchUncaughtErrors(logger);
 	const metrics = createMetrics();
 	const result = await createEntry(settings, {
 		log: createMeteredLog(createHttpLog(platform.logUrl), metrics),
 		instanceList: createHttpInstanceList(platform.instanceListUrl),
-		logger: createLogger(observability.logLevel, {entry: settings.name}),
+		logger,
 		metrics,
 		tracing: createTracing({
 			otlpUrl: observability.otlpUrl,
@@ -76,6 +79,19 @@
 	}
 }
 
+/** Passes over errors of sessions to other entries; any other error ends the process. */
+function catchUncaughtErrors(logger: Logger): void {
+	process.on('uncaughtException', error => {
+		if (isPeerSessionError(error)) {
+			logger.warn('peer-session-failed', {reason: error.message});
+			return;
+		}
+
+		logger.error('entry-crashed', {reason: error.stack ?? error.message});
+		process.exit(1);
+	});
+}
+
 async function leave(entry: Entry): Promise<void> {
 	await entry.leave();
 	process.exit(0); // eslint-disable-line unicorn/no-process-exit
--- a/test/bad-input.test.ts
+++ b/test/bad-input.test.ts
@@ -26,7 +26,7 @@
 		}],
 		entrySettings: {
 			limits: {
-				headersTimeoutMilliseconds: 500, requestTimeoutMilliseconds: 1000, bodyBytes: 100_000, bufferedBodyBytes: 1000,
+				headersTimeoutMilliseconds: 500, requestTimeoutMilliseconds: 1000, bodyBytes: 100_000, bufferedBodyBytes: 1000, heldBodyBytes: 65_536,
 			},
 		},
 	});
@@ -110,6 +110,32 @@
 	await response.body.dump();
 });
 
+test('bodies that never end take no more memory than is set, and calls without a body go on', async () => {
+	const [host, port] = address.split(':');
+	const sockets = Array.from({length: 66}, () => net.connect({host, port: Number(port)}));
+	const oneIsRefused = new Promise(resolve => {
+		for (const socket of sockets) {
+			socket.once('data', resolve);
+		}
+	});
+	for (const socket of sockets) {
+		socket.on('error', () => undefined);
+		socket.write('POST /desk/price HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\nabc');
+	}
+
+	expect(String(await oneIsRefused)).toMatch(/^HTTP\/1\.1 503 /v);
+	const refused = await undici.request(`http://${address}/desk/price`, {method: 'POST', body: 'x'.repeat(1000)});
+	expect(refused.statusCode).toBe(503);
+	expect(refused.headers['retry-after']).toBe('1');
+	await refused.body.dump();
+	const empty = await undici.request(`http://${address}/desk/price`, {method: 'POST'});
+	expect(empty.statusCode).toBe(200);
+	await empty.body.dump();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+});
+
 test('a large body is streamed whole', async () => {
 	const body = 'x'.repeat(90_000);
 	const response = await undici.request(`http://${address}/desk/price`, {method: 'POST', body});
