--- a/bench/scenarios/routing.ts
+++ b/bench/scenarios/routing.ts
@@ -222,7 +222,7 @@
 		capacityPerSecond: Math.round(capacity),
 		...load,
 		crest: getCrest(load.goodputByTime, capacity),
-		retries: attempts - calls,
+		retries: attempts - (calls - getDifference('fescuering_refusals_total')),
 		shareAtFaulty: getShare(callsSinceFault, 3),
 		behindLongSeconds: getDifference('fescuering_call_behind_long_seconds_total'),
 		probesPerSecondPerUpstream: Math.max(...counters.map(counter => counter.maxPollsPerSecond)),
