Keep an error listener on connections between entries

Cause: connect-node takes its listener off a session that a GOAWAY has just destroyed; the error that follows ended the process, e.g. when two entries left at once. Change: each session keeps a listener of ours for as long as it lives.

--- a/src/peers/peer-server.test.ts
+++ b/src/peers/peer-server.test.ts
@@ -35,3 +35,28 @@
 	expect(second._unsafeUnwrapErr().kind).toBe('address-unavailable');
 	await server.close(100);
 });
+
+test('connections that are discarded while the other side closes raise no error', async () => {
+	const opened = await createPeerServer({
+		host: '127.0.0.1',
+		port: 0,
+		routes: [router => {
+			router.service(MembershipService, {exchange: () => create(DigestSchema)});
+		}],
+	});
+	const server = opened._unsafeUnwrap();
+	const address = `127.0.0.1:${server.port}`;
+	const pools = Array.from({length: 60}, () => createPeerTransports());
+	await Promise.all(pools.map(async pool => connect.createClient(MembershipService, pool.get(address)).exchange({})));
+	const closed = server.close(100);
+	for (const [index, pool] of pools.entries()) {
+		pool.discard(address);
+		await (index % 2 === 0
+			? new Promise(resolve => {
+				setImmediate(resolve);
+			})
+			: Promise.resolve());
+	}
+
+	await closed;
+});
--- a/src/peers/peer-transports.ts
+++ b/src/peers/peer-transports.ts
@@ -1,4 +1,5 @@
 /** Client connections to other entries: one HTTP/2 connection for each address. */
+import type * as http2 from 'node:http2';
 import {type Transport} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 
@@ -24,6 +25,9 @@
 const defaultPingTimeoutMilliseconds = 1000;
 const defaultIdleTimeoutMilliseconds = 15_000;
 
+/** What a transport needs of a session manager. */
+type SessionManager = Pick<Http2SessionManager, 'authority' | 'request' | 'notifyResponseByteRead'>;
+
 type Connection = {
 	readonly sessionManager: Http2SessionManager;
 	readonly transport: Transport;
@@ -61,7 +65,33 @@
 		idleConnectionTimeoutMs: options.idleTimeoutMilliseconds ?? defaultIdleTimeoutMilliseconds,
 	});
 	const transport = createConnectTransport({
-		baseUrl, httpVersion: '2', sessionManager, useBinaryFormat: true,
+		baseUrl, httpVersion: '2', sessionManager: createGuardedManager(sessionManager), useBinaryFormat: true,
 	});
 	return {sessionManager, transport};
 }
+
+/**
+Keeps an error listener on each session for as long as it lives.
+
+The session manager takes its own listener off when it leaves a session, although an error of the session may still
+be on its way, e.g. after the other entry has closed it; without a listener that error would end the process.
+*/
+function createGuardedManager(manager: Http2SessionManager): SessionManager {
+	const guarded = new WeakSet<http2.Http2Session>();
+	return {
+		authority: manager.authority,
+		async request(method, path, headers, options) {
+			const stream = await manager.request(method, path, headers, options);
+			const {session} = stream;
+			if (session && !guarded.has(session)) {
+				guarded.add(session);
+				session.on('error', () => undefined);
+			}
+
+			return stream;
+		},
+		notifyResponseByteRead(stream) {
+			manager.notifyResponseByteRead(stream);
+		},
+	};
+}
