Trace the hop to the owner of a key and survive a failed claim

Cause: forwarded calls had no span for their hop, and an error in the claim stage would have ended the process. Change: a span from entry to entry; an error is logged and the answer reset. Result: tests of claims and of the whole path pass.

--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -7,7 +7,7 @@
 import {type TableView} from '../decisions/table/service-view.ts';
 import {type PeerDirectory} from '../decisions/membership/types.ts';
 import {type Logger} from '../observability/logger.ts';
-import {type Tracing} from '../observability/tracing.ts';
+import {type Hop, type Tracing} from '../observability/tracing.ts';
 import {createForwardingClient} from '../peers/forwarding-client.ts';
 import {createForwardingRoutes} from '../peers/forwarding-service.ts';
 import {type ForwardedCall, maximumForwardedBytes, type WholeAnswer} from '../peers/forwarding-types.ts';
@@ -107,8 +107,9 @@
 
 	const execute = (call: Call, sink: AnswerSink, onEnd: (end: CallEnd) => void): Execution => {
 		const recording = createRecordingSink(sink, options.heldAnswerBytes);
-		void decide(call).then(decision => {
-			carryOut(decision);
+		void decide(call).then(carryOut).catch((error: unknown) => {
+			host.logger.error('keyed-call-failed', {reason: String(error)});
+			recording.abort();
 		});
 
 		function carryOut(decision: ClaimDecision): void {
@@ -152,7 +153,15 @@
 		};
 	};
 
-	const decide = async (call: Call): Promise<ClaimDecision> => stage.take(createKeyedCall(call, host.getNow()));
+	const decide = async (call: Call): Promise<ClaimDecision> => {
+		let hop: Hop | undefined;
+		const decision = await stage.take(createKeyedCall(call, host.getNow(), () => {
+			hop ??= call.hop.startChild('entry-to-entry-sent');
+			return hop.traceparent;
+		}));
+		hop?.end(decision.kind === 'relay' ? undefined : 'owner-unavailable');
+		return decision;
+	};
 
 	const logSettled = ({evidence, outcome}: SettledCall): void => {
 		host.logger.debug('key-settled', {evidence: evidence.kind, outcome});
@@ -226,7 +235,7 @@
 	};
 }
 
-function createKeyedCall(call: Call, now: number): KeyedCall {
+function createKeyedCall(call: Call, now: number, startHop: () => string): KeyedCall {
 	const text = call.idempotencyKey ?? '';
 	return {
 		key: tryParseIdempotencyKey(text) ?? {kind: 'caller-made', text},
@@ -242,7 +251,7 @@
 					[headerNames.timeout, String(Math.max(1, Math.floor(call.deadlineAt - now)))],
 					[headerNames.depth, String(call.depth)],
 					[headerNames.retry, call.isRetryAllowed ? 'allowed' : 'denied'],
-					[headerNames.traceparent, call.hop.traceparent],
+					[headerNames.traceparent, startHop()],
 					[headerNames.idempotencyKey, text],
 				],
 				body,
