--- a/src/platform/claim-log.ts
+++ b/src/platform/claim-log.ts
@@ -10,6 +10,7 @@
 	type HandoverRecord, type HandoverStatus, type RecordPosition,
 } from '../decisions/outcomes/claim-fold.ts';
 import {type RecordedKey} from '../decisions/outcomes/key-table.ts';
+import {resolveOutcome} from '../decisions/outcomes/resolve-outcome.ts';
 import {type Outcome} from '../decisions/outcomes/types.ts';
 import {type LogHost, type LogPage} from './types.ts';
 
@@ -189,7 +190,7 @@
 			if (open.get(key)?.recordId === position.id) {
 				settle(key, result);
 			} else if (abandoned.delete(`${position.id} ${key}`) && result.kind === 'won') {
-				recordOutcome(key, 'not-run');
+				recordOutcome(key, resolveOutcome({kind: 'claim-undecided'}, {kind: 'first-use'}));
 			}
 		}
 	};
