Warm the overhead run up at a higher rate

Cause: with 1,500 calls of warm-up the entry still ran uncompiled code. Change: 8 s at 1,500 calls/s on each way before the measured part.

--- a/bench/scenarios/overhead.ts
+++ b/bench/scenarios/overhead.ts
@@ -10,7 +10,8 @@
 const connections = 16;
 const upstreamCount = 4;
 const slots = 16;
-const warmUpSeconds = 3;
+const warmUpSeconds = 8;
+const warmUpRate = 1500;
 const bodyBytes = 200;
 const highestMicroseconds = 60_000_000;
 const microsecondsPerMillisecond = 1000;
@@ -44,14 +45,14 @@
 		const entryAddress = fleet.entries[0]!.address;
 		const direct = createWay([...fleet.upstreams.values()], '/price', Math.ceil(connections / upstreamCount));
 		const through = createWay([entryAddress], '/desk/price', connections);
-		await load([direct, through], rate, warmUpSeconds);
+		await load([direct, through], warmUpRate, warmUpSeconds);
 		direct.histogram.reset();
 		through.histogram.reset();
-		const cpuBefore = await readCpuSeconds(entryAddress);
+		const cpuBefore = await readMetric(entryAddress, 'process_cpu_seconds_total');
 		const startedAt = performance.now();
 		await load([direct, through], rate, options.seconds);
 		const elapsedSeconds = (performance.now() - startedAt) / millisecondsPerSecond;
-		const cpuSeconds = await readCpuSeconds(entryAddress) - cpuBefore;
+		const cpuSeconds = await readMetric(entryAddress, 'process_cpu_seconds_total') - cpuBefore;
 		const calls = through.histogram.totalCount;
 		await Promise.all([...direct.dispatchers, ...through.dispatchers].map(async dispatcher => dispatcher.close()));
 		await fleet.entries[0]!.program.stop();
@@ -128,11 +129,11 @@
 	}
 }
 
-async function readCpuSeconds(address: string): Promise<number> {
+async function readMetric(address: string, name: string): Promise<number> {
 	const response = await undici.request(`http://${address}/metrics`);
 	const text = await response.body.text();
-	const value = /^process_cpu_seconds_total (?<seconds>[\d.e+\-]+)/mv.exec(text)?.groups?.seconds;
-	return Number(value);
+	const line = text.split('\n').find(candidate => candidate.startsWith(`${name} `));
+	return Number(line?.slice(name.length));
 }
 
 function getMilliseconds(way: Way, percentile: number): number {
