Check the links of the pages

Cause: pages pointed at pages that did not exist. Change: a test of relative links and anchors in README.md and docs.

--- /dev/null
+++ b/test/links.test.ts
@@ -0,0 +1,38 @@
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as vitest from 'vitest';
+
+const {describe, expect, test} = vitest;
+
+const documents = ['README.md', ...fs.readdirSync('docs').filter(file => file.endsWith('.md')).map(file => path.join('docs', file))];
+
+function readDocument(file: string): string {
+	return fs.readFileSync(file, 'utf8');
+}
+
+/** Makes the anchor of a heading as code hosts do. */
+function createAnchor(heading: string): string {
+	return heading.toLowerCase().replaceAll(/[^\p{L}\p{N}\- ]/gv, '').trim().replaceAll(' ', '-');
+}
+
+function listAnchors(file: string): string[] {
+	return [...readDocument(file).matchAll(/^#+ (?<heading>.+)$/gmv)].map(match => createAnchor(match.groups!.heading!));
+}
+
+describe('links', () => {
+	test.each(documents)('%s points at files and headings that exist', file => {
+		const text = readDocument(file).replaceAll(/^```.*?^```/gmsv, '');
+		for (const [, target] of text.matchAll(/\]\((?<target>[^\)\s]+)\)/gv)) {
+			if (/^[a-z]+:/v.test(target!)) {
+				continue;
+			}
+
+			const [name = '', anchor] = target!.split('#');
+			const linked = name === '' ? file : path.join(path.dirname(file), name);
+			expect(fs.existsSync(linked), `${file} links to ${target}`).toBe(true);
+			if (anchor !== undefined) {
+				expect(listAnchors(linked), `${file} links to ${target}`).toContain(anchor);
+			}
+		}
+	});
+});
