Split the ports and the observer out of create-entry, and wait for forwarded calls

A leaving entry waited only for its own callers, not for calls that peers had forwarded to it, which were cut 500 ms later. Change: listeners.ts and call-observer.ts; draining counts the calls of the services too.

--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -1,8 +1,7 @@
 /** Joins the parts of an entry: servers, table, instances, services, and the order in which they start and stop. */
-import type * as net from 'node:net';
 import * as crypto from 'node:crypto';
 import * as neverthrow from 'neverthrow';
-import {createDiagnostic, diagnostics, type Diagnostic} from '../decisions/diagnostics.ts';
+import {type Diagnostic} from '../decisions/diagnostics.ts';
 import {createRandomSource} from '../decisions/random.ts';
 import {dayMilliseconds} from '../decisions/review/records.ts';
 import {createTableView, type TableView} from '../decisions/table/service-view.ts';
@@ -10,12 +9,13 @@
 import {type Metrics} from '../observability/metrics.ts';
 import {type Tracing} from '../observability/tracing.ts';
 import {createMembershipClient} from '../peers/membership-client.ts';
-import {createPeerServer, type PeerServer} from '../peers/peer-server.ts';
 import {type InstanceListHost, type LogHost} from '../platform/types.ts';
 import {type Call, type AnswerSink} from './call.ts';
-import {type CallerServer, createCallerServer} from './caller-server.ts';
+import {createCallObserver} from './call-observer.ts';
+import {createCallerServer} from './caller-server.ts';
 import {createClaims} from './claims.ts';
 import {createLifeCycle} from './life-cycle.ts';
+import {drainCallers, listenForCallers, listenForPeers} from './listeners.ts';
 import {createEntryMembership, createIncarnation, type EntryMembership} from './membership.ts';
 import {createPlainRoutes} from './plain-routes.ts';
 import {createReviewRollUp} from './review-roll-up.ts';
@@ -55,8 +55,6 @@
 	leave(): Promise<void>;
 };
 
-/** Interval at which a draining entry looks for calls that have not ended. */
-const drainCheckMilliseconds = 20;
 /** Time for calls of other entries to end after this entry's own have. */
 const peerGraceMilliseconds = 500;
 const handoverMilliseconds = 3000;
@@ -183,40 +181,19 @@
 		run: services.execute,
 	});
 
-	function handle(call: Call, sink: AnswerSink): Execution {
-		const operationMetrics = metrics.resolveOperation(call.service, call.operation.operation);
-		operationMetrics.startCall();
-		if (claims.isKeyed(call)) {
-			return claims.execute(call, sink, end => {
-				observe(call, end);
-			});
-		}
-
-		return services.execute(call, sink, {
-			history: {kind: 'keyless'},
-			onEnd(end) {
-				observe(call, end);
-			},
-		});
-	}
-
-	function observe(call: Call, end: CallEnd): void {
-		const {refusalReason, ...rest} = end;
-		const operationMetrics = metrics.resolveOperation(call.service, call.operation.operation);
-		if (refusalReason) {
-			operationMetrics.recordRefusal(refusalReason);
-		}
+	const observer = createCallObserver({
+		metrics, reviewWriter, failureDomain: settings.failureDomain, getNow: host.getNow,
+	});
 
-		const observation = {
-			...rest,
-			service: call.service,
-			operation: call.operation.operation,
-			failureDomain: settings.failureDomain,
-			totalMilliseconds: host.getNow() - call.receivedAt,
+	function handle(call: Call, sink: AnswerSink): Execution {
+		const onEnd = (end: CallEnd) => {
+			observer.end(call, end);
 		};
-		operationMetrics.finishCall(observation);
-		reviewWriter.record(observation);
-		call.hop.end(end.result === 'answered' ? undefined : end.result);
+
+		observer.start(call);
+		return claims.isKeyed(call)
+			? claims.execute(call, sink, onEnd)
+			: services.execute(call, sink, {history: {kind: 'keyless'}, onEnd});
 	}
 
 	const isLeaving = () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining';
@@ -256,24 +233,23 @@
 		handle,
 	}, settings.limits);
 
-	const listening = await listen(callerServer, settings);
-	if (listening.isErr()) {
+	const callerListening = await listenForCallers(callerServer, settings.listen);
+	if (callerListening.isErr()) {
 		services.close();
 		await claims.close();
-		return neverthrow.err(listening.error);
+		return neverthrow.err(callerListening.error);
 	}
 
-	const peerListening = await createPeerServer({host: settings.listen.host, port: settings.listen.peerPort, routes: [membership.routes, claims.routes]});
+	const peerListening = await listenForPeers(settings.listen, [membership.routes, claims.routes]);
 	if (peerListening.isErr()) {
 		services.close();
 		await claims.close();
 		callerServer.server.close();
-		return neverthrow.err(createDiagnostic(diagnostics.settingsAddressUnavailable, `${settings.listen.host}:${settings.listen.peerPort}`, peerListening.error.message));
+		return neverthrow.err(peerListening.error);
 	}
 
-	const callerAddress = listening.value;
-	const peerServer = peerListening.value;
-	const peerAddress = formatPeerAddress(peerServer, settings);
+	const callerAddress = callerListening.value;
+	const {server: peerServer, address: peerAddress} = peerListening.value;
 	tableReader.start();
 	reviewWriter.start();
 	reviewRollUp.start();
@@ -296,7 +272,9 @@
 			lifeCycle.take('notice-over');
 		}
 
-		await drain(callerServer, host, settings.leaving.graceMilliseconds);
+		const countCalls = () => callerServer.countOpen() + services.countCalls();
+		logger.info('entry-draining', {calls: countCalls(), graceMilliseconds: settings.leaving.graceMilliseconds});
+		await drainCallers(callerServer, {countCalls, graceMilliseconds: settings.leaving.graceMilliseconds, getNow: host.getNow});
 		lifeCycle.take('calls-ended');
 		stopOverloadMonitor();
 		await measurement.stop();
@@ -316,42 +294,6 @@
 	});
 }
 
-/** Stops listening, waits until all answers have left and closes the connections. */
-async function drain(callerServer: CallerServer, host: EntryHost, graceMilliseconds: number): Promise<void> {
-	const {server} = callerServer;
-	const graceEndsAt = host.getNow() + graceMilliseconds;
-	server.close();
-	host.logger.info('entry-draining', {calls: callerServer.countOpen(), graceMilliseconds});
-	while (callerServer.countOpen() > 0 && host.getNow() < graceEndsAt) {
-		await wait(drainCheckMilliseconds);
-	}
-
-	server.closeAllConnections();
-}
-
-async function listen(callerServer: CallerServer, settings: EntrySettings): Promise<neverthrow.Result<string, Diagnostic>> {
-	const {server} = callerServer;
-	const {host, callerPort} = settings.listen;
-	return new Promise(resolve => {
-		server.once('error', (error: NodeJS.ErrnoException) => {
-			resolve(neverthrow.err(createDiagnostic(diagnostics.settingsAddressUnavailable, `${host}:${callerPort}`, error.code ?? error.message)));
-		});
-		server.listen(callerPort, host, () => {
-			resolve(neverthrow.ok(formatAddress(server.address() ?? undefined, settings)));
-		});
-	});
-}
-
-function formatAddress(address: string | net.AddressInfo | undefined, settings: EntrySettings): string {
-	const port = typeof address === 'object' ? address.port : settings.listen.callerPort;
-	return `${settings.listen.announcedHost ?? settings.listen.host}:${port}`;
-}
-
-function formatPeerAddress(server: PeerServer, settings: EntrySettings): string {
-	const {host, announcedHost, announcedPeerPort} = settings.listen;
-	return `${announcedHost ?? host}:${announcedPeerPort ?? server.port}`;
-}
-
 async function wait(milliseconds: number): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, milliseconds);
