--- /dev/null
+++ b/test/whole-path-delays.test.ts
@@ -0,0 +1,3 @@
+import {defineWholePathTests} from './support/whole-path.ts';
+
+defineWholePathTests([0, 2, 5, 9]);
