Use node's own timer promises, and one draw of operations

Cause: three modules of the entry each wrapped setTimeout in a promise, and the load driver and the model each drew operations by their shares. Change: node:timers/promises in claims, key-owner and create-entry; drawOperation in bench/draw-operation.ts serves both.

--- a/bench/load/open-loop.ts
+++ b/bench/load/open-loop.ts
@@ -4,6 +4,7 @@
 */
 import * as hdr from 'hdr-histogram-js';
 import * as undici from 'undici';
+import {drawOperation} from '../draw-operation.ts';
 import {createRandomSource, type RandomSource} from '../../src/decisions/random.ts';
 
 /** A class of calls. */
@@ -171,18 +172,6 @@
 	}
 }
 
-function drawOperation(operations: readonly LoadOperation[], random: RandomSource): LoadOperation {
-	let rest = random.nextFraction();
-	for (const operation of operations) {
-		rest -= operation.share;
-		if (rest < 0) {
-			return operation;
-		}
-	}
-
-	return operations[0]!;
-}
-
 function createHistogram(): hdr.Histogram {
 	return hdr.build({lowestDiscernibleValue: 1, highestTrackableValue: 120_000_000, numberOfSignificantValueDigits: 3});
 }
--- a/bench/model/model.ts
+++ b/bench/model/model.ts
@@ -3,6 +3,7 @@
 
 It serves to compare policies quickly; figures that count come from real processes.
 */
+import {drawOperation} from '../draw-operation.ts';
 import {createDeadlineQueue} from '../../src/decisions/admission/deadline-queue.ts';
 import {createRandomSource, type RandomSource} from '../../src/decisions/random.ts';
 import {createServiceScheduler} from '../../src/decisions/routing/scheduler.ts';
@@ -293,7 +294,7 @@
 
 	function createCall(entry: number, now: number): RunningCall {
 		sequence += 1;
-		const operation = drawOperation(random, options.operations);
+		const operation = drawOperation(options.operations, random);
 		return {
 			entry,
 			operation,
@@ -396,18 +397,6 @@
 	return -Math.log(1 - random.nextFraction()) * mean;
 }
 
-function drawOperation(random: RandomSource, operations: readonly ModelOperation[]): ModelOperation {
-	let rest = random.nextFraction();
-	for (const operation of operations) {
-		rest -= operation.share;
-		if (rest < 0) {
-			return operation;
-		}
-	}
-
-	return operations[0]!;
-}
-
 function getPercentile(values: readonly number[], percent: number): number {
 	const sorted = values.toSorted((left, right) => left - right);
 	const value = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * percent / 100))] ?? 0;
--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -1,4 +1,5 @@
 /** Runs non-idempotent calls with a key at most once, over all entries. */
+import * as timers from 'node:timers/promises';
 import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
 import type * as stream from 'node:stream';
@@ -217,7 +218,7 @@
 			const waitEndsAt = host.getNow() + (timeoutMilliseconds * (1 - handoverShare));
 			const isWaiting = () => runningCalls > 0 && host.getNow() < waitEndsAt;
 			while (isWaiting()) {
-				await wait(drainCheckMilliseconds);
+				await timers.setTimeout(drainCheckMilliseconds);
 			}
 
 			await handOverKeys(stage.seal(), {
@@ -314,9 +315,3 @@
 		upstreamMilliseconds: 0,
 	};
 }
-
-async function wait(milliseconds: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -1,4 +1,5 @@
 /** Joins the parts of an entry: servers, table, instances, services, and the order in which they start and stop. */
+import * as timers from 'node:timers/promises';
 import * as crypto from 'node:crypto';
 import * as neverthrow from 'neverthrow';
 import {type Diagnostic} from '../decisions/diagnostics.ts';
@@ -268,7 +269,7 @@
 
 		await membership.leave();
 		if (lifeCycle.getState() === 'leaving') {
-			await wait(settings.leaving.noticeMilliseconds);
+			await timers.setTimeout(settings.leaving.noticeMilliseconds);
 			lifeCycle.take('notice-over');
 		}
 
@@ -293,9 +294,3 @@
 		name: settings.name, incarnation, callerAddress, peerAddress, leave,
 	});
 }
-
-async function wait(milliseconds: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/src/entry/key-owner.ts
+++ b/src/entry/key-owner.ts
@@ -1,4 +1,5 @@
 /** Passes calls on to the entry that owns their key, and falls back on records when that entry can't be asked. */
+import * as timers from 'node:timers/promises';
 import {assertNever} from '../decisions/assert-never.ts';
 import {type IdempotencyKey} from '../decisions/outcomes/idempotency-key.ts';
 import {type CallEvidence, type KeyHistory} from '../decisions/outcomes/resolve-outcome.ts';
@@ -94,13 +95,7 @@
 				evidence = {kind: 'owner-not-connected'};
 			}
 
-			await sleep(forwardPauseMilliseconds);
+			await timers.setTimeout(forwardPauseMilliseconds);
 		}
 	};
 }
-
-async function sleep(milliseconds: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
