--- /dev/null
+++ b/src/decisions/sharing/source-choice.ts
@@ -0,0 +1,52 @@
+/**
+Decides where an entry gets news of the platform from: from another entry, or from the platform itself.
+
+All entries rank the members alike, the longest-running first. Each follows the first one that answers with fresh
+news; the first of all has nobody to follow and reads the platform for all. Whoever hears nothing fresh reads for
+itself, so no single reader can hold news back for longer than `staleMilliseconds`.
+*/
+
+/** A member that could be followed. */
+export type Candidate = {
+	readonly name: string;
+	/** Start of the member's process, in milliseconds since the epoch. */
+	readonly startedAt: number;
+};
+
+/** News older than this are fetched from the platform by the entry itself. */
+export const staleMilliseconds = 1200;
+/** A source that failed or had no fresh news is passed over for this long. */
+export const avoidanceMilliseconds = 3000;
+
+export type SourceChoice = {
+	/** Gets the member to follow; undefined where this entry is the first that is left, and reads by itself. */
+	choose(members: readonly Candidate[], now: number): string | undefined;
+	/** The member did not answer, or its news were old. */
+	avoid(name: string, now: number): void;
+	/** The member is of use again. */
+	forgive(name: string): void;
+};
+
+/** Creates the choice of the member with the given name. */
+export function createSourceChoice(self: Candidate): SourceChoice {
+	const avoidedUntil = new Map<string, number>();
+	return {
+		choose(members, now) {
+			const first = members
+				.filter(member => (avoidedUntil.get(member.name) ?? Number.NEGATIVE_INFINITY) <= now || member.name === self.name)
+				.toSorted(compareSeniority)[0];
+			return first === undefined || compareSeniority(self, first) <= 0 ? undefined : first.name;
+		},
+		avoid(name, now) {
+			avoidedUntil.set(name, now + avoidanceMilliseconds);
+		},
+		forgive(name) {
+			avoidedUntil.delete(name);
+		},
+	};
+}
+
+/** Orders members by seniority; names decide between those that started together. */
+export function compareSeniority(left: Candidate, right: Candidate): number {
+	return left.startedAt - right.startedAt || (left.name < right.name ? -1 : Number(left.name > right.name));
+}
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -53,7 +53,8 @@
 	return getForwardedHeaders(rawHeaders, ownAnswerHeaders);
 }
 
-function getForwardedHeaders(rawHeaders: readonly string[], ownHeaders: ReadonlySet<string>): HeaderPairs {
+/** Takes the headers that are neither bound to one connection nor among `ownHeaders`; names become lower case. */
+export function getForwardedHeaders(rawHeaders: readonly string[], ownHeaders: {has(name: string): boolean}): HeaderPairs {
 	const pairs: Array<[string, string]> = [];
 	let connectionOptions: readonly string[] = [];
 	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
--- /dev/null
+++ b/src/gateway/create-gateway.ts
@@ -0,0 +1,281 @@
+/** Joins the parts of a gateway and decides the order in which they start and stop. */
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
+import {createCheckBudget} from '../decisions/measurement/check-budget.ts';
+import {createRandomSource} from '../decisions/random.ts';
+import {createFleetRetryBudget} from '../decisions/retries/fleet-retry-budget.ts';
+import {createWorkLearner} from '../decisions/routing/work-learner.ts';
+import {staleMilliseconds} from '../decisions/sharing/source-choice.ts';
+import {type Member} from '../decisions/sharing/types.ts';
+import {createLifeCycle} from '../entry/life-cycle.ts';
+import {type GatewayMetrics} from '../observability/gateway-metrics.ts';
+import {type Logger} from '../observability/logger.ts';
+import {createPeerServer} from '../peers/peer-server.ts';
+import {createSharingClient, createSharingRoutes} from '../peers/sharing.ts';
+import {type CallReport, startCall} from './call-runner.ts';
+import {createDirectory, type Directory} from './directory.ts';
+import {createFrontServer, listen} from './front-server.ts';
+import {createKnowledge} from './knowledge.ts';
+import {createSelector} from './selection.ts';
+import {type GatewaySettings} from './settings.ts';
+import {createSharingLoop} from './sharing-loop.ts';
+import {createStoreReader} from './store-reader.ts';
+import {type HeaderHost, type StoreHost} from './types.ts';
+import {createUpstreams} from './upstreams.ts';
+
+/** What a gateway needs of the platform. */
+export type PlatformHost = {
+	readonly store: StoreHost;
+	readonly headers: HeaderHost;
+	createDirectoryServer(directory: Directory): http.Server;
+	createReadinessServer(directory: Directory): http.Server;
+	close(): Promise<void>;
+};
+
+export type GatewayHost = {
+	readonly platform: PlatformHost;
+	readonly logger: Logger;
+	readonly metrics: GatewayMetrics;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+	/** Milliseconds since the epoch. */
+	getWallTime(): number;
+};
+
+export type Gateway = {
+	/** Takes new peer addresses. */
+	reload(settings: GatewaySettings): void;
+	/** Sends callers elsewhere, finishes the requests in flight and stops. */
+	leave(): Promise<void>;
+};
+
+/** Port of the metrics; the deploy file names it. */
+const metricsPort = 9464;
+/** Time from the signal to stop until no new connections are taken, in milliseconds: the longest time for which callers keep an address. */
+const noticeMilliseconds = 3200;
+/** Time before the end of the grace at which requests in flight are cut off, in milliseconds. */
+const cutMilliseconds = 150;
+const drainCheckMilliseconds = 20;
+const closeIdleMilliseconds = 1000;
+const peerGraceMilliseconds = 50;
+const largestSeed = 2 ** 31;
+const defaultHealthPath = '/healthz';
+/** Connections that an upstream accepts where no configuration says it; the least of the users' services. */
+const defaultConnections = 100;
+/** Age of the news beyond which a missing route may exist, in milliseconds; configurations must be in force within 2 s. */
+const unsureMilliseconds = 2000;
+
+/** Starts a gateway; resolves when its ports are open, which is before it knows a configuration. */
+export async function createGateway(settings: GatewaySettings, host: GatewayHost): Promise<Gateway> {
+	const {logger, metrics, platform, getNow} = host;
+	let {seeds} = settings;
+	const incarnation = crypto.randomBytes(8).toString('hex');
+	const startedAt = host.getWallTime();
+	const random = createRandomSource(crypto.randomInt(largestSeed));
+	const lifeCycle = createLifeCycle(state => {
+		logger.info('gateway-state', {state});
+	});
+	const getSelf = (): Member => ({
+		name: settings.name,
+		incarnation,
+		startedAt,
+		failureDomain: settings.failureDomain,
+		region: settings.region,
+		callerAddress: settings.listen.callers,
+		peerAddress: settings.listen.peers,
+		isReady: lifeCycle.getState() === 'serving',
+	});
+	const upstreams = createUpstreams({
+		getMaximumConnections: service => knowledge.getInForce()?.routes.getService(service)?.maximumConnections ?? defaultConnections,
+		countEntries: () => sharing.members.list().length,
+		getNow,
+	}, settings.failureDomain);
+	const knowledge = createKnowledge({
+		logger,
+		getNow,
+		onConfiguration(configuration) {
+			front.setLimits(configuration.limits);
+			becomeReady();
+		},
+		onUpstreams() {
+			upstreams.update(knowledge.registry.list());
+			becomeReady();
+		},
+	});
+	const sharing = createSharingLoop({
+		logger,
+		knowledge,
+		reader: createStoreReader({
+			store: platform.store, knowledge, logger, getNow,
+		}),
+		client: createSharingClient(),
+		getSelf,
+		getSeeds: () => seeds,
+		getNow,
+	});
+	const countEntries = () => sharing.members.list().length;
+	const checkBudget = createCheckBudget(settings.checksPerSecondPerUpstream);
+	const silentServices = new Set<string>();
+	const selector = createSelector({
+		headers: platform.headers,
+		upstreams,
+		random,
+		getNow,
+		getHealthPath: service => knowledge.getInForce()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
+		noteCheck(_upstream, result, milliseconds) {
+			metrics.recordCheck(result, milliseconds);
+		},
+		tryTakeCheck: (upstream, now) => checkBudget.tryTake(upstream.registration.id, countEntries(), now),
+		noteReadout(service, tellsLoad) {
+			if (tellsLoad) {
+				silentServices.delete(service);
+			} else if (!silentServices.has(service)) {
+				silentServices.add(service);
+				logger.info('service-tells-no-load', {service});
+			}
+		},
+		tellsLoad: service => !silentServices.has(service),
+	});
+	const runnerHost = {
+		selector,
+		headers: platform.headers,
+		learner: createWorkLearner(),
+		budget: createFleetRetryBudget(settings.retries, getNow()),
+		countEntries,
+		getNow,
+		onEnd,
+	};
+	const front = createFrontServer({
+		headers: platform.headers,
+		random,
+		getInForce: knowledge.getInForce,
+		isStale: () => knowledge.getAge(getNow()) > unsureMilliseconds,
+		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
+		getNow,
+		startCall: (request, target) => startCall(runnerHost, request, target),
+		noteRefusal(reason, id, statusCode) {
+			logger.warn('request-refused', {
+				id, status: statusCode, reason, configuration: knowledge.getInForce()?.configuration.version, knowledgeAge: toAge(),
+			});
+			metrics.recordRequest('none', 'refused', reason, 0, 0);
+		},
+	});
+
+	function becomeReady(): void {
+		if (knowledge.getInForce() && knowledge.registry.list().length > 0 && lifeCycle.take('table-known')) {
+			sharing.announce();
+		}
+	}
+
+	const toAge = () => Math.round(Math.min(knowledge.getAge(getNow()), Number.MAX_SAFE_INTEGER));
+
+	function onEnd({request, statusCode, outcome, reason, attempts, heldMilliseconds, milliseconds, checks}: CallReport): void {
+		const fields = {
+			id: request.id,
+			route: request.route.name,
+			kind: request.route.kind,
+			service: request.service,
+			configuration: request.configurationVersion,
+			knowledgeAge: toAge(),
+			outcome,
+			status: statusCode,
+			reason,
+			milliseconds,
+			held: heldMilliseconds,
+			checks,
+			attempts: attempts.map(({upstream, end, expectedMilliseconds, milliseconds: taken}) => `${upstream}/${end}/${expectedMilliseconds}/${taken}`).join(','),
+		};
+		if (outcome === 'answered') {
+			logger.info('request-ended', fields);
+		} else {
+			logger.warn('request-ended', fields);
+		}
+
+		metrics.recordRequest(request.route.name, outcome, reason, milliseconds, heldMilliseconds);
+		for (const {upstream, end} of attempts) {
+			metrics.recordAttempt(upstream, end);
+		}
+	}
+
+	const directory = createDirectory({
+		listMembers: sharing.members.list,
+		isReady: () => lifeCycle.getState() === 'serving',
+	}, settings.longestAddressLifetimeSeconds);
+	const directoryServer = platform.createDirectoryServer(directory);
+	const readinessServer = platform.createReadinessServer(directory);
+	const metricsServer = http.createServer((request, response) => {
+		request.resume();
+		void answerMetrics(response);
+	});
+
+	async function answerMetrics(response: http.ServerResponse): Promise<void> {
+		const text = await metrics.getText({
+			configurationVersion: knowledge.getInForce()?.configuration.version ?? -1,
+			knowledgeAgeMilliseconds: toAge(),
+			members: countEntries(),
+			openRequests: front.countOpen(),
+		});
+		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
+	}
+
+	const peers = splitAddress(settings.listen.peers);
+	const peerServer = await createPeerServer({...peers, routes: [createSharingRoutes({answer: sharing.answer})]});
+	if (peerServer.isErr()) {
+		throw new Error(peerServer.error.message);
+	}
+
+	await Promise.all([
+		listen(front.server, splitAddress(settings.listen.callers)),
+		listen(directoryServer, splitAddress(settings.listen.directory)),
+		listen(readinessServer, splitAddress(settings.listen.readiness)),
+		listen(metricsServer, {host: peers.host, port: metricsPort}),
+	]);
+	sharing.start();
+	const closeIdleTimer = setInterval(upstreams.closeIdle, closeIdleMilliseconds);
+	logger.info('gateway-started', {
+		incarnation, address: settings.listen.callers, failureDomain: settings.failureDomain, startMilliseconds: Math.round(getNow()), staleMilliseconds,
+	});
+
+	async function leave(): Promise<void> {
+		const endsAt = getNow() + settings.graceMilliseconds - cutMilliseconds;
+		if (!lifeCycle.take('leave')) {
+			return;
+		}
+
+		logger.info('gateway-leaving', {openRequests: front.countOpen()});
+		sharing.announce();
+		if (lifeCycle.getState() === 'leaving') {
+			await timers.setTimeout(noticeMilliseconds);
+			lifeCycle.take('notice-over');
+		}
+
+		front.server.close();
+		front.server.closeIdleConnections();
+		while (front.countOpen() > 0 && getNow() < endsAt) {
+			await timers.setTimeout(drainCheckMilliseconds);
+		}
+
+		logger.info('gateway-stopped', {cutOff: front.countOpen()});
+		lifeCycle.take('calls-ended');
+		clearInterval(closeIdleTimer);
+		sharing.stop();
+		upstreams.close();
+		directoryServer.close();
+		readinessServer.close();
+		await Promise.all([peerServer._unsafeUnwrap().close(peerGraceMilliseconds), platform.close()]);
+	}
+
+	return {
+		reload(next) {
+			seeds = next.seeds;
+			logger.info('settings-reloaded', {seeds: seeds.length});
+		},
+		leave,
+	};
+}
+
+function splitAddress(address: string): {readonly host: string; readonly port: number} {
+	const index = address.lastIndexOf(':');
+	return {host: address.slice(0, index), port: Number(address.slice(index + 1))};
+}
--- /dev/null
+++ b/src/gateway/front-server.ts
@@ -0,0 +1,236 @@
+/** The HTTP server for callers: finds the route, receives the request, and writes the answer. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as stream from 'node:stream';
+import * as routeTable from '../decisions/configuration/route-table.ts';
+import type * as configuration from '../decisions/configuration/types.ts';
+import {type RandomSource} from '../decisions/random.ts';
+import {getForwardedHeaders} from '../entry/headers.ts';
+import {type ReceivedBody, receiveBody} from '../entry/receive.ts';
+import {type AnswerTarget, type RunningCall} from './call-runner.ts';
+import {type ConfigurationInForce} from './knowledge.ts';
+import {type GatewayAnswer, type GatewayRequest, type HeaderHost} from './types.ts';
+
+/** Why a request goes no further than the front. */
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'memory-full' | 'body-cut';
+
+export type FrontServerHost = {
+	readonly headers: HeaderHost;
+	readonly random: RandomSource;
+	getInForce(): ConfigurationInForce | undefined;
+	/** Whether what this entry knows is too old to say that a route does not exist. */
+	isStale(): boolean;
+	/** Whether connections of callers should close after the next answer. */
+	isLeaving(): boolean;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+	startCall(request: GatewayRequest, target: AnswerTarget): RunningCall;
+	noteRefusal(reason: FrontRefusal, id: string | undefined, statusCode: number): void;
+};
+
+export type FrontServer = {
+	readonly server: http.Server;
+	/** Requests whose answers have not left. */
+	countOpen(): number;
+	/** Takes the limits of a configuration for what callers send from now on. */
+	setLimits(limits: configuration.CallerLimits): void;
+};
+
+/** Largest header section that can be received at all, in bytes; configurations set a lower bound. */
+const largestHeaderBytes = 65_536;
+/** Bodies up to this size are held, so that a request can be sent again, in bytes. */
+const heldBodyBytes = 1_048_576;
+/** Bodies that are held at the same time, in bytes; a fifth of the memory of the users' smallest instances. */
+const allHeldBytes = 48 * 1024 * 1024;
+/** Body that is assumed where the caller names no length, in bytes. */
+const assumedBodyBytes = 65_536;
+/** Time until a caller that was refused should come back, in milliseconds. */
+const comeBackMilliseconds = 300;
+/** Interval at which connections are checked against the timeouts, in milliseconds. */
+const connectionsCheckMilliseconds = 1000;
+const statuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut'>, number>> = {
+	'no-configuration': 503,
+	'news-stale': 503,
+	'unknown-route': 404,
+	'no-identity': 400,
+	'headers-too-large': 431,
+	'body-too-large': 413,
+	'memory-full': 503,
+};
+
+/** Creates the server; the caller starts and stops it. */
+export function createFrontServer(host: FrontServerHost): FrontServer {
+	let open = 0;
+	let heldBytes = 0;
+	const server = http.createServer({
+		maxHeaderSize: largestHeaderBytes,
+		connectionsCheckingInterval: connectionsCheckMilliseconds,
+		requestTimeout: 0,
+		noDelay: true,
+	}, receive);
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: stream.Duplex) => {
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+	});
+
+	function receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+		const receivedAt = host.getNow();
+		open++;
+		response.once('close', () => {
+			open--;
+		});
+		const facts = host.headers.readRequest(request.headers);
+		const inForce = host.getInForce();
+		if (!inForce) {
+			refuse(request, response, 'no-configuration', facts.id);
+			return;
+		}
+
+		const {configuration: {version, limits}, routes} = inForce;
+		const route = routes.find(request.headers.host ?? '', request.url ?? '');
+		if (!route) {
+			refuse(request, response, host.isStale() ? 'news-stale' : 'unknown-route', facts.id);
+			return;
+		}
+
+		if (facts.id === undefined) {
+			refuse(request, response, 'no-identity', facts.id);
+			return;
+		}
+
+		if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
+			refuse(request, response, 'headers-too-large', facts.id);
+			return;
+		}
+
+		const reserved = getReservedBytes(request);
+		if (heldBytes + reserved > allHeldBytes) {
+			refuse(request, response, 'memory-full', facts.id);
+			return;
+		}
+
+		heldBytes += reserved;
+		response.once('close', () => {
+			heldBytes -= reserved;
+		});
+		const {id} = facts;
+		receiveBody(request, {bodyBytes: limits.bodyBytes, bufferedBodyBytes: heldBodyBytes}, received => {
+			takeBody(request, response, received, {
+				id,
+				route,
+				service: routeTable.drawService(route, host.random),
+				configurationVersion: version,
+				receivedAt,
+				limitAt: receivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Number.POSITIVE_INFINITY),
+			});
+		});
+	}
+
+	function takeBody(request: http.IncomingMessage, response: http.ServerResponse, received: ReceivedBody, known: Pick<GatewayRequest, 'id' | 'route' | 'service' | 'configurationVersion' | 'receivedAt' | 'limitAt'>): void {
+		switch (received.kind) {
+			case 'too-large': {
+				refuse(request, response, 'body-too-large', known.id);
+				break;
+			}
+
+			case 'cut': {
+				host.noteRefusal('body-cut', known.id, 0);
+				response.destroy();
+				break;
+			}
+
+			case 'body': {
+				const running = host.startCall({
+					...known,
+					method: request.method ?? 'GET',
+					path: request.url ?? '/',
+					headers: getHeaders(request, received),
+					body: received.body,
+				}, {
+					answer(answer) {
+						write(request, response, answer);
+					},
+				});
+				response.once('close', () => {
+					if (!response.writableFinished) {
+						running.cancel();
+					}
+				});
+				break;
+			}
+		}
+	}
+
+	function getHeaders(request: http.IncomingMessage, received: ReceivedBody): GatewayRequest['headers'] {
+		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isOwnHeader(name)});
+		const isStreamed = received.kind === 'body' && received.body.kind === 'streamed';
+		const length = isStreamed ? request.headers['content-length'] : undefined;
+		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
+	}
+
+	function refuse(request: http.IncomingMessage, response: http.ServerResponse, reason: keyof typeof statuses, id: string | undefined): void {
+		const statusCode = statuses[reason];
+		host.noteRefusal(reason, id, statusCode);
+		request.resume();
+		write(request, response, {
+			statusCode,
+			headers: statusCode === 503 ? host.headers.createRetryHeaders(comeBackMilliseconds) : [],
+			body: new Uint8Array(),
+		});
+	}
+
+	function write(request: http.IncomingMessage, response: http.ServerResponse, answer: GatewayAnswer): void {
+		if (response.destroyed) {
+			return;
+		}
+
+		const hasOwnLength = request.method === 'HEAD';
+		const headers = answer.headers.filter(([name]) => hasOwnLength || name !== 'content-length').flat();
+		const isClosing = host.isLeaving() || !request.complete;
+		response.writeHead(answer.statusCode, [
+			...headers,
+			...(hasOwnLength ? [] : ['content-length', String(answer.body.length)]),
+			...(isClosing ? ['connection', 'close'] : []),
+		]);
+		response.end(answer.body);
+	}
+
+	return {
+		server,
+		countOpen: () => open,
+		setLimits({headerTimeoutMilliseconds, idleTimeoutMilliseconds}) {
+			server.headersTimeout = headerTimeoutMilliseconds;
+			server.keepAliveTimeout = idleTimeoutMilliseconds;
+		},
+	};
+}
+
+/** Counts the bytes of a header section as it was sent, from alternating names and values. */
+function countHeaderBytes(rawHeaders: readonly string[]): number {
+	const separatorBytes = 2;
+	return rawHeaders.reduce((sum, text) => sum + text.length + separatorBytes, 0);
+}
+
+function getReservedBytes(request: http.IncomingMessage): number {
+	const length = request.headers['content-length'];
+	if (length !== undefined) {
+		return Math.min(Number(length), heldBodyBytes);
+	}
+
+	return request.headers['transfer-encoding'] === undefined ? 0 : assumedBodyBytes;
+}
+
+/** Opens a port; resolves once it is open. */
+export async function listen(server: net.Server, address: {readonly host: string; readonly port: number}): Promise<void> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(address.port, address.host, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+}
--- /dev/null
+++ b/src/gateway/load-check.ts
@@ -0,0 +1,130 @@
+/** Asks one upstream for its load, on the connection that the request would take. */
+import type * as http from 'node:http';
+import * as attempt from '../entry/attempt.ts';
+import {type Connection} from '../entry/connection-pool.ts';
+import {type Upstream} from './upstreams.ts';
+import {type HeaderHost} from './types.ts';
+
+export type LoadCheckHost = {
+	readonly headers: HeaderHost;
+	/** Path of the health check of a service. */
+	getHealthPath(service: string): string;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+	noteCheck(upstream: Upstream, result: CheckResult['kind'], milliseconds: number): void;
+};
+
+/** Result of a check; a connection is held until it is used or released. */
+export type CheckResult
+	= | {readonly kind: 'healthy'; readonly connection: Connection}
+	/** The upstream is leaving or failing. */
+		| {readonly kind: 'unhealthy'}
+	/** Another upstream has the address. */
+		| {readonly kind: 'misdirected'}
+	/** No answer, or none that makes sense. */
+		| {readonly kind: 'silent'};
+
+export type LoadCheck = {
+	/** The result is no longer waited for; the connection goes back to its pool when the answer comes. */
+	detach(): void;
+};
+
+const ok = 200;
+/** Time after which a check without an answer fails, in milliseconds; a busy entry reads its answers tens of them late. */
+const timeoutMilliseconds = 300;
+
+/** Starts a check; the listener is called once unless the check is detached. */
+export function startLoadCheck(host: LoadCheckHost, upstream: Upstream, listener: (result: CheckResult) => void): LoadCheck {
+	const {pool, record, registration} = upstream;
+	const startedAt = host.getNow();
+	let running: attempt.Attempt | undefined;
+	let isOver = false;
+	let isDetached = false;
+	let head: {readonly statusCode: number; readonly headers: http.IncomingHttpHeaders} | undefined;
+
+	function finish(result: CheckResult): void {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		clearTimeout(timer);
+		const now = host.getNow();
+		host.noteCheck(upstream, result.kind, now - startedAt);
+		if (result.kind === 'silent') {
+			record.noteUnreachable(now);
+		}
+
+		if (!isDetached) {
+			listener(result);
+		} else if (result.kind === 'healthy') {
+			pool.release(result.connection);
+		}
+	}
+
+	function judge(connection: Connection): CheckResult {
+		const facts = host.headers.readAnswer(head!.headers);
+		if (facts.upstreamId !== undefined && facts.upstreamId !== registration.id) {
+			pool.discard(connection);
+			return {kind: 'misdirected'};
+		}
+
+		if (facts.load) {
+			record.noteReading({...facts.load, readAt: host.getNow()});
+		}
+
+		if (head!.statusCode !== ok) {
+			pool.release(connection);
+			return {kind: 'unhealthy'};
+		}
+
+		return {kind: 'healthy', connection};
+	}
+
+	function ask(connection: Connection): void {
+		running = attempt.startAttempt(connection.client, {
+			method: 'GET',
+			path: host.getHealthPath(registration.service),
+			headers: ['host', registration.address],
+			body: {kind: 'none'},
+		}, {
+			onSent: () => undefined,
+			onHead(statusCode, headers) {
+				head = {statusCode, headers};
+			},
+			onData: () => true,
+			onEnd() {
+				connection.lastHeardAt = host.getNow();
+				finish(judge(connection));
+			},
+			onFailed() {
+				pool.discard(connection);
+				finish({kind: 'silent'});
+			},
+		});
+	}
+
+	const withdraw = pool.acquire(false, connection => {
+		if (isOver) {
+			if (connection) {
+				pool.release(connection);
+			}
+		} else if (connection) {
+			ask(connection);
+		} else {
+			finish({kind: 'silent'});
+		}
+	});
+	const timer = setTimeout(() => {
+		withdraw();
+		running?.abort();
+		finish({kind: 'silent'});
+		pool.dropUnheardSince(startedAt);
+	}, timeoutMilliseconds);
+
+	return {
+		detach() {
+			isDetached = true;
+		},
+	};
+}
--- /dev/null
+++ b/src/gateway/settings.ts
@@ -0,0 +1,36 @@
+/** Settings of a gateway. Addresses are `host:port`. */
+import type * as neverthrow from 'neverthrow';
+import * as z from 'zod';
+import {type Diagnostic} from '../decisions/diagnostics.ts';
+import {checkSettings} from '../platform/settings-file.ts';
+
+const address = z.string().regex(/^[^\s:]+:\d+$/v, 'use host:port');
+
+export const gatewaySettingsSchema = z.strictObject({
+	name: z.string().min(1).describe('Name of this instance'),
+	region: z.string(),
+	failureDomain: z.string(),
+	listen: z.strictObject({
+		callers: address.describe('For requests'),
+		readiness: address.describe('For checks whether this entry is ready'),
+		peers: address.describe('For other entries'),
+		directory: address.describe('For callers that ask where to connect'),
+	}),
+	seeds: z.array(z.string()).describe('Peer addresses of a few entries, which may be old'),
+	storeAddress: address.describe('Store of the platform'),
+	graceMilliseconds: z.number().positive().describe('Time from the signal to stop until the process must be gone'),
+	retries: z.strictObject({
+		ratio: z.number().nonnegative().describe('Repeats for each request of a service'),
+		windowMilliseconds: z.number().positive().describe('Window of the bound'),
+		slack: z.number().nonnegative().describe('Repeats in a window beside the ratio, over all entries'),
+	}),
+	checksPerSecondPerUpstream: z.number().positive().describe('Load checks of one upstream, over all entries'),
+	longestAddressLifetimeSeconds: z.number().positive().describe('Longest time for which callers keep addresses'),
+});
+
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
+
+/** Checks settings; the error names the key. */
+export function checkGatewaySettings(value: unknown): neverthrow.Result<GatewaySettings, Diagnostic> {
+	return checkSettings(value, gatewaySettingsSchema);
+}
--- /dev/null
+++ b/src/gateway/sharing-loop.ts
@@ -0,0 +1,256 @@
+/** Keeps what this entry knows fresh: follows another entry, or reads the platform for itself. */
+import * as timers from 'node:timers/promises';
+import {type Member} from '../decisions/sharing/types.ts';
+import {createMemberList, type MemberList} from '../decisions/sharing/member-list.ts';
+import * as sourceChoice from '../decisions/sharing/source-choice.ts';
+import {type Logger} from '../observability/logger.ts';
+import type * as codec from '../peers/sharing-codec.ts';
+import {type SharingClient, type SharingError} from '../peers/sharing.ts';
+import {type Result} from 'neverthrow';
+import {type Knowledge} from './knowledge.ts';
+import {type StoreReader} from './store-reader.ts';
+
+export type SharingLoopHost = {
+	readonly logger: Logger;
+	readonly knowledge: Knowledge;
+	readonly reader: StoreReader;
+	readonly client: SharingClient;
+	/** This entry as it is now. */
+	getSelf(): Member;
+	/** Peer addresses of a few entries, which may be old. */
+	getSeeds(): readonly string[];
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+};
+
+export type SharingLoop = {
+	readonly members: MemberList;
+	start(): void;
+	/** Answers an entry that follows this one. */
+	answer(question: codec.FollowQuestion): Promise<codec.FollowNews>;
+	/** Tells the other entries at once that this entry has changed. */
+	announce(): void;
+	stop(): void;
+};
+
+/** Longest wait of a follower for news, in milliseconds; with the reader's interval below the age at which news are stale. */
+const followWaitMilliseconds = 400;
+/** Longest wait that is granted to a follower, in milliseconds. */
+const largestWaitMilliseconds = 5000;
+/** Pause after a failure, and between two looks at the age of news, in milliseconds. */
+const pauseMilliseconds = 50;
+/** Time between two requests to entries of the settings, in milliseconds, while this entry knows no other. */
+const seedIntervalMilliseconds = 1000;
+/** Time between two own reads while the followed entry has no fresh news, in milliseconds, and its bound while reads fail. */
+const ownReadMilliseconds = 500;
+const longestOwnReadMilliseconds = 2000;
+/** Time between two looks for members that went silent, in milliseconds. */
+const expiryMilliseconds = 250;
+
+/** Creates the loop of an entry; call `start` to begin. */
+export function createSharingLoop(host: SharingLoopHost): SharingLoop {
+	const {logger, knowledge, reader, client} = host;
+	const members = createMemberList(host.getSelf);
+	const self = host.getSelf();
+	const choice = sourceChoice.createSourceChoice({name: self.name, startedAt: self.startedAt});
+	let isStopped = false;
+	let followAbort = new AbortController();
+	let source = '';
+	/** Revision of the members that the present source told last. */
+	let toldRevision = '';
+
+	const getSource = () => choice.choose(members.list(), host.getNow());
+
+	function createQuestion(waitMilliseconds: number): codec.FollowQuestion {
+		return {
+			follower: host.getSelf(),
+			configurationVersion: knowledge.getInForce()?.configuration.version ?? -1,
+			registryPosition: knowledge.registry.getPosition(),
+			membersRevision: toldRevision,
+			waitMilliseconds,
+		};
+	}
+
+	function takeNews(news: codec.FollowNews, origin: string): void {
+		const now = host.getNow();
+		if (news.members) {
+			members.adopt(news.members, now);
+		} else {
+			members.confirm(now);
+		}
+
+		toldRevision = news.membersRevision;
+		if (news.configuration) {
+			knowledge.takeConfiguration(news.configuration, origin);
+		}
+
+		if (news.registryUpdate) {
+			knowledge.takeEvents(knowledge.registry.takeUpdate(news.registryUpdate), origin);
+		}
+
+		if (knowledge.getInForce()) {
+			knowledge.confirm('configuration', now - news.ageMilliseconds);
+			knowledge.confirm('registry', now - news.ageMilliseconds);
+		}
+	}
+
+	function noteSource(next: string): void {
+		if (next !== source) {
+			logger.info('news-source-changed', {source: next, previous: source || undefined, members: members.list().length, ageMilliseconds: Math.round(knowledge.getAge(host.getNow()))});
+			source = next;
+			toldRevision = '';
+		}
+	}
+
+	async function follow(): Promise<void> {
+		while (!isStopped) {
+			const name = getSource();
+			if (name === undefined) {
+				noteSource('store');
+				await reader.readWhile(() => !isStopped && getSource() === undefined);
+				await recoverFromReadFailure();
+				continue;
+			}
+
+			noteSource(name);
+			const {peerAddress} = members.list().find(member => member.name === name)!;
+			followAbort = new AbortController();
+			const result = await client.follow(peerAddress, createQuestion(followWaitMilliseconds), followAbort.signal);
+			if (!followAbort.signal.aborted) {
+				await judge(name, result);
+			}
+		}
+	}
+
+	/** Passes the others' news on while this entry, which should read, can't. */
+	async function recoverFromReadFailure(): Promise<void> {
+		if (isStopped || getSource() !== undefined) {
+			return;
+		}
+
+		choice.avoid(self.name, host.getNow());
+		await timers.setTimeout(pauseMilliseconds);
+	}
+
+	async function judge(name: string, result: Result<codec.FollowNews, SharingError>): Promise<void> {
+		if (isStopped) {
+			return;
+		}
+
+		if (result.isErr()) {
+			logger.warn('news-source-lost', {source: name, reason: result.error.message});
+			choice.avoid(name, host.getNow());
+			await timers.setTimeout(pauseMilliseconds);
+			return;
+		}
+
+		takeNews(result.value, name);
+		if (result.value.ageMilliseconds > sourceChoice.staleMilliseconds) {
+			logger.warn('news-source-stale', {source: name, ageMilliseconds: result.value.ageMilliseconds});
+			choice.avoid(name, host.getNow());
+			await timers.setTimeout(pauseMilliseconds);
+		}
+	}
+
+	/** Reads for this entry alone whenever nobody else brings fresh news. */
+	async function watchAge(): Promise<void> {
+		let interval = ownReadMilliseconds;
+		while (!isStopped) {
+			if (knowledge.getAge(host.getNow()) <= sourceChoice.staleMilliseconds || getSource() === undefined) {
+				interval = ownReadMilliseconds;
+				await timers.setTimeout(pauseMilliseconds);
+				continue;
+			}
+
+			const isRead = await reader.readOnce();
+			interval = isRead ? ownReadMilliseconds : Math.min(longestOwnReadMilliseconds, interval * 2);
+			await timers.setTimeout(interval);
+		}
+	}
+
+	async function watchSeeds(): Promise<void> {
+		while (!isStopped) {
+			if (members.list().length === 1) {
+				await Promise.all(host.getSeeds().filter(address => address !== host.getSelf().peerAddress).map(async address => askSeed(address)));
+			}
+
+			await timers.setTimeout(members.list().length === 1 ? pauseMilliseconds * 4 : seedIntervalMilliseconds);
+		}
+	}
+
+	async function askSeed(address: string): Promise<void> {
+		const result = await client.follow(address, createQuestion(0), new AbortController().signal);
+		if (result.isOk()) {
+			takeNews(result.value, address);
+		}
+	}
+
+	async function watchMembers(): Promise<void> {
+		while (!isStopped) {
+			const silent = members.expire(host.getNow());
+			for (const name of silent) {
+				logger.warn('member-silent', {member: name});
+			}
+
+			if (silent.length > 0) {
+				knowledge.wake();
+			}
+
+			await timers.setTimeout(expiryMilliseconds);
+		}
+	}
+
+	function getRegistryUpdate(position: number) {
+		const update = knowledge.registry.getUpdate(position);
+		return update.position > position ? update : undefined;
+	}
+
+	function hasNews(question: codec.FollowQuestion): boolean {
+		const version = knowledge.getInForce()?.configuration.version ?? -1;
+		const update = getRegistryUpdate(question.registryPosition);
+		return version > question.configurationVersion
+			|| (update !== undefined && (update.changes.length > 0 || update.isComplete))
+			|| members.getRevision() !== question.membersRevision;
+	}
+
+	return {
+		members,
+		start() {
+			void follow();
+			void watchAge();
+			void watchSeeds();
+			void watchMembers();
+		},
+		async answer(question) {
+			if (members.hear(question.follower, host.getNow())) {
+				logger.info('member-heard', {member: question.follower.name, incarnation: question.follower.incarnation, isReady: question.follower.isReady});
+				knowledge.wake();
+			}
+
+			const endsAt = host.getNow() + Math.min(question.waitMilliseconds, largestWaitMilliseconds);
+			while (!isStopped && !hasNews(question) && host.getNow() < endsAt) {
+				await knowledge.waitForNews(Math.max(1, endsAt - host.getNow()));
+			}
+
+			members.hear(question.follower, host.getNow());
+			const inForce = knowledge.getInForce();
+			const revision = members.getRevision();
+			return {
+				ageMilliseconds: Math.max(0, knowledge.getAge(host.getNow())),
+				configuration: inForce && inForce.configuration.version > question.configurationVersion ? inForce.configuration : undefined,
+				registryUpdate: getRegistryUpdate(question.registryPosition),
+				members: revision === question.membersRevision ? undefined : members.list(),
+				membersRevision: revision,
+			};
+		},
+		announce() {
+			knowledge.wake();
+			followAbort.abort();
+		},
+		stop() {
+			isStopped = true;
+			followAbort.abort();
+			knowledge.wake();
+		},
+	};
+}
--- /dev/null
+++ b/src/gateway/store-reader.ts
@@ -0,0 +1,193 @@
+/** Reads the configuration and the registry from the platform's store. */
+import * as timers from 'node:timers/promises';
+import {type Logger} from '../observability/logger.ts';
+import {type Knowledge} from './knowledge.ts';
+import {
+	type ConfigurationRecord, type ReadOptions, type StoreError, type StoreHost, type StorePage, type StoreStream,
+} from './types.ts';
+import {type Result} from 'neverthrow';
+import {type RegistryRecord} from '../decisions/registry/types.ts';
+
+export type StoreReaderHost = {
+	readonly store: StoreHost;
+	readonly knowledge: Knowledge;
+	readonly logger: Logger;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+};
+
+export type StoreReader = {
+	/** Reads both parts once, without waiting for records. Resolves to whether both were read. */
+	readOnce(): Promise<boolean>;
+	/** Reads on until `shouldStop`, resolving when that is so or when a read failed. */
+	readWhile(shouldContinue: () => boolean): Promise<void>;
+};
+
+/** Time between two reads of the registry, in milliseconds; a quarter of the two seconds in which a drain must be known. */
+const registryIntervalMilliseconds = 500;
+/** Wait of a read of the configuration, in milliseconds; a connection that went silent is noticed after it. */
+const configurationWaitMilliseconds = 500;
+/** Time for an answer of the store, in milliseconds; slow days of the store take up to 330 ms. */
+const timeoutMilliseconds = 700;
+const source = 'store';
+/** Time after the return of the store in which registrations that lapsed meanwhile come back, in milliseconds. */
+const returnMilliseconds = 2000;
+
+/** Creates a reader; it reads only when it is asked to. */
+export function createStoreReader(host: StoreReaderHost): StoreReader {
+	const {store, knowledge, logger} = host;
+	let configurationPosition = -1;
+	let isReachable: boolean | undefined;
+	let returnedAt = Number.NEGATIVE_INFINITY;
+	let recheckTimer: NodeJS.Timeout | undefined;
+
+	function noteReachable(error?: StoreError): void {
+		const isReached = error === undefined || error.kind === 'expired';
+		if (isReached === isReachable) {
+			return;
+		}
+
+		if (isReached) {
+			returnedAt = isReachable === undefined ? Number.NEGATIVE_INFINITY : host.getNow();
+			logger.info('store-regained');
+		} else {
+			logger.warn('store-lost', {kind: error.kind, reason: error.message});
+		}
+
+		isReachable = isReached;
+	}
+
+	/** Reads from a position, or everything where the records from there on are gone. */
+	async function read<StoreRecord>(stream: StoreStream<StoreRecord>, position: number, options: ReadOptions): Promise<Result<StorePage<StoreRecord> & {readonly isComplete: boolean}, StoreError>> {
+		if (position >= 0) {
+			const result = await stream.read(position, options);
+			noteReachable(result.isErr() ? result.error : undefined);
+			if (result.isOk() || result.error.kind !== 'expired') {
+				return result.map(page => ({...page, isComplete: false}));
+			}
+
+			logger.warn('store-history-lost', {position, reason: result.error.message});
+		}
+
+		const result = await stream.readNewest(options.timeoutMilliseconds);
+		noteReachable(result.isErr() ? result.error : undefined);
+		return result.map(page => ({...page, isComplete: true}));
+	}
+
+	async function readConfiguration(waitMilliseconds: number): Promise<boolean> {
+		const result = await read(store.configuration, configurationPosition, {waitMilliseconds, timeoutMilliseconds: waitMilliseconds + timeoutMilliseconds});
+		if (result.isErr()) {
+			return false;
+		}
+
+		configurationPosition = result.value.position;
+		for (const record of result.value.records) {
+			takeConfiguration(record);
+		}
+
+		knowledge.confirm('configuration', host.getNow());
+		return true;
+	}
+
+	function takeConfiguration(record: ConfigurationRecord): void {
+		if (record.kind === 'published') {
+			knowledge.takeConfiguration(record.configuration, source);
+		} else {
+			logger.warn('configuration-unusable', {reason: record.reason, position: configurationPosition});
+		}
+	}
+
+	async function readRegistry(): Promise<boolean> {
+		const askedAt = host.getNow();
+		const result = await read(store.registry, knowledge.registry.getPosition(), {waitMilliseconds: 0, timeoutMilliseconds});
+		if (result.isErr()) {
+			return false;
+		}
+
+		const {position, records, isComplete} = result.value;
+		for (const record of records) {
+			if (record.kind === 'unusable') {
+				logger.warn('registration-unusable', {upstream: record.id, reason: record.reason, position});
+			}
+		}
+
+		const kept = keepLapsed(records, isComplete);
+		knowledge.takeEvents(isComplete ? knowledge.registry.takeSnapshot(position, kept) : knowledge.registry.takeRecords(position, kept), source);
+		knowledge.confirm('registry', askedAt);
+		return true;
+	}
+
+	/**
+	Holds removals back that the store made while it was away: such an upstream may be sound and register anew.
+
+	What is still missing `returnMilliseconds` after the return is found by a read of everything.
+	*/
+	function keepLapsed(records: readonly RegistryRecord[], isComplete: boolean): readonly RegistryRecord[] {
+		const recheckAt = returnedAt + returnMilliseconds;
+		if (host.getNow() >= recheckAt) {
+			return records;
+		}
+
+		const {registry} = knowledge;
+		const mayReturn = (id: string) => registry.get(id)?.state === 'ready';
+		const present = new Set(records.flatMap(record => record.kind === 'removed' ? [] : [record.id]));
+		const lapsed = isComplete
+			? registry.list().map(({id}) => id).filter(id => !present.has(id) && mayReturn(id))
+			: records.filter(({kind, id}) => kind === 'removed' && mayReturn(id)).map(({id}) => id);
+		if (lapsed.length === 0) {
+			return records;
+		}
+
+		logger.warn('registrations-lapsed', {upstreams: lapsed.length, recheckMilliseconds: Math.round(recheckAt - host.getNow())});
+		scheduleRecheck(recheckAt);
+		const held = new Set(lapsed);
+		return [
+			...records.filter(record => record.kind !== 'removed' || !held.has(record.id)),
+			...lapsed.map(id => ({kind: 'unusable' as const, id, reason: 'lapsed'})),
+		];
+	}
+
+	function scheduleRecheck(at: number): void {
+		recheckTimer ??= setTimeout(() => {
+			recheckTimer = undefined;
+			void recheck();
+		}, at - host.getNow());
+	}
+
+	async function recheck(): Promise<void> {
+		const result = await store.registry.readNewest(timeoutMilliseconds);
+		if (result.isErr()) {
+			scheduleRecheck(host.getNow() + registryIntervalMilliseconds);
+			return;
+		}
+
+		knowledge.takeEvents(knowledge.registry.takeSnapshot(result.value.position, result.value.records), source);
+	}
+
+	async function repeat(read: () => Promise<boolean>, pauseMilliseconds: number, shouldContinue: () => boolean): Promise<void> {
+		while (shouldContinue() && await read()) {
+			if (pauseMilliseconds > 0) {
+				await timers.setTimeout(pauseMilliseconds);
+			}
+		}
+	}
+
+	return {
+		async readOnce() {
+			const results = await Promise.all([readConfiguration(0), readRegistry()]);
+			return !results.includes(false);
+		},
+		async readWhile(shouldContinue) {
+			let hasFailed = false;
+			const isGoingOn = () => !hasFailed && shouldContinue();
+			const fail = () => {
+				hasFailed = true;
+			};
+
+			await Promise.all([
+				repeat(async () => readConfiguration(configurationWaitMilliseconds), 0, isGoingOn).finally(fail),
+				repeat(readRegistry, registryIntervalMilliseconds, isGoingOn).finally(fail),
+			]);
+		},
+	};
+}
--- /dev/null
+++ b/src/observability/gateway-metrics.ts
@@ -0,0 +1,76 @@
+/** Metrics of a gateway in the Prometheus text format. Durations are seconds, as the name of each metric says. */
+import * as prometheus from 'prom-client';
+
+const secondsPerMillisecond = 0.001;
+const requestSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5];
+const checkSeconds = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.1, 0.3];
+
+export type GatewayGauges = {
+	readonly configurationVersion: number;
+	readonly knowledgeAgeMilliseconds: number;
+	readonly members: number;
+	readonly openRequests: number;
+};
+
+export type GatewayMetrics = {
+	recordRequest(route: string, outcome: string, reason: string, milliseconds: number, heldMilliseconds: number): void;
+	recordAttempt(upstream: string, end: string): void;
+	recordCheck(result: string, milliseconds: number): void;
+	recordStoreCall(call: string, result: string, milliseconds: number): void;
+	getText(gauges: GatewayGauges): Promise<string>;
+};
+
+/** Creates the metrics of one process with a registry of their own. */
+export function createGatewayMetrics(): GatewayMetrics {
+	const registry = new prometheus.Registry();
+	const registers = [registry];
+	const requests = new prometheus.Counter({
+		name: 'fescuering_gateway_requests_total', help: 'Requests that ended, by route, outcome and reason.', labelNames: ['route', 'outcome', 'reason'] as const, registers,
+	});
+	const requestDuration = new prometheus.Histogram({
+		name: 'fescuering_gateway_request_duration_seconds', help: 'Time from the request to its answer.', labelNames: ['route'] as const, buckets: requestSeconds, registers,
+	});
+	const heldDuration = new prometheus.Histogram({
+		name: 'fescuering_gateway_held_seconds', help: 'Time until a request was sent to its first upstream.', buckets: requestSeconds, registers,
+	});
+	const attempts = new prometheus.Counter({
+		name: 'fescuering_gateway_attempts_total', help: 'Attempts at upstreams, by upstream and end.', labelNames: ['upstream', 'end'] as const, registers,
+	});
+	const checks = new prometheus.Histogram({
+		name: 'fescuering_gateway_check_seconds', help: 'Load checks of upstreams, by result.', labelNames: ['result'] as const, buckets: checkSeconds, registers,
+	});
+	const storeCalls = new prometheus.Histogram({
+		name: 'fescuering_gateway_store_call_seconds', help: 'Calls to the store of the platform, by call and result.', labelNames: ['call', 'result'] as const, buckets: requestSeconds, registers,
+	});
+	const gaugeNames = {
+		configurationVersion: 'fescuering_gateway_configuration_version',
+		knowledgeAgeMilliseconds: 'fescuering_gateway_knowledge_age_seconds',
+		members: 'fescuering_gateway_members',
+		openRequests: 'fescuering_gateway_open_requests',
+	};
+	const gaugeMetrics = new Map(Object.values(gaugeNames).map(name => [name, new prometheus.Gauge({name, help: 'State of this entry.', registers})]));
+
+	return {
+		recordRequest(route, outcome, reason, milliseconds, heldMilliseconds) {
+			requests.inc({route, outcome, reason});
+			requestDuration.observe({route}, milliseconds * secondsPerMillisecond);
+			heldDuration.observe(heldMilliseconds * secondsPerMillisecond);
+		},
+		recordAttempt(upstream, end) {
+			attempts.inc({upstream, end});
+		},
+		recordCheck(result, milliseconds) {
+			checks.observe({result}, milliseconds * secondsPerMillisecond);
+		},
+		recordStoreCall(call, result, milliseconds) {
+			storeCalls.observe({call, result}, milliseconds * secondsPerMillisecond);
+		},
+		async getText(gauges) {
+			gaugeMetrics.get(gaugeNames.configurationVersion)!.set(gauges.configurationVersion);
+			gaugeMetrics.get(gaugeNames.knowledgeAgeMilliseconds)!.set(Math.min(gauges.knowledgeAgeMilliseconds, Number.MAX_SAFE_INTEGER) * secondsPerMillisecond);
+			gaugeMetrics.get(gaugeNames.members)!.set(gauges.members);
+			gaugeMetrics.get(gaugeNames.openRequests)!.set(gauges.openRequests);
+			return registry.metrics();
+		},
+	};
+}
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -19,14 +19,21 @@
 	error: 0, warn: 1, info: 3, debug: 4,
 };
 
-/** Creates a logger that writes to the given stream; fixed fields are repeated on each line. */
-export function createLogger(level: LogLevel, fixedFields: Readonly<Record<string, LogValue>> = {}, stream: NodeJS.WritableStream = process.stderr): Logger {
+/** Takes the lines of a logger; warnings and errors are important. */
+export type LineTarget = {
+	write(line: string, isImportant: boolean): unknown;
+};
+
+const errorStream: LineTarget = {write: line => process.stderr.write(line)};
+
+/** Creates a logger that writes to the given target; fixed fields are repeated on each line. */
+export function createLogger(level: LogLevel, fixedFields: Readonly<Record<string, LogValue>> = {}, target: LineTarget = errorStream): Logger {
 	const instance = consola.createConsola({
 		level: consolaLevels[level],
 		throttle: 0,
 		reporters: [{
 			log(entry) {
-				stream.write(`time=${entry.date.toISOString()} level=${entry.type} ${entry.args.join(' ')}\n`);
+				target.write(`time=${entry.date.toISOString()} level=${entry.type} ${entry.args.join(' ')}\n`, entry.type === 'warn' || entry.type === 'error');
 			},
 		}],
 	});
