--- a/stand-ins/table-readers.ts
+++ b/stand-ins/table-readers.ts
@@ -17,7 +17,7 @@
 	const versions: Array<{version: number; time: number}> = [];
 	const reader = createTableReader({
 		log,
-		logger: createLogger('error', {reader: seed}, process.stderr),
+		logger: createLogger('error', {reader: seed}),
 		now: Date.now,
 		random: () => prand.unsafeUniformIntDistribution(0, steps - 1, generator) / steps,
 		setTimer(milliseconds, callback) {
