Take an answer without an end of its own as broken when its connection was reset

Ruled out: the retry (its second answer was short in the same way). Change: the pool marks connections whose socket failed; the attempt checks the mark.

--- a/src/decisions/configuration/route-table.ts
+++ b/src/decisions/configuration/route-table.ts
@@ -4,7 +4,7 @@
 
 export type RouteTable = {
 	/** Gets the route; `host` is the value of the `Host` header, `path` may carry a query. */
-	find(host: string, path: string): types.Route | undefined;
+	resolve(host: string, path: string): types.Route | undefined;
 	/** Gets the description of a service. */
 	getService(name: string): types.ServiceDescription | undefined;
 };
@@ -20,7 +20,7 @@
 
 	const services = new Map(configuration.services.map(service => [service.name, service]));
 	return {
-		find(host, path) {
+		resolve(host, path) {
 			const prefixes = hosts.get(normalizeHost(host));
 			return prefixes && findLongest(prefixes, path);
 		},
--- a/src/decisions/registry/upstream-registry.ts
+++ b/src/decisions/registry/upstream-registry.ts
@@ -86,6 +86,22 @@
 		return {kind: 'removed', id, registration: present.registration};
 	}
 
+	function fold(record: types.RegistryRecord, at: number): RegistryEvent | undefined {
+		switch (record.kind) {
+			case 'registered': {
+				return register(record.registration, at);
+			}
+
+			case 'removed': {
+				return remove(record.id, at);
+			}
+
+			case 'unusable': {
+				return undefined;
+			}
+		}
+	}
+
 	function forgetRemovals(): void {
 		for (const [id, at] of removals) {
 			if (removals.size <= rememberedRemovals) {
@@ -119,21 +135,9 @@
 		},
 		takeRecords(at, records) {
 			position = Math.max(position, at);
-			return records.flatMap(record => {
-				switch (record.kind) {
-					case 'registered': {
-						return register(record.registration, at) ?? [];
-					}
-
-					case 'removed': {
-						return remove(record.id, at) ?? [];
-					}
-
-					case 'unusable': {
-						return [];
-					}
-				}
-			});
+			return records
+				.map(record => fold(record, at))
+				.filter(event => event !== undefined);
 		},
 		takeUpdate(update) {
 			if (update.position <= position) {
--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -25,6 +25,8 @@
 	/** Last time at which the upstream was heard on this connection. */
 	lastHeardAt: number;
 	isClosed: boolean;
+	/** Whether the connection was reset or failed, rather than closed in order. */
+	isBroken: boolean;
 };
 
 /** Receives a connection, or undefined when none could be opened. */
@@ -159,7 +161,12 @@
 				});
 			},
 		});
-		const connection: Connection = {client, lastHeardAt: options.getNow(), isClosed: false};
+		const connection: Connection = {
+			client, lastHeardAt: options.getNow(), isClosed: false, isBroken: false,
+		};
+		socket.once('error', () => {
+			connection.isBroken = true;
+		});
 		socket.once('close', () => {
 			forget(connection);
 		});
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -14,6 +14,9 @@
 /** Why a request goes no further than the front. */
 export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'memory-full' | 'body-cut';
 
+/** What is known of a request before its body is received. */
+type KnownRequest = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
+
 export type FrontServerHost = {
 	readonly headers: HeaderHost;
 	readonly random: RandomSource;
@@ -91,7 +94,7 @@
 		}
 
 		const {configuration: {version, limits}, routes} = inForce;
-		const route = routes.find(request.headers.host ?? '', request.url ?? '');
+		const route = routes.resolve(request.headers.host ?? '', request.url ?? '');
 		if (!route) {
 			refuse(request, response, host.isStale() ? 'news-stale' : 'unknown-route', facts.id);
 			return;
@@ -130,7 +133,7 @@
 		});
 	}
 
-	function takeBody(request: http.IncomingMessage, response: http.ServerResponse, received: ReceivedBody, known: Pick<GatewayRequest, 'id' | 'route' | 'service' | 'configurationVersion' | 'receivedAt' | 'limitAt'>): void {
+	function takeBody(request: http.IncomingMessage, response: http.ServerResponse, received: ReceivedBody, known: KnownRequest): void {
 		switch (received.kind) {
 			case 'too-large': {
 				refuse(request, response, 'body-too-large', known.id);
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -127,6 +127,11 @@
 			return;
 		}
 
+		if (connection.isBroken && !hasOwnEnd(headers)) {
+			breakOff(connection, 'reset-within-answer');
+			return;
+		}
+
 		pool.release(connection);
 		finish({kind: 'answered', statusCode}, {statusCode, headers, body: chunks.length === 1 ? chunks[0]! : buffer.Buffer.concat(chunks)});
 	}
@@ -163,6 +168,11 @@
 	};
 }
 
+/** Whether an answer tells where it ends; undici takes the reset of a connection for the end of one that doesn't. */
+function hasOwnEnd(headers: http.IncomingHttpHeaders): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 function describeError(error: Error): string {
 	return 'code' in error ? String(error.code) : error.message;
 }
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -5,7 +5,9 @@
 import {type RandomSource} from '../decisions/random.ts';
 import * as freshLoad from '../decisions/routing/fresh-load.ts';
 import {type Connection} from '../entry/connection-pool.ts';
-import {type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck} from './load-check.ts';
+import {
+	type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck,
+} from './load-check.ts';
 import {type Upstream, type Upstreams} from './upstreams.ts';
 
 export type Selected = {
@@ -151,25 +153,20 @@
 				done(results);
 			};
 
-			for (const upstream of candidates) {
+			const ask = (upstream: Upstream) => {
 				const now = host.getNow();
 				const {reading} = upstream.record.getState(now);
 				const isFresh = reading !== undefined && now - reading.readAt <= freshMilliseconds;
 				if (isFresh || !host.tellsLoad(request.service) || !host.tryTakeCheck(upstream, now)) {
 					results.set(upstream, undefined);
-					continue;
+					return;
 				}
 
 				checks++;
 				running.set(upstream, startLoadCheck(host, upstream, result => {
 					running.delete(upstream);
 					results.set(upstream, result);
-					if (result.kind === 'healthy') {
-						host.noteReadout(request.service, upstream.record.getState(host.getNow()).reading !== undefined);
-					} else if (result.kind === 'misdirected') {
-						host.upstreams.retire(upstream.registration.id);
-					}
-
+					takeResult(upstream, result);
 					if (running.size === 0) {
 						end();
 					} else if (result.kind === 'healthy' && promisesNoDelay(upstream)) {
@@ -177,6 +174,10 @@
 						roundTimer = setTimeout(end, lingerMilliseconds);
 					}
 				}));
+			};
+
+			for (const upstream of candidates) {
+				ask(upstream);
 			}
 
 			if (running.size === 0) {
@@ -204,6 +205,14 @@
 			};
 		}
 
+		function takeResult(upstream: Upstream, result: CheckResult): void {
+			if (result.kind === 'healthy') {
+				host.noteReadout(request.service, upstream.record.getState(host.getNow()).reading !== undefined);
+			} else if (result.kind === 'misdirected') {
+				host.upstreams.retire(upstream.registration.id);
+			}
+		}
+
 		function promisesNoDelay(upstream: Upstream): boolean {
 			const {expectedMilliseconds} = freshLoad.estimate(host.upstreams.getState(upstream, host.getNow()), request.work);
 			return expectedMilliseconds <= request.work.workMilliseconds * 1.25;
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -1,12 +1,12 @@
 /** Keeps what this entry knows fresh: follows another entry, or reads the platform for itself. */
 import * as timers from 'node:timers/promises';
+import type * as neverthrow from 'neverthrow';
 import {type Member} from '../decisions/sharing/types.ts';
 import {createMemberList, type MemberList} from '../decisions/sharing/member-list.ts';
 import * as sourceChoice from '../decisions/sharing/source-choice.ts';
 import {type Logger} from '../observability/logger.ts';
 import type * as codec from '../peers/sharing-codec.ts';
 import {type SharingClient, type SharingError} from '../peers/sharing.ts';
-import {type Result} from 'neverthrow';
 import {type Knowledge} from './knowledge.ts';
 import {type StoreReader} from './store-reader.ts';
 
@@ -53,7 +53,7 @@
 	const members = createMemberList(host.getSelf);
 	const self = host.getSelf();
 	const choice = sourceChoice.createSourceChoice({name: self.name, startedAt: self.startedAt});
-	let isStopped = false;
+	const stopping = new AbortController();
 	let followAbort = new AbortController();
 	let source = '';
 	/** Revision of the members that the present source told last. */
@@ -96,18 +96,20 @@
 
 	function noteSource(next: string): void {
 		if (next !== source) {
-			logger.info('news-source-changed', {source: next, previous: source || undefined, members: members.list().length, ageMilliseconds: Math.round(knowledge.getAge(host.getNow()))});
+			logger.info('news-source-changed', {
+				source: next, previous: source || undefined, members: members.list().length, ageMilliseconds: Math.round(knowledge.getAge(host.getNow())),
+			});
 			source = next;
 			toldRevision = '';
 		}
 	}
 
 	async function follow(): Promise<void> {
-		while (!isStopped) {
+		while (!stopping.signal.aborted) {
 			const name = getSource();
 			if (name === undefined) {
 				noteSource('store');
-				await reader.readWhile(() => !isStopped && getSource() === undefined);
+				await reader.readWhile(() => !stopping.signal.aborted && getSource() === undefined);
 				await recoverFromReadFailure();
 				continue;
 			}
@@ -124,7 +126,7 @@
 
 	/** Passes the others' news on while this entry, which should read, can't. */
 	async function recoverFromReadFailure(): Promise<void> {
-		if (isStopped || getSource() !== undefined) {
+		if (stopping.signal.aborted || getSource() !== undefined) {
 			return;
 		}
 
@@ -132,8 +134,8 @@
 		await timers.setTimeout(pauseMilliseconds);
 	}
 
-	async function judge(name: string, result: Result<codec.FollowNews, SharingError>): Promise<void> {
-		if (isStopped) {
+	async function judge(name: string, result: neverthrow.Result<codec.FollowNews, SharingError>): Promise<void> {
+		if (stopping.signal.aborted) {
 			return;
 		}
 
@@ -155,7 +157,7 @@
 	/** Reads for this entry alone whenever nobody else brings fresh news. */
 	async function watchAge(): Promise<void> {
 		let interval = ownReadMilliseconds;
-		while (!isStopped) {
+		while (!stopping.signal.aborted) {
 			if (knowledge.getAge(host.getNow()) <= sourceChoice.staleMilliseconds || getSource() === undefined) {
 				interval = ownReadMilliseconds;
 				await timers.setTimeout(pauseMilliseconds);
@@ -169,7 +171,7 @@
 	}
 
 	async function watchSeeds(): Promise<void> {
-		while (!isStopped) {
+		while (!stopping.signal.aborted) {
 			if (members.list().length === 1) {
 				await Promise.all(host.getSeeds().filter(address => address !== host.getSelf().peerAddress).map(async address => askSeed(address)));
 			}
@@ -186,7 +188,7 @@
 	}
 
 	async function watchMembers(): Promise<void> {
-		while (!isStopped) {
+		while (!stopping.signal.aborted) {
 			const silent = members.expire(host.getNow());
 			for (const name of silent) {
 				logger.warn('member-silent', {member: name});
@@ -228,7 +230,7 @@
 			}
 
 			const endsAt = host.getNow() + Math.min(question.waitMilliseconds, largestWaitMilliseconds);
-			while (!isStopped && !hasNews(question) && host.getNow() < endsAt) {
+			while (!stopping.signal.aborted && !hasNews(question) && host.getNow() < endsAt) {
 				await knowledge.waitForNews(Math.max(1, endsAt - host.getNow()));
 			}
 
@@ -248,7 +250,7 @@
 			followAbort.abort();
 		},
 		stop() {
-			isStopped = true;
+			stopping.abort();
 			followAbort.abort();
 			knowledge.wake();
 		},
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -1,12 +1,12 @@
 /** Reads the configuration and the registry from the platform's store. */
 import * as timers from 'node:timers/promises';
+import type * as neverthrow from 'neverthrow';
+import {type RegistryRecord} from '../decisions/registry/types.ts';
 import {type Logger} from '../observability/logger.ts';
 import {type Knowledge} from './knowledge.ts';
 import {
 	type ConfigurationRecord, type ReadOptions, type StoreError, type StoreHost, type StorePage, type StoreStream,
 } from './types.ts';
-import {type Result} from 'neverthrow';
-import {type RegistryRecord} from '../decisions/registry/types.ts';
 
 export type StoreReaderHost = {
 	readonly store: StoreHost;
@@ -58,7 +58,7 @@
 	}
 
 	/** Reads from a position, or everything where the records from there on are gone. */
-	async function read<StoreRecord>(stream: StoreStream<StoreRecord>, position: number, options: ReadOptions): Promise<Result<StorePage<StoreRecord> & {readonly isComplete: boolean}, StoreError>> {
+	async function read<StoreRecord>(stream: StoreStream<StoreRecord>, position: number, options: ReadOptions): Promise<neverthrow.Result<StorePage<StoreRecord> & {readonly isComplete: boolean}, StoreError>> {
 		if (position >= 0) {
 			const result = await stream.read(position, options);
 			noteReachable(result.isErr() ? result.error : undefined);
--- a/src/observability/line-writer.ts
+++ b/src/observability/line-writer.ts
@@ -107,7 +107,8 @@
 		},
 		async flush(milliseconds) {
 			const endsAt = options.getNow() + milliseconds;
-			while (isWriting && options.getNow() < endsAt) {
+			const hasLines = () => isWriting;
+			while (hasLines() && options.getNow() < endsAt) {
 				await new Promise(resolve => {
 					setTimeout(resolve, gatherMilliseconds / 2);
 				});
--- a/stand-ins/table-readers.ts
+++ b/stand-ins/table-readers.ts
@@ -1,5 +1,4 @@
 /** Table readers in this process, over the real protocol of the log service. */
-import process from 'node:process';
 import * as prand from 'pure-rand';
 import {createTableReader, type TableReader, type TableReaderOptions} from '../src/entry/table-reader.ts';
 import {createLogger} from '../src/observability/logger.ts';
