Hold requests in the entry until an upstream has room, and relay answers without an end as such

Change: requests wait in the entry by rank and objective, near upstreams are asked first, late idempotent requests get a second attempt, reads of the store back off after failures, the bundle carries compiled code.

--- a/src/decisions/routing/fresh-load.ts
+++ b/src/decisions/routing/fresh-load.ts
@@ -42,8 +42,10 @@
 	readonly workMilliseconds: number;
 	/** Mean time of all work of the service at usual pace, in milliseconds. */
 	readonly meanWorkMilliseconds: number;
-	/** Most requests that may wait at the upstream before this one, as a share of its slots. */
-	readonly largestQueueShare: number;
+	/** Time within which the answer is worth its full value, in milliseconds. */
+	readonly objectiveMilliseconds: number;
+	/** Whether the work may take the slots that slow an upstream down. */
+	readonly mayCrowd: boolean;
 };
 
 export type Expectation = {
@@ -60,12 +62,16 @@
 const meanPace = 1.75;
 /** Time for which a pace holds, in milliseconds; half of the 300 ms between changes on the users' machines. */
 const paceHoldMilliseconds = 150;
-/** Share of busy slots above which upstreams slow down. */
+/** Share of busy slots above which upstreams slow down, as the users' do. */
 const busyShare = 0.8;
-const busySlowdown = 1.5;
+const busySlowdown = 1.7;
 const warmUpSlowdown = 2;
-/** Cost of another failure domain, in milliseconds: the way there and back and the price of the bytes. */
-const distanceMilliseconds = 20;
+/**
+Cost of another failure domain, as a share of the objective.
+
+The bytes of a request between failure domains cost as much as a third of the worth of a plain request.
+*/
+const distanceObjectives = 0.3;
 /** Cost of a certain failure, in milliseconds. */
 const failureMilliseconds = 2000;
 
@@ -82,11 +88,16 @@
 	return {
 		id: state.id,
 		expectedMilliseconds,
-		cost: expectedMilliseconds + (state.isNear ? 0 : distanceMilliseconds) + (state.failureShare * failureMilliseconds),
-		hasRoom: queued <= work.largestQueueShare * slots,
+		cost: expectedMilliseconds + (state.isNear ? 0 : distanceObjectives * work.objectiveMilliseconds) + (state.failureShare * failureMilliseconds),
+		hasRoom: ahead < (work.mayCrowd ? slots : getCapacity(slots)),
 	};
 }
 
+/** Requests that an upstream runs at the same time without slowing down. */
+export function getCapacity(slots: number): number {
+	return Math.max(1, Math.floor(busyShare * slots));
+}
+
 /** Time of work that runs at the present pace for a while and at the mean pace afterwards. */
 function getServiceMilliseconds(workMilliseconds: number, pace: number): number {
 	const doneAtPace = paceHoldMilliseconds / pace;
@@ -108,24 +119,15 @@
 	return best;
 }
 
-export type CandidateCounts = {
-	/** Upstreams of the own failure domain that are asked. */
-	readonly near: number;
-	/** All upstreams that are asked. */
-	readonly all: number;
-};
-
 /** Failing upstreams are asked only where the others don't suffice. */
 const largestFailureShare = 0.3;
 
-/** Draws the upstreams to ask: mostly near ones, filled up with others. */
-export function drawCandidates(states: readonly UpstreamState[], counts: CandidateCounts, random: RandomSource): readonly UpstreamState[] {
-	const shuffled = shuffle(states, random);
+/** Draws upstreams to ask, of the own failure domain or of the others; failing ones come last. */
+export function drawCandidates(states: readonly UpstreamState[], isNear: boolean, count: number, random: RandomSource): readonly UpstreamState[] {
+	const shuffled = shuffle(states.filter(state => state.isNear === isNear), random);
 	const sound = shuffled.filter(({failureShare}) => failureShare <= largestFailureShare);
 	const failing = shuffled.filter(({failureShare}) => failureShare > largestFailureShare);
-	const near = sound.filter(({isNear}) => isNear).slice(0, counts.near);
-	const rest = [...sound.filter(state => !state.isNear), ...sound.filter(state => state.isNear && !near.includes(state)), ...failing];
-	return [...near, ...rest].slice(0, counts.all);
+	return [...sound, ...failing].slice(0, count);
 }
 
 function shuffle<Item>(items: readonly Item[], random: RandomSource): Item[] {
--- /dev/null
+++ b/src/gateway/ask-upstreams.ts
@@ -0,0 +1,118 @@
+/** Asks some upstreams for their load at the same time and gathers what they say. */
+import {
+	type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck,
+} from './load-check.ts';
+import {type Upstream, type Upstreams} from './upstreams.ts';
+
+/** Result of each upstream; undefined for one that was not asked. */
+export type AskResults = ReadonlyMap<Upstream, CheckResult | undefined>;
+
+export type AskHost = LoadCheckHost & {
+	readonly upstreams: Upstreams;
+	/** Takes one load check of an upstream from the budget, if it allows that. */
+	tryTakeCheck(upstream: Upstream, now: number): boolean;
+	/** Takes note whether a service's upstreams tell their load. */
+	noteReadout(service: string, tellsLoad: boolean): void;
+	/** Whether upstreams of the service tell their load; assumed until an answer shows otherwise. */
+	tellsLoad(service: string): boolean;
+};
+
+/** Wait for the answers, in milliseconds; ten times the way to another failure domain and back. */
+const waitMilliseconds = 25;
+/** Wait for more answers after one that promises no delay, in milliseconds. */
+const lingerMilliseconds = 2;
+/** A reading of this age is as good as an answer, in milliseconds. */
+export const freshMilliseconds = 3;
+/** Pace up to which an upstream with room promises no delay. */
+const usualPace = 1;
+
+/** Asks; the listener is called once unless the returned function gives the answers up. `onCancel` is called then. */
+export function askUpstreams(host: AskHost, service: string, upstreams: readonly Upstream[], listener: (results: AskResults, checks: number) => void, onCancel: () => void = () => undefined): () => void {
+	const results = new Map<Upstream, CheckResult | undefined>();
+	const running = new Map<Upstream, LoadCheck>();
+	let checks = 0;
+	let timer: NodeJS.Timeout | undefined;
+	let isOver = false;
+
+	function end(): void {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		clearTimeout(timer);
+		for (const [upstream, check] of running) {
+			check.detach();
+			results.set(upstream, {kind: 'silent'});
+		}
+
+		listener(results, checks);
+	}
+
+	function ask(upstream: Upstream): void {
+		const now = host.getNow();
+		const {reading} = upstream.record.getState(now);
+		const isFresh = reading !== undefined && now - reading.readAt <= freshMilliseconds;
+		if (isFresh || !host.tellsLoad(service) || !host.tryTakeCheck(upstream, now)) {
+			results.set(upstream, undefined);
+			return;
+		}
+
+		checks++;
+		running.set(upstream, startLoadCheck(host, upstream, result => {
+			running.delete(upstream);
+			results.set(upstream, result);
+			takeResult(upstream, result);
+		}));
+	}
+
+	function takeResult(upstream: Upstream, result: CheckResult): void {
+		if (result.kind === 'healthy') {
+			host.noteReadout(service, upstream.record.getState(host.getNow()).reading !== undefined);
+		} else if (result.kind === 'misdirected') {
+			host.upstreams.retire(upstream.registration.id);
+		}
+
+		if (running.size === 0) {
+			end();
+		} else if (result.kind === 'healthy' && promisesNoDelay(upstream)) {
+			clearTimeout(timer);
+			timer = setTimeout(end, lingerMilliseconds);
+		}
+	}
+
+	function promisesNoDelay(upstream: Upstream): boolean {
+		const {reading} = upstream.record.getState(host.getNow());
+		return reading !== undefined && reading.running + 1 < reading.slots && (reading.pace ?? usualPace) <= usualPace;
+	}
+
+	for (const upstream of upstreams) {
+		ask(upstream);
+	}
+
+	if (running.size === 0) {
+		end();
+	} else {
+		timer = setTimeout(end, waitMilliseconds);
+	}
+
+	return () => {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		clearTimeout(timer);
+		for (const check of running.values()) {
+			check.detach();
+		}
+
+		for (const [upstream, result] of results) {
+			if (result?.kind === 'healthy') {
+				upstream.pool.release(result.connection);
+			}
+		}
+
+		onCancel();
+	};
+}
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -57,12 +57,13 @@
 
 /** Time beyond the limit of a request in which the upstream's own answer may still come, in milliseconds. */
 const limitSlackMilliseconds = 40;
-/** Share of the objective after which a request that found no room is refused. */
-const holdObjectives = 1;
+/** Time for which a repeated request is held at least, in milliseconds. */
+const repeatHoldMilliseconds = 100;
+/** An attempt is late after this many times its expected time, and this much more in milliseconds; then a second one is made. */
+const lateFactor = 2;
+const lateMilliseconds = 60;
 /** Time until a caller that was refused should come back, in milliseconds; the queues at the upstreams empty in that time. */
 const comeBackMilliseconds = 250;
-/** Part of an upstream's slots that may be queued before a request, by its rank; later ranks get the last value. */
-const queueShares = [0.75, 0.5, 0.25];
 /** Status in reports of requests whose caller went away before the answer. */
 const callerLeftStatus = 499;
 
@@ -77,33 +78,40 @@
 	let checks = 0;
 	let firstSentAt: number | undefined;
 	let withdraw: (() => void) | undefined;
+	let lateTimer: NodeJS.Timeout | undefined;
 	/** Failing answer of an upstream, for the case that nothing better comes. */
 	let failure: GatewayAnswer | undefined;
 
 	const getHistory = (): resendRule.RequestHistory => ({kind: route.kind, mayHaveRunOn, maximumAttempts: route.maximumAttempts});
 
 	function place(): void {
-		const now = host.getNow();
-		const holdUntil = Math.max(now, request.receivedAt) + (route.objectiveMilliseconds * holdObjectives);
-		withdraw = host.selector.select({
+		const objectiveAt = request.receivedAt + route.objectiveMilliseconds;
+		let isSelected = false;
+		const takeBack = host.selector.select({
 			service,
+			priority: route.priority,
 			work: {
 				workMilliseconds: host.learner.getRoute(route.name),
 				meanWorkMilliseconds: host.learner.getService(service),
-				largestQueueShare: queueShares[Math.min(route.priority, queueShares.length - 1)]!,
+				objectiveMilliseconds: route.objectiveMilliseconds,
+				mayCrowd: route.priority === 0,
 			},
 			tried,
-			holdUntil,
-			limitAt: request.limitAt,
+			objectiveAt,
+			giveUpAt: Math.min(request.limitAt, Math.max(objectiveAt, host.getNow() + repeatHoldMilliseconds)),
 		}, selection => {
+			isSelected = true;
 			withdraw = undefined;
 			checks += selection.checks;
 			if (selection.kind === 'selected') {
 				send(selection);
-			} else {
+			} else if (running.size === 0) {
 				giveUp('no-room');
 			}
 		});
+		if (!isSelected) {
+			withdraw = takeBack;
+		}
 	}
 
 	function send(selected: Selected): void {
@@ -130,10 +138,24 @@
 
 				learn(selected, end, now - sentAt, now);
 				takeEnd(end, answer);
+				host.selector.noteRoom(upstream);
 			},
 		});
 		running.add(attempt);
 		attempt.start();
+		if (route.kind === 'idempotent') {
+			clearTimeout(lateTimer);
+			lateTimer = setTimeout(repeatLate, (expectedMilliseconds * lateFactor) + lateMilliseconds);
+		}
+	}
+
+	/** Makes a second attempt beside one that is late; the first whole answer is taken. */
+	function repeatLate(): void {
+		const now = host.getNow();
+		const isUseful = !isAnswered && running.size === 1 && !withdraw && now < request.limitAt && !host.selector.isCrowded(service) && request.body.kind !== 'streamed';
+		if (isUseful && mayHaveRunOn < route.maximumAttempts && host.budget.tryCharge(service, host.countEntries(), now)) {
+			place();
+		}
 	}
 
 	function learn({upstream, expectedMilliseconds}: Selected, end: resendRule.AttemptEnd, milliseconds: number, now: number): void {
@@ -183,7 +205,7 @@
 		}
 
 		if (end.kind === 'answered' && answer) {
-			const whole = {statusCode: answer.statusCode, headers: getForwardedAnswerHeaders(answer.headers), body: answer.body};
+			const whole = {statusCode: answer.statusCode, headers: getForwardedAnswerHeaders(answer.headers), body: answer.body, hasOwnEnd: answer.hasOwnEnd};
 			if (end.statusCode < 500) {
 				finish(whole, 'answered', 'upstream');
 				return;
@@ -218,7 +240,9 @@
 
 		const statusCode = resendRule.getOwnStatus(getHistory(), reason);
 		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(comeBackMilliseconds) : [];
-		finish({statusCode, headers, body: new Uint8Array()}, statusCode === 503 ? 'refused' : 'failed', reason);
+		finish({
+			statusCode, headers, body: new Uint8Array(), hasOwnEnd: true,
+		}, statusCode === 503 ? 'refused' : 'failed', reason);
 	}
 
 	function finish(answer: GatewayAnswer, outcome: CallReport['outcome'], reason: string): void {
@@ -231,6 +255,7 @@
 	function stop(): void {
 		isAnswered = true;
 		clearTimeout(timer);
+		clearTimeout(lateTimer);
 		withdraw?.();
 		for (const attempt of running) {
 			attempt.giveUp();
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -260,6 +260,7 @@
 		lifeCycle.take('calls-ended');
 		clearInterval(closeIdleTimer);
 		sharing.stop();
+		selector.close();
 		upstreams.close();
 		directoryServer.close();
 		readinessServer.close();
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -183,6 +183,7 @@
 			statusCode,
 			headers: statusCode === 503 ? host.headers.createRetryHeaders(comeBackMilliseconds) : [],
 			body: new Uint8Array(),
+			hasOwnEnd: true,
 		});
 	}
 
@@ -191,12 +192,13 @@
 			return;
 		}
 
-		const hasOwnLength = request.method === 'HEAD';
-		const headers = answer.headers.filter(([name]) => hasOwnLength || name !== 'content-length').flat();
-		const isClosing = host.isLeaving() || !request.complete;
+		const isHead = request.method === 'HEAD';
+		const headers = answer.headers.filter(([name]) => isHead || name !== 'content-length').flat();
+		const isClosing = host.isLeaving() || !request.complete || !answer.hasOwnEnd;
+		response.useChunkedEncodingByDefault = false;
 		response.writeHead(answer.statusCode, [
 			...headers,
-			...(hasOwnLength ? [] : ['content-length', String(answer.body.length)]),
+			...(isHead || !answer.hasOwnEnd ? [] : ['content-length', String(answer.body.length)]),
 			...(isClosing ? ['connection', 'close'] : []),
 		]);
 		response.end(answer.body);
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -12,6 +12,8 @@
 	readonly statusCode: number;
 	readonly headers: http.IncomingHttpHeaders;
 	readonly body: Uint8Array;
+	/** Whether the answer told where it ends; otherwise it ended with its connection, and may be cut short. */
+	readonly hasOwnEnd: boolean;
 };
 
 export type GatewayAttemptHost = {
@@ -133,7 +135,9 @@
 		}
 
 		pool.release(connection);
-		finish({kind: 'answered', statusCode}, {statusCode, headers, body: chunks.length === 1 ? chunks[0]! : buffer.Buffer.concat(chunks)});
+		finish({kind: 'answered', statusCode}, {
+			statusCode, headers, body: chunks.length === 1 ? chunks[0]! : buffer.Buffer.concat(chunks), hasOwnEnd: hasOwnEnd(headers),
+		});
 	}
 
 	return {
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -1,13 +1,17 @@
 /**
-Selects the upstream of a request: asks a few for their load, takes the best that has room, or holds the request and
-asks again until there is room or the request must be given up.
+Selects the upstream of a request.
+
+A few upstreams of the own failure domain are asked for their load, then some of the others where the near ones can't
+keep the objective. Without room the request is held: it goes out as soon as an answer or a check shows room, in the
+order of `held-requests.ts`, or is given up.
 */
+import {chooseNext, type HeldRequest} from '../decisions/admission/held-requests.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as freshLoad from '../decisions/routing/fresh-load.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {
-	type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck,
-} from './load-check.ts';
+	askUpstreams, type AskHost, type AskResults, freshMilliseconds,
+} from './ask-upstreams.ts';
 import {type Upstream, type Upstreams} from './upstreams.ts';
 
 export type Selected = {
@@ -23,210 +27,259 @@
 
 export type SelectionRequest = {
 	readonly service: string;
+	readonly priority: number;
 	readonly work: freshLoad.WorkEstimate;
 	/** Upstreams that were tried before. */
 	readonly tried: ReadonlySet<string>;
+	/** Time until which an answer is worth its full value. */
+	readonly objectiveAt: number;
 	/** Time at which the request is given up when there is no room. */
-	readonly holdUntil: number;
-	/** Time after which no answer is of use. */
-	readonly limitAt: number;
+	readonly giveUpAt: number;
 };
 
-export type SelectionHost = LoadCheckHost & {
+export type SelectionHost = AskHost & {
 	readonly upstreams: Upstreams;
 	readonly random: RandomSource;
-	/** Takes one load check of an upstream from the budget, if it allows that. */
-	tryTakeCheck(upstream: Upstream, now: number): boolean;
-	noteReadout(service: string, tellsLoad: boolean): void;
-	/** Whether upstreams of the service tell their load; assumed until an answer shows otherwise. */
-	tellsLoad(service: string): boolean;
 };
 
 export type Selector = {
 	/** Selects; the listener is called once unless the returned function takes the request back. */
 	select(request: SelectionRequest, listener: (selection: Selection) => void): () => void;
+	/** Whether requests of a service wait for room. */
+	isCrowded(service: string): boolean;
+	/** An attempt at an upstream has ended; what is held may go there. */
+	noteRoom(upstream: Upstream): void;
+	close(): void;
+};
+
+type Pending = HeldRequest & {
+	readonly request: SelectionRequest;
+	readonly listener: (selection: Selection) => void;
+	checks: number;
+	cancelAsking: (() => void) | undefined;
+	isOver: boolean;
 };
 
-/** Upstreams that are asked for each request: three of the own failure domain and one other. */
-const candidateCounts: freshLoad.CandidateCounts = {near: 3, all: 4};
-/** Wait for the answers of load checks, in milliseconds; ten times the way to another failure domain and back. */
-const checkWaitMilliseconds = 25;
-/** Wait for answers after the first that promises no delay, in milliseconds. */
-const lingerMilliseconds = 3;
-/** Pause before upstreams are asked again, in milliseconds; some requests end in that time. */
-const pauseMilliseconds = 12;
-/** Rounds after which upstreams that say they are unhealthy are used where no other is left, since such news can be wrong. */
-const trustedRounds = 3;
-/** A reading of this age is as good as a check, in milliseconds. */
-const freshMilliseconds = 3;
+/** Upstreams of the own failure domain that are asked for a request. */
+const nearCount = 4;
+/** Upstreams of other failure domains that are asked where the near ones can't keep the objective. */
+const farCount = 3;
+/** Upstreams that are asked at a time while requests are held, near and far. */
+const heldNearCount = 2;
+const heldFarCount = 1;
+/** Share of the objective above which the expected time of the near upstreams is too long. */
+const longShare = 0.7;
+/** Time between two looks at what is held, in milliseconds. */
+const heldIntervalMilliseconds = 10;
+/** Looks after which upstreams that say they are unhealthy are used where no other answers, since such news can be wrong. */
+const trustedLooks = 8;
 
 /** Creates the selector of an entry. */
 export function createSelector(host: SelectionHost): Selector {
-	function select(request: SelectionRequest, listener: (selection: Selection) => void): () => void {
-		let isOver = false;
-		let checks = 0;
-		let rounds = 0;
-		let timer: NodeJS.Timeout | undefined;
-		let cancelRound = () => undefined as void;
-
-		function finish(selection: Selection): void {
-			isOver = true;
-			clearTimeout(timer);
-			listener(selection);
-		}
+	const heldByService = new Map<string, Set<Pending>>();
+	const looks = new Map<string, number>();
+	let timer: NodeJS.Timeout | undefined;
+
+	const getHeld = (service: string) => heldByService.get(service);
+
+	function finish(pending: Pending, selection: Selection): void {
+		pending.isOver = true;
+		remove(pending);
+		pending.listener(selection);
+	}
 
-		function runRound(): void {
-			rounds++;
-			const now = host.getNow();
-			const usable = host.upstreams.listUsable(request.service);
-			const fresh = usable.filter(({registration}) => !request.tried.has(registration.id));
-			const upstreams = fresh.length > 0 ? fresh : usable;
-			const byId = new Map(upstreams.map(upstream => [upstream.registration.id, upstream]));
-			const states = upstreams.map(upstream => host.upstreams.getState(upstream, now));
-			const candidates = freshLoad.drawCandidates(states, candidateCounts, host.random).map(({id}) => byId.get(id)!);
-			cancelRound = askAll(candidates, decide);
+	function remove(pending: Pending): void {
+		const {service} = pending.request;
+		const held = getHeld(service);
+		held?.delete(pending);
+		if (held?.size === 0) {
+			heldByService.delete(service);
+			looks.delete(service);
 		}
+	}
 
-		function decide(results: ReadonlyMap<Upstream, CheckResult | undefined>): void {
-			const now = host.getNow();
-			const healthy = [...results].filter(([upstream, result]) => isOffered(upstream, result));
-			const offered = healthy.length === 0 && rounds >= trustedRounds
-				? [...results].filter(([, result]) => result?.kind === 'unhealthy')
-				: healthy;
-			const states = offered.map(([upstream]) => host.upstreams.getState(upstream, now));
-			const best = freshLoad.chooseUpstream(states, request.work);
-			const upstream = offered.find(([{registration}]) => registration.id === best?.id)?.[0];
-			for (const [other, result] of results) {
-				if (other !== upstream && result?.kind === 'healthy') {
-					other.pool.release(result.connection);
-				}
+	function draw(service: string, isNear: boolean, count: number, tried: ReadonlySet<string>): readonly Upstream[] {
+		const now = host.getNow();
+		const usable = host.upstreams.listUsable(service);
+		const untried = usable.filter(({registration}) => !tried.has(registration.id));
+		const byId = new Map((untried.length > 0 ? untried : usable).map(upstream => [upstream.registration.id, upstream]));
+		const states = [...byId.values()].map(upstream => host.upstreams.getState(upstream, now));
+		return freshLoad.drawCandidates(states, isNear, count, host.random).map(({id}) => byId.get(id)!);
+	}
+
+	function start(pending: Pending): void {
+		const {service, tried} = pending.request;
+		const near = draw(service, true, nearCount, tried);
+		pending.cancelAsking = askUpstreams(host, service, near, (results, checks) => {
+			pending.checks += checks;
+			const best = choose(pending, results);
+			if (best && best.expectedMilliseconds <= longShare * pending.request.work.objectiveMilliseconds) {
+				send(pending, best, results);
+			} else {
+				goFar(pending, results);
 			}
+		});
+	}
 
-			if (upstream && best) {
-				const result = results.get(upstream);
-				finish({
-					kind: 'selected', upstream, connection: result?.kind === 'healthy' ? result.connection : undefined, expectedMilliseconds: best.expectedMilliseconds, checks,
-				});
-				return;
+	function goFar(pending: Pending, near: AskResults): void {
+		const {service, tried} = pending.request;
+		const far = draw(service, false, farCount, tried);
+		pending.cancelAsking = askUpstreams(host, service, far, (results, checks) => {
+			pending.checks += checks;
+			const all: AskResults = new Map([...near, ...results]);
+			const best = choose(pending, all);
+			if (best) {
+				send(pending, best, all);
+			} else {
+				release(all);
+				hold(pending);
 			}
+		}, () => {
+			release(near);
+		});
+	}
 
-			hold(now);
-		}
+	function choose(pending: Pending, results: AskResults): freshLoad.Expectation | undefined {
+		const now = host.getNow();
+		const states = [...results]
+			.filter(([upstream, result]) => result ? result.kind === 'healthy' : isUsableUnasked(upstream))
+			.map(([upstream]) => host.upstreams.getState(upstream, now));
+		return freshLoad.chooseUpstream(states, pending.request.work);
+	}
 
-		function hold(now: number): void {
-			const pause = pauseMilliseconds * (0.75 + (host.random.nextFraction() / 2));
-			if (now + pause >= Math.min(request.holdUntil, request.limitAt)) {
-				finish({kind: 'no-room', checks});
-				return;
-			}
+	/** Whether an upstream that was not asked may be chosen: it told its load just before, or never does. */
+	function isUsableUnasked(upstream: Upstream): boolean {
+		return !host.tellsLoad(upstream.registration.service) || upstream.record.getState(host.getNow()).reading !== undefined;
+	}
 
-			timer = setTimeout(runRound, pause);
-		}
+	function send(pending: Pending, {id, expectedMilliseconds}: freshLoad.Expectation, results: AskResults): void {
+		const [upstream, result] = [...results].find(([{registration}]) => registration.id === id)!;
+		release(new Map([...results].filter(([other]) => other !== upstream)));
+		finish(pending, {
+			kind: 'selected', upstream, connection: result?.kind === 'healthy' ? result.connection : undefined, expectedMilliseconds, checks: pending.checks,
+		});
+	}
 
-		/** Whether an upstream may be chosen: it answered its check, or was not asked and said something just before. */
-		function isOffered(upstream: Upstream, result: CheckResult | undefined): boolean {
-			if (result) {
-				return result.kind === 'healthy';
+	function release(results: AskResults): void {
+		for (const [upstream, result] of results) {
+			if (result?.kind === 'healthy') {
+				upstream.pool.release(result.connection);
 			}
+		}
+	}
 
-			return !host.tellsLoad(request.service) || upstream.record.getState(host.getNow()).reading !== undefined;
+	function hold(pending: Pending): void {
+		const {service} = pending.request;
+		pending.cancelAsking = undefined;
+		if (host.getNow() >= pending.giveUpAt) {
+			finish(pending, {kind: 'no-room', checks: pending.checks});
+			return;
 		}
 
-		function askAll(candidates: readonly Upstream[], done: (results: ReadonlyMap<Upstream, CheckResult | undefined>) => void): () => void {
-			const results = new Map<Upstream, CheckResult | undefined>();
-			const running = new Map<Upstream, LoadCheck>();
-			let roundTimer: NodeJS.Timeout | undefined;
-			let isRoundOver = false;
+		const held = getHeld(service) ?? new Set<Pending>();
+		heldByService.set(service, held.add(pending));
+		timer ??= setTimeout(look, heldIntervalMilliseconds);
+	}
 
-			const end = () => {
-				if (isRoundOver) {
-					return;
+	/** Gives up what has waited too long, and asks a few upstreams for the rest. */
+	function look(): void {
+		timer = undefined;
+		const now = host.getNow();
+		for (const [service, held] of [...heldByService]) {
+			for (const pending of held) {
+				if (now >= pending.giveUpAt) {
+					finish(pending, {kind: 'no-room', checks: pending.checks});
 				}
+			}
 
-				isRoundOver = true;
-				clearTimeout(roundTimer);
-				for (const [upstream, check] of running) {
-					check.detach();
-					results.set(upstream, {kind: 'silent'});
-				}
+			if (getHeld(service)) {
+				askForHeld(service);
+			}
+		}
 
-				done(results);
-			};
+		if (heldByService.size > 0) {
+			timer = setTimeout(look, heldIntervalMilliseconds);
+		}
+	}
 
-			const ask = (upstream: Upstream) => {
-				const now = host.getNow();
-				const {reading} = upstream.record.getState(now);
-				const isFresh = reading !== undefined && now - reading.readAt <= freshMilliseconds;
-				if (isFresh || !host.tellsLoad(request.service) || !host.tryTakeCheck(upstream, now)) {
-					results.set(upstream, undefined);
-					return;
+	function askForHeld(service: string): void {
+		const count = (looks.get(service) ?? 0) + 1;
+		looks.set(service, count);
+		const nobody = new Set<string>();
+		const upstreams = [...draw(service, true, heldNearCount, nobody), ...draw(service, false, heldFarCount, nobody)];
+		askUpstreams(host, service, upstreams, results => {
+			for (const [upstream, result] of results) {
+				const isUsable = result ? result.kind === 'healthy' || (result.kind === 'unhealthy' && count >= trustedLooks) : isUsableUnasked(upstream);
+				const connection = result?.kind === 'healthy' ? result.connection : undefined;
+				if (!isUsable || !sendHeld(upstream, connection)) {
+					release(new Map([[upstream, result]]));
 				}
+			}
+		});
+	}
 
-				checks++;
-				running.set(upstream, startLoadCheck(host, upstream, result => {
-					running.delete(upstream);
-					results.set(upstream, result);
-					takeResult(upstream, result);
-					if (running.size === 0) {
-						end();
-					} else if (result.kind === 'healthy' && promisesNoDelay(upstream)) {
-						clearTimeout(roundTimer);
-						roundTimer = setTimeout(end, lingerMilliseconds);
-					}
-				}));
-			};
+	/** Sends the next held request to an upstream if it has room. */
+	function sendHeld(upstream: Upstream, connection: Connection | undefined): boolean {
+		const now = host.getNow();
+		const {id, service} = upstream.registration;
+		const held = getHeld(service);
+		const pending = held && chooseNext([...held].filter(({request}) => !request.tried.has(id)), now);
+		if (!pending) {
+			return false;
+		}
 
-			for (const upstream of candidates) {
-				ask(upstream);
-			}
+		const expectation = freshLoad.estimate(host.upstreams.getState(upstream, now), pending.request.work);
+		if (!expectation.hasRoom) {
+			return false;
+		}
+
+		finish(pending, {
+			kind: 'selected', upstream, connection, expectedMilliseconds: expectation.expectedMilliseconds, checks: pending.checks,
+		});
+		return true;
+	}
 
-			if (running.size === 0) {
-				end();
+	return {
+		select(request, listener) {
+			const pending: Pending = {
+				request,
+				listener,
+				priority: request.priority,
+				objectiveAt: request.objectiveAt,
+				giveUpAt: request.giveUpAt,
+				expectedMilliseconds: request.work.workMilliseconds,
+				checks: 0,
+				cancelAsking: undefined,
+				isOver: false,
+			};
+			if (getHeld(request.service)) {
+				hold(pending);
 			} else {
-				roundTimer ??= setTimeout(end, checkWaitMilliseconds);
+				start(pending);
 			}
 
 			return () => {
-				if (isRoundOver) {
-					return;
-				}
-
-				isRoundOver = true;
-				clearTimeout(roundTimer);
-				for (const check of running.values()) {
-					check.detach();
-				}
-
-				for (const [upstream, result] of results) {
-					if (result?.kind === 'healthy') {
-						upstream.pool.release(result.connection);
-					}
+				if (!pending.isOver) {
+					pending.isOver = true;
+					pending.cancelAsking?.();
+					remove(pending);
 				}
 			};
-		}
-
-		function takeResult(upstream: Upstream, result: CheckResult): void {
-			if (result.kind === 'healthy') {
-				host.noteReadout(request.service, upstream.record.getState(host.getNow()).reading !== undefined);
-			} else if (result.kind === 'misdirected') {
-				host.upstreams.retire(upstream.registration.id);
+		},
+		isCrowded: service => getHeld(service) !== undefined,
+		noteRoom(upstream) {
+			const {reading} = upstream.record.getState(host.getNow());
+			const isFresh = reading !== undefined && host.getNow() - reading.readAt <= freshMilliseconds;
+			if (!isFresh && host.tellsLoad(upstream.registration.service)) {
+				return;
 			}
-		}
-
-		function promisesNoDelay(upstream: Upstream): boolean {
-			const {expectedMilliseconds} = freshLoad.estimate(host.upstreams.getState(upstream, host.getNow()), request.work);
-			return expectedMilliseconds <= request.work.workMilliseconds * 1.25;
-		}
 
-		runRound();
-		return () => {
-			if (!isOver) {
-				isOver = true;
-				clearTimeout(timer);
-				cancelRound();
+			while (sendHeld(upstream, undefined)) {
+				// Sends until the upstream has no more room.
 			}
-		};
-	}
-
-	return {select};
+		},
+		close() {
+			clearTimeout(timer);
+		},
+	};
 }
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -30,6 +30,9 @@
 /** Time for an answer of the store, in milliseconds; slow days of the store take up to 330 ms. */
 const timeoutMilliseconds = 700;
 const source = 'store';
+/** Pause after a failed read and its bound while reads go on to fail, in milliseconds; each entry tries by itself, so the bound keeps the sum of their calls small. */
+const firstPauseMilliseconds = 200;
+const longestPauseMilliseconds = 2000;
 /** Time after the return of the store in which registrations that lapsed meanwhile come back, in milliseconds. */
 const returnMilliseconds = 2000;
 
@@ -40,15 +43,25 @@
 	let isReachable: boolean | undefined;
 	let returnedAt = Number.NEGATIVE_INFINITY;
 	let recheckTimer: NodeJS.Timeout | undefined;
+	let pauseMilliseconds = firstPauseMilliseconds;
+	let readableAt = Number.NEGATIVE_INFINITY;
 
 	function noteReachable(error?: StoreError): void {
 		const isReached = error === undefined || error.kind === 'expired';
+		const now = host.getNow();
+		if (isReached) {
+			pauseMilliseconds = firstPauseMilliseconds;
+		} else if (now >= readableAt) {
+			readableAt = now + pauseMilliseconds;
+			pauseMilliseconds = Math.min(longestPauseMilliseconds, pauseMilliseconds * 2);
+		}
+
 		if (isReached === isReachable) {
 			return;
 		}
 
 		if (isReached) {
-			returnedAt = isReachable === undefined ? Number.NEGATIVE_INFINITY : host.getNow();
+			returnedAt = isReachable === undefined ? Number.NEGATIVE_INFINITY : now;
 			logger.info('store-regained');
 		} else {
 			logger.warn('store-lost', {kind: error.kind, reason: error.message});
@@ -174,10 +187,18 @@
 
 	return {
 		async readOnce() {
+			if (host.getNow() < readableAt) {
+				return false;
+			}
+
 			const results = await Promise.all([readConfiguration(0), readRegistry()]);
 			return !results.includes(false);
 		},
 		async readWhile(shouldContinue) {
+			if (host.getNow() < readableAt) {
+				return;
+			}
+
 			let hasFailed = false;
 			const isGoingOn = () => !hasFailed && shouldContinue();
 			const fail = () => {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -91,9 +91,11 @@
 	readonly limitAt: number;
 };
 
-/** A whole answer. */
+/** An answer to a caller. */
 export type GatewayAnswer = {
 	readonly statusCode: number;
 	readonly headers: call.HeaderPairs;
 	readonly body: Uint8Array;
+	/** Whether the answer says where it ends; one that can't know ends with its connection. */
+	readonly hasOwnEnd: boolean;
 };
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -32,7 +32,8 @@
 	.option('--settings <file>', `Settings of the platform in JSON; default: the file that ${settingsPathVariable} names`)
 	.option('--check', 'Check the settings and exit')
 	.action(run);
-await runCommandLine(commandLine);
+// The bundle for the platform is a script, which can't wait at its top level.
+void runCommandLine(commandLine); // eslint-disable-line unicorn/prefer-top-level-await
 
 async function run(flags: Flags): Promise<void> {
 	const path = flags.settings ?? process.env[settingsPathVariable];
