--- a/src/gateway/gateway-attempt.test.ts
+++ b/src/gateway/gateway-attempt.test.ts
@@ -18,14 +18,18 @@
 
 type Respond = (socket: net.Socket, requestText: string) => void;
 
-/** Starts an upstream that answers each request as it is told. */
-async function startUpstream(respond: Respond, onConnection: (socket: net.Socket) => void = () => undefined): Promise<Upstream> {
-	const server = net.createServer({pauseOnConnect: false}, socket => {
+/** Starts an upstream that answers each request as it is told; one that starts paused leaves requests unread. */
+async function startUpstream(respond: Respond, isPaused = false): Promise<Upstream> {
+	const server = net.createServer({pauseOnConnect: isPaused}, socket => {
 		socket.on('error', () => undefined);
+		if (isPaused) {
+			respond(socket, '');
+			return;
+		}
+
 		socket.on('data', chunk => {
 			respond(socket, chunk.toString('latin1'));
 		});
-		onConnection(socket);
 	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
@@ -76,17 +80,15 @@
 const head = (id: string, rest: string) => `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nUpstream-Signature: s\r\n${rest}\r\n`;
 
 test('an answer without a length whose connection is reset is broken', async () => {
-	const upstream = await startUpstream(() => undefined, socket => {
-		// Closing a socket with unread bytes resets the connection.
-		socket.pause();
+	const upstream = await startUpstream(socket => {
 		setTimeout(() => {
-			socket.write(`${head('a', '')}half of`, () => {
-				setTimeout(() => {
-					socket.destroy();
-				}, 20);
-			});
+			socket.write(`${head('a', '')}half of`);
 		}, 50);
-	});
+		setTimeout(() => {
+			// Closing a socket with unread bytes resets the connection.
+			socket.destroy();
+		}, 100);
+	}, true);
 	const {end} = await attempt(upstream, 'a');
 	expect(end).toEqual({kind: 'broken', reason: 'reset-within-answer'});
 });
