--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -5,7 +5,8 @@
 never exceed the limit that the entry has for the upstream.
 */
 import type * as net from 'node:net';
-import * as undici from 'undici';
+import type * as undici from 'undici';
+import * as undiciParts from './undici-parts.ts';
 
 export type ConnectionPoolOptions = {
 	/** Host and port of the upstream. */
@@ -57,7 +58,7 @@
 	const waiters: Waiter[] = [];
 	const origin = `http://${options.address}`;
 	const [hostname, port] = splitAddress(options.address);
-	const connect = undici.buildConnector({timeout: options.connectTimeoutMilliseconds, keepAlive: true, keepAliveInitialDelay: 1000});
+	const connect = undiciParts.buildConnector({timeout: options.connectTimeoutMilliseconds, keepAlive: true, keepAliveInitialDelay: 1000});
 	let open = 0;
 	let opening = 0;
 	let isClosed = false;
@@ -144,7 +145,7 @@
 	}
 
 	function createConnection(socket: net.Socket): Connection {
-		const client = new undici.Client(origin, {
+		const client = new undiciParts.Client(origin, {
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -1,6 +1,6 @@
 /** Structured logs: one line of key=value pairs for each event. */
 import process from 'node:process';
-import * as consola from 'consola';
+import * as consola from 'consola/core';
 
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
 
