Cross failure domains only without room near by, and let refused callers come back later

Ruled out: the callers' choice of an entry, which is within their failure domain. Change: near upstreams with room are taken up to the whole objective; held requests look near first; a refusal asks for two objectives of patience.

--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -3,6 +3,7 @@
 
 const fs = require('node:fs');
 const path = require('node:path');
+const process = require('node:process');
 const vm = require('node:vm');
 
 /** Puts the source of a CommonJS module into a function. */
--- a/src/decisions/routing/fresh-load.ts
+++ b/src/decisions/routing/fresh-load.ts
@@ -93,6 +93,11 @@
 	};
 }
 
+/** Gets the usual time of work on a shared machine, in milliseconds. */
+export function getUsualMilliseconds(workMilliseconds: number): number {
+	return workMilliseconds * meanPace;
+}
+
 /** Requests that an upstream runs at the same time without slowing down. */
 export function getCapacity(slots: number): number {
 	return Math.max(1, Math.floor(busyShare * slots));
--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -145,7 +145,7 @@
 	}
 
 	function createConnection(socket: net.Socket): Connection {
-		const client = new undiciParts.Client(origin, {
+		const client = undiciParts.createClient(origin, {
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -62,8 +62,8 @@
 /** An attempt is late after this many times its expected time, and this much more in milliseconds; then a second one is made. */
 const lateFactor = 2;
 const lateMilliseconds = 60;
-/** Time until a caller that was refused should come back, in milliseconds; the queues at the upstreams empty in that time. */
-const comeBackMilliseconds = 250;
+/** Objectives until a caller that was refused should come back; a peak of demand is not over sooner. */
+const comeBackObjectives = 2;
 /** Status in reports of requests whose caller went away before the answer. */
 const callerLeftStatus = 499;
 
@@ -130,7 +130,7 @@
 				running.delete(attempt);
 				const now = host.getNow();
 				attempts.push({
-					upstream: id, end: end.kind === 'answered' ? String(end.statusCode) : (end.kind === 'broken' ? end.reason : end.kind), expectedMilliseconds: Math.round(expectedMilliseconds), milliseconds: Math.round(now - sentAt),
+					upstream: id, end: describeEnd(end), expectedMilliseconds: Math.round(expectedMilliseconds), milliseconds: Math.round(now - sentAt),
 				});
 				if (isCounted && (end.kind === 'not-run' || end.kind === 'not-sent')) {
 					mayHaveRunOn--;
@@ -205,7 +205,7 @@
 		}
 
 		if (end.kind === 'answered' && answer) {
-			const whole = {statusCode: answer.statusCode, headers: getForwardedAnswerHeaders(answer.headers), body: answer.body, hasOwnEnd: answer.hasOwnEnd};
+			const whole = {...answer, headers: getForwardedAnswerHeaders(answer.headers)};
 			if (end.statusCode < 500) {
 				finish(whole, 'answered', 'upstream');
 				return;
@@ -239,7 +239,7 @@
 		}
 
 		const statusCode = resendRule.getOwnStatus(getHistory(), reason);
-		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(comeBackMilliseconds) : [];
+		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(route.objectiveMilliseconds * comeBackObjectives) : [];
 		finish({
 			statusCode, headers, body: new Uint8Array(), hasOwnEnd: true,
 		}, statusCode === 503 ? 'refused' : 'failed', reason);
@@ -293,3 +293,20 @@
 		},
 	};
 }
+
+function describeEnd(end: resendRule.AttemptEnd): string {
+	switch (end.kind) {
+		case 'answered': {
+			return String(end.statusCode);
+		}
+
+		case 'broken': {
+			return end.reason;
+		}
+
+		case 'not-sent':
+		case 'not-run': {
+			return end.kind;
+		}
+	}
+}
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -64,11 +64,10 @@
 const nearCount = 4;
 /** Upstreams of other failure domains that are asked where the near ones can't keep the objective. */
 const farCount = 3;
-/** Upstreams that are asked at a time while requests are held, near and far. */
-const heldNearCount = 2;
-const heldFarCount = 1;
+/** Upstreams that are asked at a time while requests are held; far ones only where there are fewer near ones. */
+const heldCount = 3;
 /** Share of the objective above which the expected time of the near upstreams is too long. */
-const longShare = 0.7;
+const longShare = 1;
 /** Time between two looks at what is held, in milliseconds. */
 const heldIntervalMilliseconds = 10;
 /** Looks after which upstreams that say they are unhealthy are used where no other answers, since such news can be wrong. */
@@ -185,7 +184,7 @@
 	function look(): void {
 		timer = undefined;
 		const now = host.getNow();
-		for (const [service, held] of [...heldByService]) {
+		for (const [service, held] of heldByService) {
 			for (const pending of held) {
 				if (now >= pending.giveUpAt) {
 					finish(pending, {kind: 'no-room', checks: pending.checks});
@@ -206,8 +205,9 @@
 		const count = (looks.get(service) ?? 0) + 1;
 		looks.set(service, count);
 		const nobody = new Set<string>();
-		const upstreams = [...draw(service, true, heldNearCount, nobody), ...draw(service, false, heldFarCount, nobody)];
-		askUpstreams(host, service, upstreams, results => {
+		const near = draw(service, true, heldCount, nobody);
+		const far = draw(service, false, heldCount - near.length, nobody);
+		askUpstreams(host, service, [...near, ...far], results => {
 			for (const [upstream, result] of results) {
 				const isUsable = result ? result.kind === 'healthy' || (result.kind === 'unhealthy' && count >= trustedLooks) : isUsableUnasked(upstream);
 				const connection = result?.kind === 'healthy' ? result.connection : undefined;
@@ -247,7 +247,7 @@
 				priority: request.priority,
 				objectiveAt: request.objectiveAt,
 				giveUpAt: request.giveUpAt,
-				expectedMilliseconds: request.work.workMilliseconds,
+				expectedMilliseconds: freshLoad.getUsualMilliseconds(request.work.workMilliseconds),
 				checks: 0,
 				cancelAsking: undefined,
 				isOver: false,
--- a/src/gateway/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -1,10 +1,10 @@
 import * as net from 'node:net';
 import * as vitest from 'vitest';
-import {type AttemptEnd} from '../decisions/outcomes/resend-rule.ts';
-import {createHeaderHost} from '../../platform/headers.ts';
-import {type AttemptAnswer, createGatewayAttempt} from './gateway-attempt.ts';
-import {type GatewayRequest} from './types.ts';
-import {createUpstreams, type Upstream} from './upstreams.ts';
+import {type AttemptEnd} from '../src/decisions/outcomes/resend-rule.ts';
+import {createHeaderHost} from '../platform/headers.ts';
+import {type AttemptAnswer, createGatewayAttempt} from '../src/gateway/gateway-attempt.ts';
+import {type GatewayRequest} from '../src/gateway/types.ts';
+import {createUpstreams, type Upstream} from '../src/gateway/upstreams.ts';
 
 const {afterEach, expect, test} = vitest;
 const getNow = () => performance.now();
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -1,7 +1,7 @@
 import {type FlatXoConfig} from 'xo';
 
 /** Folders under src in the order of imports: a layer may import only from the layers after it. */
-const layers = ['programs', 'entry', 'peers', 'platform', 'observability', 'decisions'];
+const layers = ['programs', 'gateway', 'entry', 'peers', 'platform', 'observability', 'decisions'];
 
 /** Refuses imports from a layer into one that comes before it. */
 const layerRules: FlatXoConfig = layers.map((layer, index) => ({
@@ -13,6 +13,7 @@
 					...layers.slice(0, index).map(before => `**/${before}/**`),
 					'**/stand-ins/**',
 					'**/bench/**',
+					...(layer === 'programs' ? [] : ['**/../../platform/**']),
 				],
 				message: `src/${layer} may import only itself and ${layers.slice(index + 1).join(', ') || 'no other layer'}.`,
 			}],
