--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -37,6 +37,8 @@
 	readonly platform: PlatformHost;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
+	/** Port on which the metrics are served; 0 takes a free one. */
+	readonly metricsPort: number;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Milliseconds since the epoch. */
@@ -50,10 +52,10 @@
 	leave(): Promise<void>;
 };
 
-/** Port of the metrics; the deploy file names it. */
-const metricsPort = 9464;
 /** Time from the signal to stop until no new connections are taken, in milliseconds: the longest time for which callers keep an address. */
 const noticeMilliseconds = 3200;
+/** Largest part of the grace that the notice may take. */
+const noticeShare = 0.55;
 /** Time before the end of the grace at which requests in flight are cut off, in milliseconds. */
 const cutMilliseconds = 150;
 const drainCheckMilliseconds = 20;
@@ -229,7 +231,7 @@
 		listen(front.server, splitAddress(settings.listen.callers)),
 		listen(directoryServer, splitAddress(settings.listen.directory)),
 		listen(readinessServer, splitAddress(settings.listen.readiness)),
-		listen(metricsServer, {host: peers.host, port: metricsPort}),
+		listen(metricsServer, {host: peers.host, port: host.metricsPort}),
 	]);
 	sharing.start();
 	const closeIdleTimer = setInterval(upstreams.closeIdle, closeIdleMilliseconds);
@@ -246,7 +248,7 @@
 		logger.info('gateway-leaving', {openRequests: front.countOpen()});
 		sharing.announce();
 		if (lifeCycle.getState() === 'leaving') {
-			await timers.setTimeout(noticeMilliseconds);
+			await timers.setTimeout(Math.min(noticeMilliseconds, settings.graceMilliseconds * noticeShare));
 			lifeCycle.take('notice-over');
 		}
 
@@ -264,6 +266,7 @@
 		upstreams.close();
 		directoryServer.close();
 		readinessServer.close();
+		metricsServer.close();
 		await Promise.all([peerServer._unsafeUnwrap().close(peerGraceMilliseconds), platform.close()]);
 	}
 
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -20,6 +20,8 @@
 const linesPerSecond = 400;
 /** Lines that wait to be written, in bytes. */
 const bufferBytes = 262_144;
+/** Port of the metrics; the deploy file names it too. */
+const metricsPort = 9464;
 const standardOutput = 1;
 const flushMilliseconds = 100;
 
@@ -63,6 +65,7 @@
 		platform: createPlatform(settings.storeAddress, getNow, metrics.recordStoreCall),
 		logger,
 		metrics,
+		metricsPort,
 		getNow,
 		getWallTime: () => Date.now(),
 	});
--- /dev/null
+++ b/test/gateway.test.ts
@@ -0,0 +1,296 @@
+/** Gateways with the real adapter against stand-ins of the store and the upstreams. */
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import * as vitest from 'vitest';
+import {createPlatform} from '../platform/create-platform.ts';
+import {decodePlatformSettings} from '../platform/settings.ts';
+import {createGateway, type Gateway} from '../src/gateway/create-gateway.ts';
+import {type Logger} from '../src/observability/logger.ts';
+import {createGatewayMetrics} from '../src/observability/gateway-metrics.ts';
+import {type PlatformUpstream, startPlatformUpstream} from '../stand-ins/platform-upstream.ts';
+import {startStore, type StoreStandIn} from '../stand-ins/store.ts';
+
+const {afterEach, beforeEach, expect, test} = vitest;
+const host = 'desk.example';
+const cleanups: Array<() => Promise<void>> = [];
+let store: StoreStandIn;
+
+beforeEach(async () => {
+	store = await startStore();
+	cleanups.push(store.close);
+});
+
+afterEach(async () => {
+	for (const cleanup of cleanups.splice(0).toReversed()) {
+		await cleanup();
+	}
+});
+
+function createConfiguration(version: number, paths: readonly string[] = ['/price/', '/credit/']) {
+	return {
+		version: version.toString(16).padStart(8, '0'),
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+		listeners: [{
+			host,
+			rules: paths.map(pathPrefix => ({
+				name: pathPrefix, kind: pathPrefix === '/credit/' ? 'non_idempotent' : 'idempotent', targetLatencyMs: 400, priority: 1, match: {pathPrefix}, action: {service: 'desk', timeoutMs: 1500, attempts: 2},
+			})),
+		}],
+		clusters: [{
+			name: 'desk', healthPath: '/healthz', maxConns: 200, protocol: 'h1', tls: false,
+		}],
+	};
+}
+
+function register(upstream: PlatformUpstream, state = 'ready', sequence = 1, born = 1000) {
+	store.put('keyed.servers', upstream.id, {
+		service: 'desk', addr: upstream.address, zone: 'riverside', version: 'v1', slots: 4, state, coldLeftMs: 0, seq: sequence, born,
+	});
+}
+
+async function startUpstream(id: string): Promise<PlatformUpstream> {
+	const upstream = await startPlatformUpstream(id);
+	cleanups.push(upstream.close);
+	return upstream;
+}
+
+const silentLogger: Logger = {
+	error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined,
+};
+
+type RunningGateway = {readonly gateway: Gateway; readonly front: string; readonly directory: string; readonly ready: string; readonly peers: string};
+
+async function findPort(): Promise<number> {
+	const server = net.createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = server.address();
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return typeof address === 'object' && address ? address.port : 0;
+}
+
+async function startGateway(name: string, seeds: readonly string[] = []): Promise<RunningGateway> {
+	const [front, ready, control, directory] = await Promise.all([findPort(), findPort(), findPort(), findPort()]).then(ports => ports.map(port => `127.0.0.1:${port}`));
+	const settings = decodePlatformSettings({
+		node: name,
+		zone: 'riverside',
+		region: 'east',
+		listen: {
+			front, ready, control, directory,
+		},
+		seeds,
+		bounds: ['graceS=1', 'retryRatio=0.2', 'retryWindowS=10', 'retrySlack=58', 'probesPerS=60', 'ttl_max_s=5', 'unknown=true'],
+		platform: {addr: store.address, unknown: 1},
+		unknown: 'ignored',
+	})._unsafeUnwrap();
+	const getNow = () => performance.now();
+	const gateway = await createGateway(settings, {
+		platform: createPlatform(store.address, getNow, () => undefined),
+		logger: silentLogger,
+		metrics: createGatewayMetrics(),
+		metricsPort: 0,
+		getNow,
+		getWallTime: () => Date.now(),
+	});
+	cleanups.push(gateway.leave);
+	return {
+		gateway, front: front!, directory: directory!, ready: ready!, peers: control!,
+	};
+}
+
+type Answer = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: string; readonly id: string};
+
+async function send(address: string, path: string, method = 'GET', body = ''): Promise<Answer> {
+	const id = crypto.randomBytes(8).toString('hex');
+	return new Promise((resolve, reject) => {
+		const request = http.request(`http://${address}${path}`, {
+			method, agent: false, headers: {
+				host, 'attempt-id': id, 'deadline-ms': '2000', ...(body === '' ? {} : {'content-length': String(body.length)}),
+			},
+		}, response => {
+			let text = '';
+			response.on('data', chunk => {
+				text += String(chunk);
+			});
+			response.on('end', () => {
+				resolve({
+					status: response.statusCode ?? 0, headers: response.headers, body: text, id,
+				});
+			});
+			response.on('error', reject);
+		});
+		request.on('error', reject);
+		request.end(body);
+	});
+}
+
+async function waitUntil(condition: () => Promise<boolean> | boolean): Promise<void> {
+	for (let count = 0; count < 600; count++) {
+		if (await condition()) {
+			return;
+		}
+
+		await timers.setTimeout(20);
+	}
+
+	throw new Error('The condition did not become true.');
+}
+
+const isReady = async ({ready}: RunningGateway) => {
+	const answer = await send(ready, '/api/ready');
+	return answer.status === 200;
+};
+
+async function startServing(): Promise<{running: RunningGateway; first: PlatformUpstream; second: PlatformUpstream}> {
+	const first = await startUpstream('i-1');
+	const second = await startUpstream('i-2');
+	store.put('keyed.op', 'config', createConfiguration(4));
+	register(first);
+	register(second);
+	const running = await startGateway('edge-1');
+	await waitUntil(async () => isReady(running));
+	return {running, first, second};
+}
+
+test('a request is answered whole by an upstream of the route, and callers are told the address', async () => {
+	const {running} = await startServing();
+	const answer = await send(running.front, '/price/42');
+	expect(answer.status).toBe(200);
+	expect(answer.body).toBe(`${String(answer.headers['upstream-signature']).replace('signed-by-', '')} ran ${answer.id}`);
+	const directory = await send(running.directory, '/api/resolve?name=desk.example&region=east&zone=riverside');
+	expect(JSON.parse(directory.body)).toEqual({addrs: [running.front], ttlS: 1});
+	const unknown = await send(running.front, '/other/1');
+	expect(unknown.status).toBe(404);
+});
+
+test('an entry that knows no configuration refuses truthfully, and starts to serve once the store answers', async () => {
+	store.setFault({kind: 'silent'});
+	const upstream = await startUpstream('i-1');
+	store.put('keyed.op', 'config', createConfiguration(4));
+	register(upstream);
+	const running = await startGateway('edge-1');
+	const refused = await send(running.front, '/price/1');
+	expect(refused.status).toBe(503);
+	expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+	store.setFault({kind: 'none'});
+	await waitUntil(async () => isReady(running));
+	const answer = await send(running.front, '/price/1');
+	expect(answer.status).toBe(200);
+});
+
+test('a non-idempotent request whose answer was lost is not sent again, and its failure promises nothing', async () => {
+	const {running, first, second} = await startServing();
+	first.setBehaviour({kind: 'lose'});
+	second.setBehaviour({kind: 'lose'});
+	const answer = await send(running.front, '/credit/1', 'POST', 'body');
+	expect(answer.status).toBe(502);
+	expect([...first.ran, ...second.ran]).toEqual([answer.id]);
+});
+
+test('what an upstream refused before running goes to another one, also when it is not idempotent', async () => {
+	const {running, first, second} = await startServing();
+	// The budget of a process that has just started comes from its requests alone.
+	for (let count = 0; count < 40; count++) {
+		await send(running.front, '/price/1');
+	}
+
+	first.setBehaviour({kind: 'refuse'});
+	const before = second.ran.length;
+	for (let count = 0; count < 4; count++) {
+		const answer = await send(running.front, '/credit/1', 'POST', 'body');
+		expect(answer.status).toBe(200);
+	}
+
+	expect(second.ran.length).toBe(before + 4);
+});
+
+test('a newer configuration comes into force and an older or broken one does not', async () => {
+	const {running} = await startServing();
+	store.put('keyed.op', 'config', createConfiguration(9, ['/price/', '/added/']));
+	await waitUntil(async () => {
+		const answer = await send(running.front, '/added/1');
+		return answer.status === 200;
+	});
+	store.put('keyed.op', 'config', createConfiguration(5));
+	store.put('keyed.op', 'config', {version: '0000000a', listeners: 'none'});
+	store.put('keyed.op', 'config', createConfiguration(11, ['/price/', '/added/', '/last/']));
+	await waitUntil(async () => {
+		const answer = await send(running.front, '/last/1');
+		return answer.status === 200;
+	});
+	const dropped = await send(running.front, '/credit/1', 'POST', 'body');
+	expect(dropped.status).toBe(404);
+});
+
+test('a leaving upstream gets no new requests, also when the store has forgotten its history', async () => {
+	const {running, first, second} = await startServing();
+	register(first, 'draining', 2);
+	store.forgetHistory('keyed.servers');
+	await timers.setTimeout(1500);
+	const before = first.ran.length;
+	for (let count = 0; count < 20; count++) {
+		const answer = await send(running.front, '/price/1');
+		expect(answer.status).toBe(200);
+	}
+
+	expect(first.ran.length).toBe(before);
+	expect(second.ran.length).toBeGreaterThanOrEqual(20);
+});
+
+test('a malformed registration spoils nothing', async () => {
+	const {running} = await startServing();
+	store.putBytes('keyed.servers', 'i-1', Buffer.from([0xFF, 0x00, 0x7B]));
+	store.put('keyed.servers', 'i-9', {service: 7, addr: 'nowhere'});
+	const third = await startUpstream('i-3');
+	register(third);
+	await waitUntil(async () => {
+		await send(running.front, '/price/1');
+		return third.ran.length > 0;
+	});
+});
+
+test('entries share news: the second one learns all while the store refuses to serve', async () => {
+	const {running} = await startServing();
+	store.setFault({kind: 'refuse', statusCode: 503});
+	const second = await startGateway('edge-2', [running.peers]);
+	await waitUntil(async () => isReady(second));
+	const answer = await send(second.front, '/price/1');
+	expect(answer.status).toBe(200);
+});
+
+test('entries that fail to read the store do not press it', async () => {
+	const {running} = await startServing();
+	const second = await startGateway('edge-2', [running.peers]);
+	await waitUntil(async () => isReady(second));
+	store.setFault({kind: 'reset'});
+	await timers.setTimeout(1000);
+	const before = store.countCalls();
+	await timers.setTimeout(4000);
+	// Two entries, two reads each, with pauses of 2 s, and as many again for the change between readers.
+	expect(store.countCalls() - before).toBeLessThanOrEqual(24);
+});
+
+test('an entry that is told to stop finishes its requests and tells callers to go elsewhere', async () => {
+	const {running, first, second} = await startServing();
+	for (const upstream of [first, second]) {
+		upstream.setBehaviour({kind: 'answer', milliseconds: 300});
+	}
+
+	const pending = send(running.front, '/price/1');
+	await timers.setTimeout(50);
+	const stopped = running.gateway.leave();
+	const ready = await send(running.ready, '/api/ready');
+	expect(ready.status).toBe(503);
+	const late = await send(running.front, '/price/2');
+	expect(late.status).toBe(200);
+	expect(late.headers.connection).toBe('close');
+	expect((await pending).status).toBe(200); // eslint-disable-line unicorn/no-await-expression-member
+	await stopped;
+});
