Follow another entry where this one can't read the store by itself

Cause: the choice of a source kept the entry itself although it was to be passed over, so the first entry went on trying while the store refused it. Found by the test of the choice, which failed before. Change: the entry itself can be passed over like any other.

--- /dev/null
+++ b/src/decisions/routing/fresh-load.test.ts
@@ -0,0 +1,64 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import {createRandomSource} from '../random.ts';
+import {
+	chooseUpstream, drawCandidates, estimate, getCapacity, type UpstreamState, type WorkEstimate,
+} from './fresh-load.ts';
+
+const {expect, test} = vitest;
+const seed = 20_266;
+const work: WorkEstimate = {
+	workMilliseconds: 140, meanWorkMilliseconds: 150, objectiveMilliseconds: 400, mayCrowd: false,
+};
+
+function createState(id: string, changes: Partial<UpstreamState> & {running?: number; pace?: number} = {}): UpstreamState {
+	const {running = 0, pace = 1, ...rest} = changes;
+	return {
+		id,
+		isNear: true,
+		slots: 4,
+		reading: {
+			running, waiting: 0, slots: 4, pace, readAt: 0,
+		},
+		sentSinceReading: 0,
+		inFlight: 0,
+		failureShare: 0,
+		slowness: 1,
+		isWarmingUp: false,
+		...rest,
+	};
+}
+
+test('a fast upstream with room is taken before a slow, a failing, a far and a warming one', () => {
+	const states = [
+		createState('slow', {pace: 4}), createState('failing', {failureShare: 0.5}), createState('far', {isNear: false}), createState('cold', {isWarmingUp: true}), createState('good'),
+	];
+	expect(chooseUpstream(states, work)?.id).toBe('good');
+});
+
+test('an upstream is full at four fifths of its slots, and what was sent since the reading counts', () => {
+	expect([4, 6, 1].map(slots => getCapacity(slots))).toEqual([3, 4, 1]);
+	expect(estimate(createState('a', {running: 2}), work).hasRoom).toBe(true);
+	expect(estimate(createState('a', {running: 3}), work).hasRoom).toBe(false);
+	expect(estimate(createState('a', {running: 2, sentSinceReading: 1}), work).hasRoom).toBe(false);
+	expect(estimate(createState('a', {running: 3}), {...work, mayCrowd: true}).hasRoom).toBe(true);
+	expect(chooseUpstream([createState('a', {running: 4})], work)).toBeUndefined();
+});
+
+test('more work ahead and a slower pace never make the expected time shorter', () => {
+	const load = fastCheck.record({running: fastCheck.integer({min: 0, max: 12}), pace: fastCheck.double({min: 0.5, max: 8, noNaN: true})});
+	fastCheck.assert(fastCheck.property(load, ({running, pace}) => {
+		const {expectedMilliseconds} = estimate(createState('a', {running, pace}), work);
+		expect(estimate(createState('a', {running: running + 1, pace}), work).expectedMilliseconds).toBeGreaterThanOrEqual(expectedMilliseconds);
+		expect(expectedMilliseconds).toBeGreaterThan(0);
+	}), {seed});
+});
+
+test('failing upstreams are drawn only where the others do not suffice', () => {
+	const states = [createState('bad', {failureShare: 0.9}), createState('a'), createState('b'), createState('far', {isNear: false})];
+	for (let round = 0; round < 50; round++) {
+		const random = createRandomSource(seed + round);
+		expect(drawCandidates(states, true, 2, random).map(({id}) => id).toSorted((left, right) => left.localeCompare(right))).toEqual(['a', 'b']);
+		expect(drawCandidates(states, true, 3, random).length).toBe(3);
+	}
+});
--- /dev/null
+++ b/src/decisions/sharing/sharing.test.ts
@@ -0,0 +1,61 @@
+import * as vitest from 'vitest';
+import {chooseAddresses, createMemberList, silenceMilliseconds} from './member-list.ts';
+import {avoidanceMilliseconds, createSourceChoice} from './source-choice.ts';
+import {type Member} from './types.ts';
+
+const {expect, test} = vitest;
+
+function createMember(name: string, startedAt = 0, changes: Partial<Member> = {}): Member {
+	return {
+		name, incarnation: `${name}-${startedAt}`, startedAt, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, ...changes,
+	};
+}
+
+test('all follow the longest-running member, which reads by itself', () => {
+	const members = [createMember('b', 5), createMember('a', 7), createMember('c', 5)];
+	expect(createSourceChoice({name: 'a', startedAt: 7}).choose(members, 0)).toBe('b');
+	expect(createSourceChoice({name: 'c', startedAt: 5}).choose(members, 0)).toBe('b');
+	expect(createSourceChoice({name: 'b', startedAt: 5}).choose(members, 0)).toBeUndefined();
+});
+
+test('a member that failed is passed over for a while, and the next one is followed', () => {
+	const members = [createMember('a', 1), createMember('b', 2), createMember('c', 3)];
+	const choice = createSourceChoice({name: 'c', startedAt: 3});
+	choice.avoid('a', 100);
+	expect(choice.choose(members, 100)).toBe('b');
+	choice.avoid('b', 100);
+	expect(choice.choose(members, 100)).toBeUndefined();
+	expect(choice.choose(members, 100 + avoidanceMilliseconds)).toBe('a');
+});
+
+test('the first member follows another one where it can not read by itself', () => {
+	const members = [createMember('a', 1), createMember('b', 2)];
+	const choice = createSourceChoice({name: 'a', startedAt: 1});
+	choice.avoid('a', 100);
+	expect(choice.choose(members, 100)).toBe('b');
+});
+
+test('members that fall silent are taken off, and an earlier process does not replace a later one', () => {
+	const list = createMemberList(() => createMember('self'));
+	expect(list.hear(createMember('a', 5), 0)).toBe(true);
+	expect(list.hear(createMember('a', 4), 0)).toBe(false);
+	expect(list.hear(createMember('a', 5), 100)).toBe(false);
+	expect(list.expire(100 + silenceMilliseconds)).toEqual([]);
+	expect(list.expire(101 + silenceMilliseconds)).toEqual(['a']);
+	expect(list.list().map(({name}) => name)).toEqual(['self']);
+});
+
+test('a list that was adopted drops members that a newer list no longer has', () => {
+	const list = createMemberList(() => createMember('self'));
+	list.adopt([createMember('a'), createMember('b')], 0);
+	list.hear(createMember('c'), 0);
+	list.adopt([createMember('b')], 10);
+	expect(list.list().map(({name}) => name)).toEqual(['b', 'c', 'self']);
+});
+
+test('callers get the ready entries near to them, or else all', () => {
+	const members = [createMember('a'), createMember('b', 0, {failureDomain: 'b'}), createMember('c', 0, {failureDomain: 'b', isReady: false})];
+	expect(chooseAddresses(members, {failureDomain: 'b', region: 'east'}, 64)).toEqual(['b:1']);
+	expect(chooseAddresses(members, {failureDomain: 'x', region: 'west'}, 64)).toEqual(['a:1', 'b:1']);
+	expect(chooseAddresses([], {failureDomain: 'b', region: 'east'}, 64)).toEqual([]);
+});
--- a/src/decisions/sharing/source-choice.ts
+++ b/src/decisions/sharing/source-choice.ts
@@ -30,12 +30,13 @@
 /** Creates the choice of the member with the given name. */
 export function createSourceChoice(self: Candidate): SourceChoice {
 	const avoidedUntil = new Map<string, number>();
+	const isAvoided = (name: string, now: number) => (avoidedUntil.get(name) ?? Number.NEGATIVE_INFINITY) > now;
 	return {
 		choose(members, now) {
 			const first = members
-				.filter(member => (avoidedUntil.get(member.name) ?? Number.NEGATIVE_INFINITY) <= now || member.name === self.name)
+				.filter(({name}) => !isAvoided(name, now))
 				.toSorted(compareSeniority)[0];
-			return first === undefined || compareSeniority(self, first) <= 0 ? undefined : first.name;
+			return first === undefined || first.name === self.name ? undefined : first.name;
 		},
 		avoid(name, now) {
 			avoidedUntil.set(name, now + avoidanceMilliseconds);
