--- a/src/gateway/knowledge.ts
+++ b/src/gateway/knowledge.ts
@@ -75,8 +75,8 @@
 			}
 
 			for (const {kind, id, registration} of events) {
-				host.logger.info(`upstream-${kind}`, {
-					upstream: id, service: registration.service, address: registration.address, incarnation: registration.incarnation, position: registry.getPosition(), origin,
+				host.logger.info('upstream-changed', {
+					change: kind, upstream: id, service: registration.service, address: registration.address, incarnation: registration.incarnation, position: registry.getPosition(), origin,
 				});
 			}
 
