--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -59,6 +59,8 @@
 const limitSlackMilliseconds = 40;
 /** Time for which a repeated request is held at least, in milliseconds. */
 const repeatHoldMilliseconds = 100;
+/** Largest part of its time for which a request is held for want of room; a caller that is refused needs the rest to come back. */
+const longestHoldShare = 0.4;
 /** An attempt is late after this many times its expected time, and this much more in milliseconds; then a second one is made. */
 const lateFactor = 2;
 const lateMilliseconds = 60;
@@ -86,6 +88,7 @@
 
 	function place(): void {
 		const objectiveAt = request.receivedAt + route.objectiveMilliseconds;
+		const holdUntil = Math.min(objectiveAt, request.receivedAt + (longestHoldShare * (request.limitAt - request.receivedAt)));
 		let isSelected = false;
 		const takeBack = host.selector.select({
 			service,
@@ -98,7 +101,7 @@
 			},
 			tried,
 			objectiveAt,
-			giveUpAt: Math.min(request.limitAt, Math.max(objectiveAt, host.getNow() + repeatHoldMilliseconds)),
+			giveUpAt: Math.min(request.limitAt, Math.max(holdUntil, host.getNow() + repeatHoldMilliseconds)),
 		}, selection => {
 			isSelected = true;
 			withdraw = undefined;
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -64,8 +64,10 @@
 const nearCount = 4;
 /** Upstreams of other failure domains that are asked where the near ones can't keep the objective. */
 const farCount = 3;
-/** Upstreams that are asked at a time while requests are held; far ones only where there are fewer near ones. */
+/** Upstreams that are asked at a time while requests are held. */
 const heldCount = 3;
+/** Every so many looks far ones are asked; the others only fill up where there are few near ones. */
+const farLookInterval = 3;
 /** Share of the objective above which the expected time of the near upstreams is too long. */
 const longShare = 1;
 /** Time between two looks at what is held, in milliseconds. */
@@ -205,7 +207,7 @@
 		const count = (looks.get(service) ?? 0) + 1;
 		looks.set(service, count);
 		const nobody = new Set<string>();
-		const near = draw(service, true, heldCount, nobody);
+		const near = draw(service, true, count % farLookInterval === 0 ? 1 : heldCount, nobody);
 		const far = draw(service, false, heldCount - near.length, nobody);
 		askUpstreams(host, service, [...near, ...far], results => {
 			for (const [upstream, result] of results) {
