Follow only entries that the store serves, and crowd upstreams only while nothing is held

Change: members tell whether their reads succeed, and those that can't read are followed last; without held requests a fast upstream may fill up.

--- a/src/decisions/routing/fresh-load.ts
+++ b/src/decisions/routing/fresh-load.ts
@@ -62,7 +62,7 @@
 const meanPace = 1.75;
 /** Time for which a pace holds, in milliseconds; half of the 300 ms between changes on the users' machines. */
 const paceHoldMilliseconds = 150;
-/** Share of busy slots above which upstreams slow down, as the users' do, and by how much when all are busy. */
+/** Share of busy slots above which upstreams slow down, as the users' do, and by how much. */
 const busyShare = 0.8;
 const busySlowdown = 1.7;
 const warmUpSlowdown = 2;
@@ -81,8 +81,7 @@
 	const ahead = reading ? reading.running + reading.waiting + state.sentSinceReading : state.inFlight;
 	const queued = Math.max(0, ahead - slots + 1);
 	const pace = (reading?.pace ?? meanPace) * (state.isWarmingUp ? warmUpSlowdown : 1) * state.slowness;
-	const busy = (Math.min(ahead, slots - 1) + 1) / slots;
-	const crowding = 1 + ((busySlowdown - 1) * Math.max(0, busy - busyShare) / (1 - busyShare));
+	const crowding = (Math.min(ahead, slots - 1) + 1) / slots > busyShare ? busySlowdown : 1;
 	const service = getServiceMilliseconds(work.workMilliseconds * crowding, pace);
 	const wait = queued * getServiceMilliseconds(work.meanWorkMilliseconds * crowding, pace) / slots;
 	const expectedMilliseconds = service + wait;
@@ -101,7 +100,7 @@
 
 /** Requests that an upstream runs at the same time without slowing down. */
 export function getCapacity(slots: number): number {
-	return Math.max(1, Math.round(busyShare * slots));
+	return Math.max(1, Math.floor(busyShare * slots));
 }
 
 /** Time of work that runs at the present pace for a while and at the mean pace afterwards. */
--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -41,7 +41,7 @@
 		}
 
 		others.set(member.name, {member, heardAt: now, isFromList});
-		return present?.incarnation !== member.incarnation || present.isReady !== member.isReady;
+		return present?.incarnation !== member.incarnation || present.isReady !== member.isReady || present.canRead !== member.canRead;
 	}
 
 	const list = () => [getSelf(), ...[...others.values()].map(({member}) => member)].toSorted((left, right) => left.name < right.name ? -1 : 1);
@@ -76,7 +76,9 @@
 			return silent;
 		},
 		list,
-		getRevision: () => list().map(({name, incarnation, isReady}) => `${name}/${incarnation}/${Number(isReady)}`).join(','),
+		getRevision: () => list().map(({
+			name, incarnation, isReady, canRead,
+		}) => `${name}/${incarnation}/${Number(isReady)}${Number(canRead)}`).join(','),
 	};
 }
 
--- a/src/decisions/sharing/source-choice.ts
+++ b/src/decisions/sharing/source-choice.ts
@@ -1,8 +1,9 @@
 /**
 Decides where an entry gets news of the platform from: from another entry, or from the platform itself.
 
-All entries rank the members alike, the longest-running first. Each follows the first one that answers with fresh
-news; the first of all has nobody to follow and reads the platform for all. Whoever hears nothing fresh reads for
+All entries rank the members alike: those that can read the store before the others, and the longest-running first.
+Each follows the first one that answers with fresh news; the first of all has nobody to follow and reads the store for
+all. Whoever hears nothing fresh reads for
 itself, so no single reader can hold news back for longer than `staleMilliseconds`.
 */
 
@@ -11,6 +12,8 @@
 	readonly name: string;
 	/** Start of the member's process, in milliseconds since the epoch. */
 	readonly startedAt: number;
+	/** Whether its latest read of the store was answered. */
+	readonly canRead: boolean;
 };
 
 /** News older than this are fetched from the platform by the entry itself. */
@@ -28,14 +31,14 @@
 };
 
 /** Creates the choice of the member with the given name. */
-export function createSourceChoice(self: Candidate): SourceChoice {
+export function createSourceChoice(self: Pick<Candidate, 'name'>): SourceChoice {
 	const avoidedUntil = new Map<string, number>();
 	const isAvoided = (name: string, now: number) => (avoidedUntil.get(name) ?? Number.NEGATIVE_INFINITY) > now;
 	return {
 		choose(members, now) {
 			const first = members
 				.filter(({name}) => !isAvoided(name, now))
-				.toSorted(compareSeniority)[0];
+				.toSorted(compareCandidates)[0];
 			return first === undefined || first.name === self.name ? undefined : first.name;
 		},
 		avoid(name, now) {
@@ -47,7 +50,7 @@
 	};
 }
 
-/** Orders members by seniority; names decide between those that started together. */
-export function compareSeniority(left: Candidate, right: Candidate): number {
-	return left.startedAt - right.startedAt || (left.name < right.name ? -1 : Number(left.name > right.name));
+/** Orders members; names decide between those that started together. */
+export function compareCandidates(left: Candidate, right: Candidate): number {
+	return Number(right.canRead) - Number(left.canRead) || left.startedAt - right.startedAt || (left.name < right.name ? -1 : Number(left.name > right.name));
 }
--- a/src/decisions/sharing/types.ts
+++ b/src/decisions/sharing/types.ts
@@ -15,4 +15,6 @@
 	readonly peerAddress: string;
 	/** Whether callers should connect to it. */
 	readonly isReady: boolean;
+	/** Whether its latest read of the store was answered. */
+	readonly canRead: boolean;
 };
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -87,6 +87,7 @@
 		callerAddress: settings.listen.callers,
 		peerAddress: settings.listen.peers,
 		isReady: lifeCycle.getState() === 'serving',
+		canRead: reader.canRead(),
 	});
 	const upstreams = createUpstreams({
 		getMaximumConnections: service => knowledge.getInForce()?.routes.getService(service)?.maximumConnections ?? defaultConnections,
@@ -105,12 +106,19 @@
 			becomeReady();
 		},
 	});
+	const reader = createStoreReader({
+		store: platform.store,
+		knowledge,
+		logger,
+		getNow,
+		onReachable() {
+			sharing.announce();
+		},
+	});
 	const sharing = createSharingLoop({
 		logger,
 		knowledge,
-		reader: createStoreReader({
-			store: platform.store, knowledge, logger, getNow,
-		}),
+		reader,
 		client: createSharingClient(),
 		getSelf,
 		getSeeds: () => seeds,
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -64,10 +64,8 @@
 const nearCount = 4;
 /** Upstreams of other failure domains that are asked where the near ones can't keep the objective. */
 const farCount = 3;
-/** Upstreams that are asked at a time while requests are held. */
+/** Upstreams that are asked at a time while requests are held; far ones only where there are fewer near ones. */
 const heldCount = 3;
-/** Every so many looks far ones are asked; the others only fill up where there are few near ones. */
-const farLookInterval = 3;
 /** Share of the objective above which the expected time of the near upstreams is too long. */
 const longShare = 1;
 /** Time between two looks at what is held, in milliseconds. */
@@ -145,7 +143,8 @@
 		const states = [...results]
 			.filter(([upstream, result]) => result ? result.kind === 'healthy' : isUsableUnasked(upstream))
 			.map(([upstream]) => host.upstreams.getState(upstream, now));
-		return freshLoad.chooseUpstream(states, pending.request.work);
+		// As long as nothing is held, a fast upstream is better crowded than a slow one idle.
+		return freshLoad.chooseUpstream(states, {...pending.request.work, mayCrowd: true});
 	}
 
 	/** Whether an upstream that was not asked may be chosen: it told its load just before, or never does. */
@@ -207,7 +206,7 @@
 		const count = (looks.get(service) ?? 0) + 1;
 		looks.set(service, count);
 		const nobody = new Set<string>();
-		const near = draw(service, true, count % farLookInterval === 0 ? 1 : heldCount, nobody);
+		const near = draw(service, true, heldCount, nobody);
 		const far = draw(service, false, heldCount - near.length, nobody);
 		askUpstreams(host, service, [...near, ...far], results => {
 			for (const [upstream, result] of results) {
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -52,7 +52,7 @@
 	const {logger, knowledge, reader, client} = host;
 	const members = createMemberList(host.getSelf);
 	const self = host.getSelf();
-	const choice = sourceChoice.createSourceChoice({name: self.name, startedAt: self.startedAt});
+	const choice = sourceChoice.createSourceChoice({name: self.name});
 	const stopping = new AbortController();
 	let followAbort = new AbortController();
 	let source = '';
@@ -170,6 +170,14 @@
 		}
 	}
 
+	/** Looks now and then whether the store answers this entry again. */
+	async function watchStore(): Promise<void> {
+		while (!stopping.signal.aborted) {
+			await reader.retry();
+			await timers.setTimeout(pauseMilliseconds);
+		}
+	}
+
 	async function watchSeeds(): Promise<void> {
 		while (!stopping.signal.aborted) {
 			if (members.list().length === 1) {
@@ -220,6 +228,7 @@
 		start() {
 			void follow();
 			void watchAge();
+			void watchStore();
 			void watchSeeds();
 			void watchMembers();
 		},
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -14,9 +14,15 @@
 	readonly logger: Logger;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
+	/** The store was lost or answers again. */
+	onReachable(): void;
 };
 
 export type StoreReader = {
+	/** Whether the latest read was answered, or none was made yet. */
+	canRead(): boolean;
+	/** Reads once where the latest read failed some time ago, to see whether the store answers again. */
+	retry(): Promise<void>;
 	/** Reads both parts once, without waiting for records. Resolves to whether both were read. */
 	readOnce(): Promise<boolean>;
 	/** Reads on until `shouldStop`, resolving when that is so or when a read failed. */
@@ -68,6 +74,7 @@
 		}
 
 		isReachable = isReached;
+		host.onReachable();
 	}
 
 	/** Reads from a position, or everything where the records from there on are gone. */
@@ -185,15 +192,23 @@
 		}
 	}
 
+	async function readOnce(): Promise<boolean> {
+		if (host.getNow() < readableAt) {
+			return false;
+		}
+
+		const results = await Promise.all([readConfiguration(0), readRegistry()]);
+		return !results.includes(false);
+	}
+
 	return {
-		async readOnce() {
-			if (host.getNow() < readableAt) {
-				return false;
+		canRead: () => isReachable !== false,
+		async retry() {
+			if (isReachable === false && host.getNow() >= readableAt) {
+				await readRegistry();
 			}
-
-			const results = await Promise.all([readConfiguration(0), readRegistry()]);
-			return !results.includes(false);
 		},
+		readOnce,
 		async readWhile(shouldContinue) {
 			if (host.getNow() < readableAt) {
 				return;
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -45,10 +45,10 @@
 }
 
 function toMember({
-	name, incarnation, startedAt, failureDomain, region, callerAddress, peerAddress, isReady,
+	name, incarnation, startedAt, failureDomain, region, callerAddress, peerAddress, isReady, canRead,
 }: generated.Member): Member {
 	return {
-		name, incarnation, startedAt: Number(startedAt), failureDomain, region, callerAddress, peerAddress, isReady,
+		name, incarnation, startedAt: Number(startedAt), failureDomain, region, callerAddress, peerAddress, isReady, canRead,
 	};
 }
 
