--- a/src/decisions/routing/fresh-load.ts
+++ b/src/decisions/routing/fresh-load.ts
@@ -69,9 +69,9 @@
 /**
 Cost of another failure domain, as a share of the objective.
 
-The bytes of a request between failure domains cost as much as a third of the worth of a plain request.
+The bytes of a request between failure domains cost as much as a part of the worth of its answer.
 */
-const distanceObjectives = 0.3;
+const distanceObjectives = 0.15;
 /** Cost of a certain failure, in milliseconds. */
 const failureMilliseconds = 2000;
 
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -61,13 +61,13 @@
 };
 
 /** Upstreams of the own failure domain that are asked for a request. */
-const nearCount = 4;
+const nearCount = 5;
 /** Upstreams of other failure domains that are asked where the near ones can't keep the objective. */
 const farCount = 3;
 /** Upstreams that are asked at a time while requests are held; far ones only where there are fewer near ones. */
 const heldCount = 3;
 /** Share of the objective above which the expected time of the near upstreams is too long. */
-const longShare = 1;
+const longShare = 0.6;
 /** Time between two looks at what is held, in milliseconds. */
 const heldIntervalMilliseconds = 10;
 /** Looks after which upstreams that say they are unhealthy are used where no other answers, since such news can be wrong. */
