Join groups of entries that found each other apart

Change: who reads the store asks them every 2 s, and takes members that it did not know. Result: the test of three entries failed before.

--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -14,6 +14,8 @@
 	hear(member: types.Member, now: number): boolean;
 	/** Takes the list of the entry that is followed, in place of what an earlier list said. */
 	adopt(members: readonly types.Member[], now: number): void;
+	/** Takes members that were not known, from an entry that is not followed. */
+	introduce(members: readonly types.Member[], now: number): void;
 	/** The entry that is followed still has the same list. */
 	confirm(now: number): void;
 	/** Takes off who was not heard of. Returns their names. */
@@ -60,6 +62,13 @@
 				put(member, now, true);
 			}
 		},
+		introduce(members, now) {
+			for (const member of members) {
+				if (!others.has(member.name)) {
+					put(member, now, false);
+				}
+			}
+		},
 		confirm(now) {
 			for (const [name, heard] of others) {
 				if (heard.isFromList) {
--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -60,6 +60,14 @@
 	expect(list.list().map(({name}) => name)).toEqual(['b', 'c', 'self']);
 });
 
+test('an introduction brings unknown members and does not keep known ones alive', () => {
+	const list = createMemberList(() => createMember('self'));
+	list.hear(createMember('a'), 0);
+	list.introduce([createMember('a'), createMember('b')], silenceMilliseconds);
+	expect(list.list().map(({name}) => name)).toEqual(['a', 'b', 'self']);
+	expect(list.expire(silenceMilliseconds + 1)).toEqual(['a']);
+});
+
 test('callers get the ready entries near to them, or else all', () => {
 	const members = [createMember('a'), createMember('b', 0, {failureDomain: 'b'}), createMember('c', 0, {failureDomain: 'b', isReady: false})];
 	expect(chooseAddresses(members, {failureDomain: 'b', region: 'east'}, 64)).toEqual(['b:1']);
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -1,7 +1,9 @@
 import * as vitest from 'vitest';
 import type * as registry from '../decisions/registry/types.ts';
 import {createRandomSource} from '../decisions/random.ts';
-import {createSelector, type Selection, type SelectionRequest, type Selector} from './selection.ts';
+import {
+	createSelector, type Selection, type SelectionRequest, type Selector,
+} from './selection.ts';
 import {createUpstreams, type Upstreams} from './upstreams.ts';
 
 const {afterEach, expect, test} = vitest;
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -39,8 +39,8 @@
 const largestWaitMilliseconds = 5000;
 /** Pause after a failure, and between two looks at the age of news, in milliseconds. */
 const pauseMilliseconds = 50;
-/** Time between two requests to entries of the settings, in milliseconds, while this entry knows no other. */
-const seedIntervalMilliseconds = 1000;
+/** Time between two looks for other entries by the addresses of the settings, in milliseconds. */
+const seedIntervalMilliseconds = 2000;
 /** Time between two own reads while the followed entry has no fresh news, in milliseconds, and its bound while reads fail. */
 const ownReadMilliseconds = 500;
 const longestOwnReadMilliseconds = 2000;
@@ -80,6 +80,11 @@
 		}
 
 		toldRevision = news.membersRevision;
+		takePublished(news, origin);
+	}
+
+	function takePublished(news: codec.FollowNews, origin: string): void {
+		const knownAt = host.getNow() - news.ageMilliseconds;
 		if (news.configuration) {
 			knowledge.takeConfiguration(news.configuration, origin);
 		}
@@ -89,8 +94,8 @@
 		}
 
 		if (knowledge.getInForce()) {
-			knowledge.confirm('configuration', now - news.ageMilliseconds);
-			knowledge.confirm('registry', now - news.ageMilliseconds);
+			knowledge.confirm('configuration', knownAt);
+			knowledge.confirm('registry', knownAt);
 		}
 	}
 
@@ -178,9 +183,11 @@
 		}
 	}
 
+	/** Looks for other entries while none is known, and for others that read the store while this one does. */
 	async function watchSeeds(): Promise<void> {
 		while (!stopping.signal.aborted) {
-			if (members.list().length === 1) {
+			const isAlone = members.list().length === 1;
+			if (isAlone || getSource() === undefined) {
 				await Promise.all(host.getSeeds().filter(address => address !== host.getSelf().peerAddress).map(async address => askSeed(address)));
 			}
 
@@ -190,9 +197,12 @@
 
 	async function askSeed(address: string): Promise<void> {
 		const result = await client.follow(address, createQuestion(0), new AbortController().signal);
-		if (result.isOk()) {
-			takeNews(result.value, address);
+		if (result.isErr()) {
+			return;
 		}
+
+		members.introduce(result.value.members ?? [], host.getNow());
+		takePublished(result.value, address);
 	}
 
 	async function watchMembers(): Promise<void> {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -5,6 +5,7 @@
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
+import * as z from 'zod';
 import {createPlatform} from '../platform/create-platform.ts';
 import {decodePlatformSettings} from '../platform/settings.ts';
 import {createGateway, type Gateway} from '../src/gateway/create-gateway.ts';
@@ -15,6 +16,7 @@
 
 const {afterEach, beforeEach, expect, test} = vitest;
 const host = 'desk.example';
+const resolveAnswerSchema = z.object({addrs: z.array(z.string())});
 const cleanups: Array<() => Promise<void>> = [];
 let store: StoreStandIn;
 
@@ -77,8 +79,10 @@
 	return typeof address === 'object' && address ? address.port : 0;
 }
 
-async function startGateway(name: string, seeds: readonly string[] = []): Promise<RunningGateway> {
-	const [front, ready, control, directory] = await Promise.all([findPort(), findPort(), findPort(), findPort()]).then(ports => ports.map(port => `127.0.0.1:${port}`));
+async function startGateway(name: string, seeds: readonly string[] = [], peers?: string): Promise<RunningGateway> {
+	const ports = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
+	const [front, ready, freeControl, directory] = ports.map(port => `127.0.0.1:${port}`);
+	const control = peers ?? freeControl;
 	const settings = decodePlatformSettings({
 		node: name,
 		zone: 'riverside',
@@ -295,3 +299,25 @@
 	expect((await pending).status).toBe(200); // eslint-disable-line unicorn/no-await-expression-member
 	await stopped;
 });
+
+test('entries that found each other also find those that start later, and only one of all reads the store', async () => {
+	const upstream = await startUpstream('i-1');
+	store.put('keyed.op', 'config', createConfiguration(4));
+	register(upstream);
+	const seed = `127.0.0.1:${await findPort()}`;
+	const first = await startGateway('edge-1', [seed]);
+	const second = await startGateway('edge-2', [first.peers]);
+	const countAddresses = async ({directory}: RunningGateway) => {
+		const answer = await send(directory, '/api/resolve?name=desk.example&region=east&zone=riverside');
+		return answer.status === 200 ? resolveAnswerSchema.parse(JSON.parse(answer.body)).addrs.length : 0;
+	};
+
+	await waitUntil(async () => await countAddresses(first) === 2 && await countAddresses(second) === 2);
+	const third = await startGateway('edge-3', [], seed);
+	await waitUntil(async () => await countAddresses(third) === 3 && await countAddresses(second) === 3);
+	await timers.setTimeout(1000);
+	const before = store.countCalls();
+	await timers.setTimeout(3000);
+	// One reader makes at most two reads in each half second.
+	expect(store.countCalls() - before).toBeLessThanOrEqual(16);
+});
