--- a/src/decisions/sharing/source-choice.ts
+++ b/src/decisions/sharing/source-choice.ts
@@ -26,8 +26,6 @@
 	choose(members: readonly Candidate[], now: number): string | undefined;
 	/** The member did not answer, or its news were old. */
 	avoid(name: string, now: number): void;
-	/** The member is of use again. */
-	forgive(name: string): void;
 };
 
 /** Creates the choice of the member with the given name. */
@@ -44,9 +42,6 @@
 		avoid(name, now) {
 			avoidedUntil.set(name, now + avoidanceMilliseconds);
 		},
-		forgive(name) {
-			avoidedUntil.delete(name);
-		},
 	};
 }
 
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -21,14 +21,24 @@
 	},
 }));
 
+/** Names on the wire of the users' platform that say little; only platform/ may use them. */
+const wireHeaders = 'attempt-id|deadline-ms|target-instance|upstream-signature|not-executed|instance-id|upstream-load';
+const wireFields = 'ttlS|addrs|coldLeftMs|targetLatencyMs|maxConns|idleTimeoutMs|headerTimeoutMs|maxHeaderBytes|maxBodyBytes|waitMs|maxKb';
+const wireRules = [
+	{selector: `Literal[value=/^(${wireHeaders}|keyed\\..*|\\/api\\/.*)$/i]`, message: 'Names of the platform belong into platform/.'},
+	{selector: `Identifier[name=/^(${wireFields})$/]`, message: 'Fields of the platform belong into platform/.'},
+];
+
+const namespaceRule = {
+	selector: 'ImportDeclaration[source.value=/^node:(?!process$)/] > ImportDefaultSpecifier',
+	message: 'Import node modules as a namespace: import * as http from \'node:http\'.',
+};
+
 const config: FlatXoConfig = [
 	{ignores: ['src/generated/**', 'dist/**', 'output/**']},
 	{
 		rules: {
-			'no-restricted-syntax': ['error', {
-				selector: 'ImportDeclaration[source.value=/^node:(?!process$)/] > ImportDefaultSpecifier',
-				message: 'Import node modules as a namespace: import * as http from \'node:http\'.',
-			}],
+			'no-restricted-syntax': ['error', namespaceRule],
 			'unicorn/import-style': 'off',
 			'import-x/extensions': 'off',
 			'no-await-in-loop': 'off',
@@ -36,6 +46,10 @@
 		},
 	},
 	...layerRules,
+	{
+		files: ['src/**/*.ts'],
+		rules: {'no-restricted-syntax': ['error', namespaceRule, ...wireRules]},
+	},
 	{
 		files: ['src/decisions/**/*.ts'],
 		ignores: ['src/decisions/**/*.test.ts'],
