--- a/xo.config.ts
+++ b/xo.config.ts
@@ -25,7 +25,7 @@
 const wireHeaders = 'attempt-id|deadline-ms|target-instance|upstream-signature|not-executed|instance-id|upstream-load';
 const wireFields = 'ttlS|addrs|coldLeftMs|targetLatencyMs|maxConns|idleTimeoutMs|headerTimeoutMs|maxHeaderBytes|maxBodyBytes|waitMs|maxKb';
 const wireRules = [
-	{selector: `Literal[value=/^(${wireHeaders}|keyed\\..*|\\/api\\/.*)$/i]`, message: 'Names of the platform belong into platform/.'},
+	{selector: String.raw`Literal[value=/^(${wireHeaders}|keyed\..*|\/api\/.*)$/i]`, message: 'Names of the platform belong into platform/.'},
 	{selector: `Identifier[name=/^(${wireFields})$/]`, message: 'Fields of the platform belong into platform/.'},
 ];
 
