--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -2,10 +2,10 @@
 import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
-import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import * as z from 'zod';
+import {findFreePorts} from '../bench/faults/free-ports.ts';
 import {createPlatform} from '../platform/create-platform.ts';
 import {decodePlatformSettings} from '../platform/settings.ts';
 import {createGateway, type Gateway} from '../src/gateway/create-gateway.ts';
@@ -67,20 +67,8 @@
 
 type RunningGateway = {readonly gateway: Gateway; readonly front: string; readonly directory: string; readonly ready: string; readonly peers: string};
 
-async function findPort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const address = server.address();
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return typeof address === 'object' && address ? address.port : 0;
-}
-
 async function startGateway(name: string, seeds: readonly string[] = [], peers?: string): Promise<RunningGateway> {
-	const ports = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
+	const ports = await findFreePorts(4);
 	const [front, ready, freeControl, directory] = ports.map(port => `127.0.0.1:${port}`);
 	const control = peers ?? freeControl;
 	const settings = decodePlatformSettings({
@@ -304,7 +292,8 @@
 	const upstream = await startUpstream('i-1');
 	store.put('keyed.op', 'config', createConfiguration(4));
 	register(upstream);
-	const seed = `127.0.0.1:${await findPort()}`;
+	const [seedPort] = await findFreePorts(1);
+	const seed = `127.0.0.1:${seedPort}`;
 	const first = await startGateway('edge-1', [seed]);
 	const second = await startGateway('edge-2', [first.peers]);
 	const countAddresses = async ({directory}: RunningGateway) => {
