--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import {type AttemptEnd} from '../src/decisions/outcomes/resend-rule.ts';
 import {createHeaderHost} from '../platform/headers.ts';
@@ -64,12 +65,23 @@
 	};
 }
 
-async function attempt(upstream: Upstream, id: string): Promise<{end: AttemptEnd; answer: AttemptAnswer | undefined}> {
+async function untilTrue(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await timers.setTimeout(5);
+	}
+}
+
+/** Makes an attempt; `afterSending` runs once the request has been written. */
+async function attempt(upstream: Upstream, id: string, afterSending: () => Promise<void> = async () => undefined): Promise<{end: AttemptEnd; answer: AttemptAnswer | undefined}> {
 	return new Promise(resolve => {
 		createGatewayAttempt({headers: createHeaderHost(), getNow}, createRequest(id), {
 			kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
 		}, {
-			onSent: () => undefined,
+			onSent() {
+				setImmediate(() => {
+					void afterSending();
+				});
+			},
 			onEnd(end, answer) {
 				resolve({end, answer});
 			},
@@ -80,16 +92,17 @@
 const head = (id: string, rest: string) => `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nUpstream-Signature: s\r\n${rest}\r\n`;
 
 test('an answer without a length whose connection is reset is broken', async () => {
-	const upstream = await startUpstream(socket => {
-		setTimeout(() => {
-			socket.write(`${head('a', '')}half of`);
-		}, 50);
-		setTimeout(() => {
-			// Closing a socket with unread bytes resets the connection.
-			socket.destroy();
-		}, 100);
+	let socket: net.Socket | undefined;
+	const upstream = await startUpstream(opened => {
+		socket = opened;
 	}, true);
-	const {end} = await attempt(upstream, 'a');
+	const {end} = await attempt(upstream, 'a', async () => {
+		await untilTrue(() => socket !== undefined);
+		socket!.write(`${head('a', '')}half of`);
+		await timers.setTimeout(100);
+		// The request lies unread in the upstream; closing a socket with unread bytes resets the connection.
+		socket!.destroy();
+	});
 	expect(end).toEqual({kind: 'broken', reason: 'reset-within-answer'});
 });
 
