--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -6,6 +6,7 @@
 */
 import type * as net from 'node:net';
 import type * as undici from 'undici';
+import {splitAddress} from './address.ts';
 import * as undiciParts from './undici-parts.ts';
 
 export type ConnectionPoolOptions = {
@@ -57,7 +58,7 @@
 	const idle: Connection[] = [];
 	const waiters: Waiter[] = [];
 	const origin = `http://${options.address}`;
-	const [hostname, port] = splitAddress(options.address);
+	const {host: hostname, port} = splitAddress(options.address);
 	const connect = undiciParts.buildConnector({timeout: options.connectTimeoutMilliseconds, keepAlive: true, keepAliveInitialDelay: 1000});
 	let open = 0;
 	let opening = 0;
@@ -121,7 +122,7 @@
 	function openConnection(): void {
 		opening++;
 		connect({
-			hostname, host: options.address, protocol: 'http:', port,
+			hostname, host: options.address, protocol: 'http:', port: String(port),
 		}, (error, socket) => {
 			opening--;
 			if (error ?? isClosed) {
@@ -240,8 +241,3 @@
 		},
 	};
 }
-
-function splitAddress(address: string): [host: string, port: string] {
-	const index = address.lastIndexOf(':');
-	return [address.slice(0, index), address.slice(index + 1)];
-}
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -8,6 +8,7 @@
 import {createWorkLearner} from '../decisions/routing/work-learner.ts';
 import {staleMilliseconds} from '../decisions/sharing/source-choice.ts';
 import {type Member} from '../decisions/sharing/types.ts';
+import {splitAddress} from '../entry/address.ts';
 import {createLifeCycle} from '../entry/life-cycle.ts';
 import {type GatewayMetrics} from '../observability/gateway-metrics.ts';
 import {type Logger} from '../observability/logger.ts';
@@ -286,8 +287,3 @@
 		leave,
 	};
 }
-
-function splitAddress(address: string): {readonly host: string; readonly port: number} {
-	const index = address.lastIndexOf(':');
-	return {host: address.slice(0, index), port: Number(address.slice(index + 1))};
-}
