Measure the rate of departures over enough departures

Cause: the whole-path tests saw truthful refusals as deadline-unreachable beside load. The rate was measured in windows of 50 ms, in which a lane of long work with one departure in 100 ms mostly has none; a few empty windows brought the estimate down to its floor, a quarter of the rate, and calls behind 12 others were refused with ten seconds left. Ruled out by reading: deadlines (10 s), the time that a call needs, the queue's bound.

Change: a window lasts until 16 departures are due at the assumed rate, at least 50 ms as before and at most 2 s. Programs of the tests that end by themselves say so with the end of their log.

Result: the new property fails before (a queue of 2 s refused with a deadline of 10 s) and holds after, over 100 streams of departures.

--- a/src/decisions/admission/admission.test.ts
+++ b/src/decisions/admission/admission.test.ts
@@ -1,5 +1,6 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
+import {createRandomSource} from '../random.ts';
 import {createAdmission, resolveRetryAfter} from './admission.ts';
 
 const {expect, test} = vitest;
@@ -36,6 +37,27 @@
 	expect(admission.estimateWait(100, 2000)).toBeCloseTo(200, -1);
 });
 
+test('chance in a few slow departures doesn\'t refuse a call behind a queue of two seconds', () => {
+	const meanMilliseconds = 100;
+	const calls = 20;
+	const deadlineMilliseconds = 10_000;
+	const stepMilliseconds = 10;
+	fastCheck.assert(fastCheck.property(fastCheck.integer(), streamSeed => {
+		const random = createRandomSource(streamSeed);
+		const admission = createAdmission(waitShare, () => 1 / meanMilliseconds);
+		let refused = 0;
+		for (let now = 0; now < 10_000; now += stepMilliseconds) {
+			if (random.nextFraction() < stepMilliseconds / meanMilliseconds) {
+				admission.countDeparture(now);
+			}
+
+			refused += admission.isReachable(calls, meanMilliseconds, now + deadlineMilliseconds, now) ? 0 : 1;
+		}
+
+		expect(refused).toBe(0);
+	}), {seed});
+});
+
 test('a service without any rate refuses all but the first call', () => {
 	const admission = createAdmission(waitShare, () => 0);
 	expect(admission.isReachable(0, 10, 1000, 0)).toBe(true);
--- a/src/decisions/admission/admission.ts
+++ b/src/decisions/admission/admission.ts
@@ -4,8 +4,11 @@
 The wait is estimated from the calls ahead and the rate at which calls lately left the queue.
 */
 
-/** Time over which the rate of departures is measured, in milliseconds. */
-const windowMilliseconds = 50;
+/** Shortest and longest time over which the rate of departures is measured, in milliseconds. */
+const shortestWindowMilliseconds = 50;
+const longestWindowMilliseconds = 2000;
+/** Departures that a window should hold; with fewer, chance decides the rate more than the service does. */
+const departuresInWindow = 16;
 /** Weight of the last window. */
 const windowWeight = 0.4;
 const millisecondsPerSecond = 1000;
@@ -29,14 +32,19 @@
 	let departures = 0;
 	let rate: number | undefined;
 
+	function getWindow(): number {
+		return Math.min(longestWindowMilliseconds, Math.max(shortestWindowMilliseconds, departuresInWindow / getAssumedRate()));
+	}
+
 	function roll(now: number): void {
 		const age = now - windowStartedAt;
-		if (age < windowMilliseconds) {
+		const window = getWindow();
+		if (age < window) {
 			return;
 		}
 
 		// A window much longer than planned says that the queue was idle.
-		const isRecent = age < 4 * windowMilliseconds;
+		const isRecent = age < 4 * window;
 		const sample = departures / age;
 		rate = isRecent ? (sample * windowWeight) + ((rate ?? sample) * (1 - windowWeight)) : undefined;
 		windowStartedAt = now;
--- a/stand-ins/processes.ts
+++ b/stand-ins/processes.ts
@@ -17,6 +17,8 @@
 };
 
 const logLimitCharacters = 4_000_000;
+/** Characters of the error stream that are shown when a program ended by itself. */
+const shownCharacters = 4000;
 
 /** Starts `dist/NAME.mjs` and resolves when it prints its `ready` line. */
 export async function startProgram(name: string, ...programArguments: readonly string[]): Promise<RunningProgram> {
@@ -25,8 +27,13 @@
 	let log = '';
 	let output = '';
 	let isReady = false;
+	let isStopped = false;
 	const exited = new Promise<number | undefined>(resolve => {
-		child.once('exit', code => {
+		child.once('exit', (code, signal) => {
+			if (isReady && !isStopped) {
+				process.stderr.write(`${name} (process ${child.pid}) ended by itself with ${signal ?? code}:\n${log.slice(-shownCharacters)}\n`);
+			}
+
 			resolve(code ?? undefined);
 		});
 	});
@@ -61,6 +68,7 @@
 			child.kill(signal);
 		},
 		async stop(signal = 'SIGTERM') {
+			isStopped = true;
 			child.kill(signal);
 			return exited;
 		},
