Tell followers only which members changed

Each question and answer of a follower held the list of all members as the text of their revision (about 6 KB), 2.5 times a second and follower, and each change of one member sent all of them to all. Ruled out: requests (bodies of 20,000 requests are below 0.06 GB in all directions).

Change: a list numbers its changes; a follower is told those after the number that it knows. Changes are announced at most every 0.2 s, so that a start of all entries doesn't cost a round of answers for each of them. Members that serve and those with wide links are followed first, since one entry answers all others and some links are 20 times narrower.

--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -2,65 +2,126 @@
 Keeps the entries that run, as far as this entry knows.
 
 A member is known from its own requests, or from the list of the entry that is followed. One that is heard of by
-neither for `silenceMilliseconds` is taken off.
+neither for `silenceMilliseconds` is taken off. Each change has a number, so that a follower is told only what changed
+since the number that it knows.
 */
 import type * as types from './types.ts';
 
 /** A member that was not heard of for this long is taken off; several waits of a follower long. */
 export const silenceMilliseconds = 2500;
+/** Removals that are remembered for followers that lag; older ones get the whole list. */
+const rememberedRemovals = 256;
 
 export type MemberList = {
 	/** Takes what a member says of itself. Returns whether the list changed. */
 	hear(member: types.Member, now: number): boolean;
-	/** Takes the list of the entry that is followed, in place of what an earlier list said. */
-	adopt(members: readonly types.Member[], now: number): void;
+	/** Takes what changed in the list of the entry that is followed; a complete one replaces what an earlier list said. */
+	adopt(update: types.MemberUpdate, now: number): void;
 	/** Takes members that were not known, from an entry that is not followed. */
 	introduce(members: readonly types.Member[], now: number): void;
-	/** The entry that is followed still has the same list. */
-	confirm(now: number): void;
 	/** Takes off who was not heard of. Returns their names. */
 	expire(now: number): readonly string[];
 	/** Gets all members, this entry included, in the order of their names. */
 	list(): readonly types.Member[];
-	/** Text that differs whenever the list does. */
-	getRevision(): string;
+	/** Number of the latest change. */
+	getRevision(): number;
+	/** Gets what changed after a revision of this list; everything for a revision that is too old or -1. */
+	getUpdate(since: number): types.MemberUpdate;
 };
 
-type Heard = {readonly member: types.Member; readonly heardAt: number; readonly isFromList: boolean};
+type Heard = {readonly member: types.Member; readonly heardAt: number; readonly isFromList: boolean; readonly changedAt: number};
 
 /** Creates a list that holds this entry alone; `getSelf` gives its present state. */
 export function createMemberList(getSelf: () => types.Member): MemberList {
 	const others = new Map<string, Heard>();
+	/** Revisions of the latest removals by name, in the order of time. */
+	const removals = new Map<string, number>();
+	let revision = 0;
+	let self = getSelf();
+	let selfChangedAt = 0;
+	/** Followers at or after this revision can be told single changes. */
+	let changesSince = 0;
 
 	function put(member: types.Member, now: number, isFromList: boolean): boolean {
-		if (member.name === getSelf().name) {
+		if (member.name === self.name) {
 			return false;
 		}
 
-		const present = others.get(member.name)?.member;
-		if (present && present.startedAt > member.startedAt) {
+		const present = others.get(member.name);
+		if (present && present.member.startedAt > member.startedAt) {
 			return false;
 		}
 
-		others.set(member.name, {member, heardAt: now, isFromList});
-		return present?.incarnation !== member.incarnation || present.isReady !== member.isReady || present.canRead !== member.canRead;
+		const isSame = present !== undefined && isUnchanged(present.member, member);
+		others.set(member.name, {
+			member, heardAt: now, isFromList, changedAt: isSame ? present.changedAt : ++revision,
+		});
+		removals.delete(member.name);
+		return !isSame;
 	}
 
-	const list = () => [getSelf(), ...[...others.values()].map(({member}) => member)].toSorted((left, right) => left.name < right.name ? -1 : 1);
+	function remove(name: string): void {
+		others.delete(name);
+		removals.delete(name);
+		removals.set(name, ++revision);
+		for (const [oldest, at] of removals) {
+			if (removals.size <= rememberedRemovals) {
+				return;
+			}
+
+			removals.delete(oldest);
+			changesSince = Math.max(changesSince, at);
+		}
+	}
+
+	function refreshSelf(): void {
+		const next = getSelf();
+		if (!isUnchanged(self, next)) {
+			self = next;
+			selfChangedAt = ++revision;
+		}
+	}
+
+	/** The entry that is followed still has the members that came from its list. */
+	function confirm(now: number): void {
+		for (const [name, heard] of others) {
+			if (heard.isFromList) {
+				others.set(name, {...heard, heardAt: now});
+			}
+		}
+	}
+
+	function removeMissing(names: ReadonlySet<string>): void {
+		for (const [name, {isFromList}] of others) {
+			if (isFromList && !names.has(name)) {
+				remove(name);
+			}
+		}
+	}
+
+	function list(): readonly types.Member[] {
+		refreshSelf();
+		return [self, ...[...others.values()].map(({member}) => member)].toSorted((left, right) => left.name < right.name ? -1 : 1);
+	}
 
 	return {
 		hear: (member, now) => put(member, now, false),
-		adopt(members, now) {
-			const names = new Set(members.map(({name}) => name));
-			for (const [name, {isFromList}] of others) {
-				if (isFromList && !names.has(name)) {
-					others.delete(name);
+		adopt(update, now) {
+			if (update.isComplete) {
+				removeMissing(new Set(update.members.map(({name}) => name)));
+			}
+
+			for (const name of update.removed) {
+				if (others.get(name)?.isFromList) {
+					remove(name);
 				}
 			}
 
-			for (const member of members) {
+			for (const member of update.members) {
 				put(member, now, true);
 			}
+
+			confirm(now);
 		},
 		introduce(members, now) {
 			for (const member of members) {
@@ -69,28 +130,42 @@
 				}
 			}
 		},
-		confirm(now) {
-			for (const [name, heard] of others) {
-				if (heard.isFromList) {
-					others.set(name, {...heard, heardAt: now});
-				}
-			}
-		},
 		expire(now) {
 			const silent = [...others].filter(([, {heardAt}]) => heardAt + silenceMilliseconds < now).map(([name]) => name);
 			for (const name of silent) {
-				others.delete(name);
+				remove(name);
 			}
 
 			return silent;
 		},
 		list,
-		getRevision: () => list().map(({
-			name, incarnation, isReady, canRead,
-		}) => `${name}/${incarnation}/${Number(isReady)}${Number(canRead)}`).join(','),
+		getRevision() {
+			refreshSelf();
+			return revision;
+		},
+		getUpdate(since) {
+			refreshSelf();
+			if (since < changesSince) {
+				return {
+					revision, isComplete: true, members: list(), removed: [],
+				};
+			}
+
+			const changed = [...others.values()].filter(({changedAt}) => changedAt > since).map(({member}) => member);
+			return {
+				revision,
+				isComplete: false,
+				members: selfChangedAt > since ? [self, ...changed] : changed,
+				removed: [...removals].filter(([, at]) => at > since).map(([name]) => name),
+			};
+		},
 	};
 }
 
+function isUnchanged(present: types.Member, next: types.Member): boolean {
+	return present.incarnation === next.incarnation && present.isReady === next.isReady && present.canRead === next.canRead;
+}
+
 /**
 Chooses the addresses that a caller should use: ready entries of its own failure domain, else of its region, else all.
 
--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -1,3 +1,4 @@
+import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
 import {chooseAddresses, createMemberList, silenceMilliseconds} from './member-list.ts';
 import {avoidanceMilliseconds, createSourceChoice} from './source-choice.ts';
@@ -7,7 +8,7 @@
 
 function createMember(name: string, startedAt = 0, changes: Partial<Member> = {}): Member {
 	return {
-		name, incarnation: `${name}-${startedAt}`, startedAt, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, ...changes,
+		name, incarnation: `${name}-${startedAt}`, startedAt, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, linkMegabits: 1000, ...changes,
 	};
 }
 
@@ -54,12 +55,70 @@
 
 test('a list that was adopted drops members that a newer list no longer has', () => {
 	const list = createMemberList(() => createMember('self'));
-	list.adopt([createMember('a'), createMember('b')], 0);
+	list.adopt({
+		revision: 2, isComplete: true, members: [createMember('a'), createMember('b')], removed: [],
+	}, 0);
 	list.hear(createMember('c'), 0);
-	list.adopt([createMember('b')], 10);
+	list.adopt({
+		revision: 3, isComplete: true, members: [createMember('b')], removed: [],
+	}, 10);
 	expect(list.list().map(({name}) => name)).toEqual(['b', 'c', 'self']);
 });
 
+test('a follower that is told only changes has the same list, whatever happens and however rarely it asks', () => {
+	const step = fastCheck.record({
+		kind: fastCheck.constantFrom('hear', 'pass', 'follow'),
+		name: fastCheck.constantFrom('a', 'b', 'c', 'd'),
+		isReady: fastCheck.boolean(),
+		milliseconds: fastCheck.integer({min: 0, max: silenceMilliseconds}),
+	});
+	fastCheck.assert(fastCheck.property(fastCheck.array(step, {maxLength: 60}), steps => {
+		let isSourceReady = false;
+		const source = createMemberList(() => createMember('source', 0, {isReady: isSourceReady}));
+		const follower = createMemberList(() => createMember('follower'));
+		let now = 0;
+		let told = -1;
+		const follow = () => {
+			const update = source.getUpdate(told);
+			follower.adopt(update, now);
+			told = update.revision;
+		};
+
+		for (const {kind, name, isReady, milliseconds} of steps) {
+			now += kind === 'pass' ? milliseconds : 0;
+			source.expire(now);
+			if (kind === 'hear') {
+				source.hear(createMember(name, now, {isReady}), now);
+				isSourceReady = isReady;
+			} else if (kind === 'follow') {
+				follow();
+			}
+		}
+
+		follow();
+		expect(follower.list().filter(member => member.name !== 'follower')).toEqual(source.list());
+		expect(source.getUpdate(told).members).toEqual([]);
+	}), {seed: 20_269});
+});
+
+test('an update after a change holds just that change', () => {
+	const list = createMemberList(() => createMember('self'));
+	for (const name of ['a', 'b', 'c']) {
+		list.hear(createMember(name), 0);
+	}
+
+	const revision = list.getRevision();
+	list.hear(createMember('b', 0, {isReady: false}), 10);
+	expect(list.getUpdate(revision)).toMatchObject({isComplete: false, members: [{name: 'b', isReady: false}], removed: []});
+	expect(list.getUpdate(-1).members).toHaveLength(4);
+});
+
+test('members that serve are followed before others, and wide links before narrow ones', () => {
+	const members = [createMember('a', 1, {isReady: false}), createMember('b', 2, {linkMegabits: 10}), createMember('c', 3, {linkMegabits: 200})];
+	expect(createSourceChoice({name: 'a'}).choose(members, 0)).toBe('c');
+	expect(createSourceChoice({name: 'a'}).choose(members.slice(0, 2), 0)).toBe('b');
+});
+
 test('an introduction brings unknown members and does not keep known ones alive', () => {
 	const list = createMemberList(() => createMember('self'));
 	list.hear(createMember('a'), 0);
--- a/src/decisions/sharing/source-choice.ts
+++ b/src/decisions/sharing/source-choice.ts
@@ -1,10 +1,10 @@
 /**
 Decides where an entry gets news of the platform from: from another entry, or from the platform itself.
 
-All entries rank the members alike: those that can read the store before the others, and the longest-running first.
-Each follows the first one that answers with fresh news; the first of all has nobody to follow and reads the store for
-all. Whoever hears nothing fresh reads for
-itself, so no single reader can hold news back for longer than `staleMilliseconds`.
+All entries rank the members alike: those that can read the store before the others, then those that serve, those with
+the widest link and those that run for longest. Each follows the first one that answers with fresh news; the first of
+all has nobody to follow and reads the store for all. Whoever hears nothing fresh reads for itself, so no single reader
+can hold news back for longer than `staleMilliseconds`.
 */
 
 /** A member that could be followed. */
@@ -14,6 +14,10 @@
 	readonly startedAt: number;
 	/** Whether its latest read of the store was answered. */
 	readonly canRead: boolean;
+	/** Whether it serves; one that starts may not know anything yet, and one that leaves is gone soon. */
+	readonly isReady: boolean;
+	/** Bandwidth of its link, in megabits a second. */
+	readonly linkMegabits: number;
 };
 
 /** News older than this are fetched from the platform by the entry itself. */
@@ -47,5 +51,8 @@
 
 /** Orders members; names decide between those that started together. */
 export function compareCandidates(left: Candidate, right: Candidate): number {
-	return Number(right.canRead) - Number(left.canRead) || left.startedAt - right.startedAt || (left.name < right.name ? -1 : Number(left.name > right.name));
+	return Number(right.canRead) - Number(left.canRead)
+		|| Number(right.isReady) - Number(left.isReady)
+		|| right.linkMegabits - left.linkMegabits
+		|| left.startedAt - right.startedAt || (left.name < right.name ? -1 : Number(left.name > right.name));
 }
--- a/src/decisions/sharing/types.ts
+++ b/src/decisions/sharing/types.ts
@@ -17,4 +17,17 @@
 	readonly isReady: boolean;
 	/** Whether its latest read of the store was answered. */
 	readonly canRead: boolean;
+	/** Bandwidth of its link, in megabits a second. */
+	readonly linkMegabits: number;
+};
+
+/** What changed in the list of an entry since some revision of it. */
+export type MemberUpdate = {
+	/** Number of the latest change that is included; each incarnation counts by itself. */
+	readonly revision: number;
+	/** Whether `members` are all there are. */
+	readonly isComplete: boolean;
+	readonly members: readonly Member[];
+	/** Names of members that were taken off. */
+	readonly removed: readonly string[];
 };
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -89,6 +89,7 @@
 		peerAddress: settings.listen.peers,
 		isReady: lifeCycle.getState() === 'serving',
 		canRead: reader.canRead(),
+		linkMegabits: settings.linkMegabits,
 	});
 	const upstreams = createUpstreams({
 		getMaximumConnections: service => knowledge.getInForce()?.routes.getService(service)?.maximumConnections ?? defaultConnections,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -16,6 +16,7 @@
 		peers: address.describe('For other entries'),
 		directory: address.describe('For callers that ask where to connect'),
 	}),
+	linkMegabits: z.number().positive().describe('Bandwidth of the link of this instance, in megabits a second'),
 	seeds: z.array(z.string()).describe('Peer addresses of a few entries, which may be old'),
 	storeAddress: address.describe('Store of the platform'),
 	graceMilliseconds: z.number().positive().describe('Time from the signal to stop until the process must be gone'),
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -44,8 +44,14 @@
 /** Time between two own reads while the followed entry has no fresh news, in milliseconds, and its bound while reads fail. */
 const ownReadMilliseconds = 500;
 const longestOwnReadMilliseconds = 2000;
-/** Time between two looks for members that went silent, in milliseconds. */
-const expiryMilliseconds = 250;
+/**
+Time between two announcements of changed members, in milliseconds.
+
+When all entries start at once each of them changes the list; one by one these changes would cost an answer to each
+follower, and callers keep addresses for a second at least.
+*/
+const announceMilliseconds = 200;
+const nothingTold = {source: '', revision: -1};
 
 /** Creates the loop of an entry; call `start` to begin. */
 export function createSharingLoop(host: SharingLoopHost): SharingLoop {
@@ -56,8 +62,10 @@
 	const stopping = new AbortController();
 	let followAbort = new AbortController();
 	let source = '';
-	/** Revision of the members that the present source told last. */
-	let toldRevision = '';
+	/** List and revision of the members that the present source told last. */
+	let told = nothingTold;
+	/** Revision of the members that followers are told of at once. */
+	let announcedRevision = -1;
 
 	const getSource = () => choice.choose(members.list(), host.getNow());
 
@@ -66,20 +74,16 @@
 			follower: host.getSelf(),
 			configurationVersion: knowledge.getInForce()?.configuration.version ?? -1,
 			registryPosition: knowledge.registry.getPosition(),
-			membersRevision: toldRevision,
+			membersSource: told.source,
+			membersRevision: told.revision,
 			waitMilliseconds,
 		};
 	}
 
 	function takeNews(news: codec.FollowNews, origin: string): void {
 		const now = host.getNow();
-		if (news.members) {
-			members.adopt(news.members, now);
-		} else {
-			members.confirm(now);
-		}
-
-		toldRevision = news.membersRevision;
+		members.adopt(news.memberUpdate, now);
+		told = {source: news.membersSource, revision: news.memberUpdate.revision};
 		takePublished(news, origin);
 	}
 
@@ -105,7 +109,7 @@
 				source: next, previous: source || undefined, members: members.list().length, ageMilliseconds: Math.round(knowledge.getAge(host.getNow())),
 			});
 			source = next;
-			toldRevision = '';
+			told = nothingTold;
 		}
 	}
 
@@ -201,7 +205,7 @@
 			return;
 		}
 
-		members.introduce(result.value.members ?? [], host.getNow());
+		members.introduce(result.value.memberUpdate.members, host.getNow());
 		takePublished(result.value, address);
 	}
 
@@ -212,11 +216,17 @@
 				logger.warn('member-silent', {member: name});
 			}
 
-			if (silent.length > 0) {
-				knowledge.wake();
-			}
+			announceMembers();
+			await timers.setTimeout(announceMilliseconds);
+		}
+	}
 
-			await timers.setTimeout(expiryMilliseconds);
+	/** Lets waiting followers know that members have changed. */
+	function announceMembers(): void {
+		const revision = members.getRevision();
+		if (revision !== announcedRevision) {
+			announcedRevision = revision;
+			knowledge.wake();
 		}
 	}
 
@@ -230,7 +240,8 @@
 		const update = getRegistryUpdate(question.registryPosition);
 		return version > question.configurationVersion
 			|| (update !== undefined && (update.changes.length > 0 || update.isComplete))
-			|| members.getRevision() !== question.membersRevision;
+			|| question.membersSource !== self.incarnation
+			|| question.membersRevision < announcedRevision;
 	}
 
 	return {
@@ -245,7 +256,6 @@
 		async answer(question) {
 			if (members.hear(question.follower, host.getNow())) {
 				logger.info('member-heard', {member: question.follower.name, incarnation: question.follower.incarnation, isReady: question.follower.isReady});
-				knowledge.wake();
 			}
 
 			const endsAt = host.getNow() + Math.min(question.waitMilliseconds, largestWaitMilliseconds);
@@ -255,17 +265,16 @@
 
 			members.hear(question.follower, host.getNow());
 			const inForce = knowledge.getInForce();
-			const revision = members.getRevision();
 			return {
 				ageMilliseconds: Math.max(0, knowledge.getAge(host.getNow())),
 				configuration: inForce && inForce.configuration.version > question.configurationVersion ? inForce.configuration : undefined,
 				registryUpdate: getRegistryUpdate(question.registryPosition),
-				members: revision === question.membersRevision ? undefined : members.list(),
-				membersRevision: revision,
+				membersSource: self.incarnation,
+				memberUpdate: members.getUpdate(question.membersSource === self.incarnation ? question.membersRevision : -1),
 			};
 		},
 		announce() {
-			knowledge.wake();
+			announceMembers();
 			followAbort.abort();
 		},
 		stop() {
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -4,7 +4,7 @@
 import * as configuration from '../decisions/configuration/types.ts';
 import * as registry from '../decisions/registry/types.ts';
 import {type RegistryUpdate} from '../decisions/registry/upstream-registry.ts';
-import {type Member} from '../decisions/sharing/types.ts';
+import {type Member, type MemberUpdate} from '../decisions/sharing/types.ts';
 import * as generated from '../generated/sharing_pb.ts';
 
 /** What a follower knows, and who it is. */
@@ -14,7 +14,10 @@
 	readonly configurationVersion: number;
 	/** Position in the registry; -1 for none. */
 	readonly registryPosition: number;
-	readonly membersRevision: string;
+	/** Incarnation of the entry that numbered the revision; empty for none. */
+	readonly membersSource: string;
+	/** Revision of the members that the follower knows; -1 for none. */
+	readonly membersRevision: number;
 	readonly waitMilliseconds: number;
 };
 
@@ -23,9 +26,9 @@
 	readonly ageMilliseconds: number;
 	readonly configuration: configuration.Configuration | undefined;
 	readonly registryUpdate: RegistryUpdate | undefined;
-	/** All members; undefined where the follower's list is the same. */
-	readonly members: readonly Member[] | undefined;
-	readonly membersRevision: string;
+	/** Incarnation of the responder. */
+	readonly membersSource: string;
+	readonly memberUpdate: MemberUpdate;
 };
 
 const registryUpdateSchema = z.object({
@@ -45,10 +48,10 @@
 }
 
 function toMember({
-	name, incarnation, startedAt, failureDomain, region, callerAddress, peerAddress, isReady, canRead,
+	name, incarnation, startedAt, failureDomain, region, callerAddress, peerAddress, isReady, canRead, linkMegabits,
 }: generated.Member): Member {
 	return {
-		name, incarnation, startedAt: Number(startedAt), failureDomain, region, callerAddress, peerAddress, isReady, canRead,
+		name, incarnation, startedAt: Number(startedAt), failureDomain, region, callerAddress, peerAddress, isReady, canRead, linkMegabits,
 	};
 }
 
@@ -58,6 +61,7 @@
 		follower: toMemberMessage(question.follower),
 		configurationVersion: BigInt(question.configurationVersion),
 		registryPosition: BigInt(question.registryPosition),
+		membersRevision: BigInt(question.membersRevision),
 	});
 }
 
@@ -67,7 +71,8 @@
 		follower: toMember(message.follower),
 		configurationVersion: Number(message.configurationVersion),
 		registryPosition: Number(message.registryPosition),
-		membersRevision: message.membersRevision,
+		membersSource: message.membersSource,
+		membersRevision: Number(message.membersRevision),
 		waitMilliseconds: message.waitMilliseconds,
 	};
 }
@@ -77,8 +82,11 @@
 		ageMilliseconds: Math.round(Math.min(largestAge, news.ageMilliseconds)),
 		configuration: news.configuration === undefined ? '' : JSON.stringify(news.configuration),
 		registryUpdate: news.registryUpdate === undefined ? '' : JSON.stringify(news.registryUpdate),
-		members: news.members?.map(member => toMemberMessage(member)) ?? [],
-		membersRevision: news.membersRevision,
+		members: news.memberUpdate.members.map(member => toMemberMessage(member)),
+		membersSource: news.membersSource,
+		membersRevision: BigInt(news.memberUpdate.revision),
+		membersComplete: news.memberUpdate.isComplete,
+		removedMembers: [...news.memberUpdate.removed],
 	});
 }
 
@@ -88,7 +96,12 @@
 		ageMilliseconds: message.ageMilliseconds,
 		configuration: message.configuration === '' ? undefined : configuration.configurationSchema.parse(JSON.parse(message.configuration)),
 		registryUpdate: message.registryUpdate === '' ? undefined : registryUpdateSchema.parse(JSON.parse(message.registryUpdate)),
-		members: message.members.length === 0 ? undefined : message.members.map(member => toMember(member)),
-		membersRevision: message.membersRevision,
+		membersSource: message.membersSource,
+		memberUpdate: {
+			revision: Number(message.membersRevision),
+			isComplete: message.membersComplete,
+			members: message.members.map(member => toMember(member)),
+			removed: message.removedMembers,
+		},
 	};
 }
