Share the budget of load checks over the upstreams of a service

Change: an entry keeps to its part of what the upstreams of a service together may get, and to four equal parts for each of them.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -138,7 +138,7 @@
 		noteCheck(_upstream, result, milliseconds) {
 			metrics.recordCheck(result, milliseconds);
 		},
-		tryTakeCheck: (upstream, now) => checkBudget.tryTake(upstream.registration.id, countEntries(), now),
+		tryTakeCheck: ({registration: {id, service}}, now) => checkBudget.tryTake({id, service, serviceSize: upstreams.listUsable(service).length}, countEntries(), now),
 		noteReadout(service, tellsLoad) {
 			if (tellsLoad) {
 				silentServices.delete(service);
