Let the seeds read first where all entries start together

Change: at the first start of all, entries that are no seeds wait up to 2 s for the answer of a seed. After a loss of all processes each still reads for itself at once, as time counts there.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -124,6 +124,7 @@
 		client: createSharingClient(),
 		getSelf,
 		getSeeds: () => seeds,
+		isFirstStart: settings.isFirstStart,
 		getNow,
 	});
 	const countEntries = () => sharing.members.list().length;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -17,6 +17,7 @@
 		directory: address.describe('For callers that ask where to connect'),
 	}),
 	linkMegabits: z.number().positive().describe('Bandwidth of the link of this instance, in megabits a second'),
+	isFirstStart: z.boolean().describe('Whether all entries start for the first time, so that none of them knows anything'),
 	seeds: z.array(z.string()).describe('Peer addresses of a few entries, which may be old'),
 	storeAddress: address.describe('Store of the platform'),
 	graceMilliseconds: z.number().positive().describe('Time from the signal to stop until the process must be gone'),
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -15,6 +15,8 @@
 	readonly knowledge: Knowledge;
 	readonly reader: StoreReader;
 	readonly client: SharingClient;
+	/** Whether all entries start for the first time. */
+	readonly isFirstStart: boolean;
 	/** This entry as it is now. */
 	getSelf(): Member;
 	/** Peer addresses of a few entries, which may be old. */
@@ -41,6 +43,8 @@
 const pauseMilliseconds = 50;
 /** Time between two looks for other entries by the addresses of the settings, in milliseconds. */
 const seedIntervalMilliseconds = 2000;
+/** Time for which an entry waits for a seed when all start for the first time, in milliseconds; entries start within some 0.3 s. */
+const seedPatienceMilliseconds = 2000;
 /** Time between two own reads while the followed entry has no fresh news, in milliseconds, and its bound while reads fail. */
 const ownReadMilliseconds = 500;
 const longestOwnReadMilliseconds = 2000;
@@ -113,7 +117,20 @@
 		}
 	}
 
+	/** Lets the seeds read first where all entries start together, so that not each of them reads everything. */
+	async function waitForSeeds(): Promise<void> {
+		const endsAt = host.getNow() + seedPatienceMilliseconds;
+		if (!host.isFirstStart || host.getSeeds().includes(self.peerAddress)) {
+			return;
+		}
+
+		while (!stopping.signal.aborted && members.list().length === 1 && host.getNow() < endsAt) {
+			await timers.setTimeout(pauseMilliseconds);
+		}
+	}
+
 	async function follow(): Promise<void> {
+		await waitForSeeds();
 		while (!stopping.signal.aborted) {
 			const name = getSource();
 			if (name === undefined) {
