--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -66,6 +66,8 @@
 const lateMilliseconds = 60;
 /** Objectives until a caller that was refused should come back; a peak of demand is not over sooner. */
 const comeBackObjectives = 2;
+/** Time until a caller should come back that upstreams refused without being full, in milliseconds; a few ways to an upstream. */
+const comeBackSoonMilliseconds = 20;
 /** Status in reports of requests whose caller went away before the answer. */
 const callerLeftStatus = 499;
 
@@ -242,12 +244,17 @@
 		}
 
 		const statusCode = resendRule.getOwnStatus(getHistory(), reason);
-		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(route.objectiveMilliseconds * comeBackObjectives) : [];
+		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(getComeBackMilliseconds(reason)) : [];
 		finish({
 			statusCode, headers, body: new Uint8Array(), hasOwnEnd: true,
 		}, statusCode === 503 ? 'refused' : 'failed', reason);
 	}
 
+	/** Time after which a refused caller should come back: at once where upstreams refused although there is room. */
+	function getComeBackMilliseconds(reason: resendRule.GiveUpReason): number {
+		return reason === 'failed' && !host.selector.isCrowded(service) ? comeBackSoonMilliseconds : route.objectiveMilliseconds * comeBackObjectives;
+	}
+
 	function finish(answer: GatewayAnswer, outcome: CallReport['outcome'], reason: string): void {
 		stop();
 		target.answer(answer);
