Draw upstreams without looking at all of them

Now those near and far are kept apart when the registry changes, and a draw looks at as many as it takes.

--- a/src/decisions/routing/fresh-load.test.ts
+++ b/src/decisions/routing/fresh-load.test.ts
@@ -1,6 +1,6 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
-import {createRandomSource} from '../random.ts';
+import {createRandomSource, type RandomSource} from '../random.ts';
 import {
 	chooseUpstream, drawCandidates, estimate, getCapacity, type UpstreamState, type WorkEstimate,
 } from './fresh-load.ts';
@@ -55,10 +55,11 @@
 });
 
 test('failing upstreams are drawn only where the others do not suffice', () => {
-	const states = [createState('bad', {failureShare: 0.9}), createState('a'), createState('b'), createState('far', {isNear: false})];
+	const states = [createState('bad', {failureShare: 0.9}), createState('a'), createState('b')];
+	const draw = (count: number, random: RandomSource) => drawCandidates(states, count, ({failureShare}) => failureShare, random);
 	for (let round = 0; round < 50; round++) {
 		const random = createRandomSource(seed + round);
-		expect(drawCandidates(states, true, 2, random).map(({id}) => id).toSorted((left, right) => left.localeCompare(right))).toEqual(['a', 'b']);
-		expect(drawCandidates(states, true, 3, random).length).toBe(3);
+		expect(draw(2, random).map(({id}) => id).toSorted((left, right) => left.localeCompare(right))).toEqual(['a', 'b']);
+		expect(draw(3, random).map(({id}) => id).at(-1)).toBe('bad');
 	}
 });
--- a/src/decisions/routing/fresh-load.ts
+++ b/src/decisions/routing/fresh-load.ts
@@ -127,20 +127,22 @@
 /** Failing upstreams are asked only where the others don't suffice. */
 const largestFailureShare = 0.3;
 
-/** Draws upstreams to ask, of the own failure domain or of the others; failing ones come last. */
-export function drawCandidates(states: readonly UpstreamState[], isNear: boolean, count: number, random: RandomSource): readonly UpstreamState[] {
-	const shuffled = shuffle(states.filter(state => state.isNear === isNear), random);
-	const sound = shuffled.filter(({failureShare}) => failureShare <= largestFailureShare);
-	const failing = shuffled.filter(({failureShare}) => failureShare > largestFailureShare);
-	return [...sound, ...failing].slice(0, count);
-}
-
-function shuffle<Item>(items: readonly Item[], random: RandomSource): Item[] {
-	const shuffled = [...items];
-	for (let index = shuffled.length - 1; index > 0; index--) {
-		const other = random.nextInteger(index + 1);
-		[shuffled[index], shuffled[other]] = [shuffled[other]!, shuffled[index]!];
+/** Draws some of the candidates at random; failing ones come last. */
+export function drawCandidates<Candidate>(candidates: readonly Candidate[], count: number, getFailureShare: (candidate: Candidate) => number, random: RandomSource): readonly Candidate[] {
+	const left = [...candidates];
+	const sound: Candidate[] = [];
+	const failing: Candidate[] = [];
+	while (left.length > 0 && sound.length < count) {
+		const index = random.nextInteger(left.length);
+		const candidate = left[index]!;
+		left[index] = left.at(-1)!;
+		left.pop();
+		if (getFailureShare(candidate) > largestFailureShare) {
+			failing.push(candidate);
+		} else {
+			sound.push(candidate);
+		}
 	}
 
-	return shuffled;
+	return [...sound, ...failing].slice(0, count);
 }
--- a/src/decisions/routing/upstream-record.ts
+++ b/src/decisions/routing/upstream-record.ts
@@ -11,6 +11,8 @@
 	noteUnreachable(now: number): void;
 	/** An attempt ended without saying anything of the upstream. */
 	noteEnded(): void;
+	/** Share of the latest attempts that failed, 0 to 1. */
+	getFailureShare(now: number): number;
 	getState(now: number): Pick<freshLoad.UpstreamState, 'reading' | 'sentSinceReading' | 'inFlight' | 'failureShare' | 'slowness'>;
 };
 
@@ -74,6 +76,7 @@
 		noteEnded() {
 			inFlight--;
 		},
+		getFailureShare,
 		getState(now) {
 			const isFresh = reading !== undefined && now - reading.readAt <= longestReadingMilliseconds;
 			return {
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -99,11 +99,11 @@
 
 	function draw(service: string, isNear: boolean, count: number, tried: ReadonlySet<string>): readonly Upstream[] {
 		const now = host.getNow();
-		const usable = host.upstreams.listUsable(service);
-		const untried = usable.filter(({registration}) => !tried.has(registration.id));
-		const byId = new Map((untried.length > 0 ? untried : usable).map(upstream => [upstream.registration.id, upstream]));
-		const states = [...byId.values()].map(upstream => host.upstreams.getState(upstream, now));
-		return freshLoad.drawCandidates(states, isNear, count, host.random).map(({id}) => byId.get(id)!);
+		const isUntried = ({registration}: Upstream) => !tried.has(registration.id);
+		const mayRepeat = tried.size > 0 && !host.upstreams.listUsable(service).some(upstream => isUntried(upstream));
+		const candidates = host.upstreams.listByDistance(service, isNear);
+		const allowed = tried.size === 0 || mayRepeat ? candidates : candidates.filter(upstream => isUntried(upstream));
+		return freshLoad.drawCandidates(allowed, count, ({record}) => record.getFailureShare(now), host.random);
 	}
 
 	function start(pending: Pending): void {
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -27,6 +27,8 @@
 	update(registrations: readonly registry.Registration[]): void;
 	/** Gets the upstreams of a service that may get new requests. */
 	listUsable(service: string): readonly Upstream[];
+	/** Gets those of them in the failure domain of this entry, or the others. */
+	listByDistance(service: string, isNear: boolean): readonly Upstream[];
 	/** Whether an upstream may still get new requests. */
 	isUsable(upstream: Upstream): boolean;
 	getState(upstream: Upstream, now: number): freshLoad.UpstreamState;
@@ -43,10 +45,14 @@
 /** Time after which an idle connection is closed, in milliseconds; below the 10 s of the users' upstreams. */
 const idleMilliseconds = 8000;
 
+/** Usable upstreams of a service. */
+type ServiceUpstreams = {readonly all: Upstream[]; readonly near: Upstream[]; readonly far: Upstream[]};
+const noUpstreams: ServiceUpstreams = {all: [], near: [], far: []};
+
 /** Creates the set of upstreams for an entry of a failure domain. */
 export function createUpstreams(host: UpstreamsHost, failureDomain: string): Upstreams {
 	const upstreams = new Map<string, Upstream>();
-	const services = new Map<string, Upstream[]>();
+	const services = new Map<string, ServiceUpstreams>();
 	const retired = new Map<string, number>();
 
 	function create(registration: registry.Registration): Upstream {
@@ -81,13 +87,20 @@
 		upstreams.set(registration.id, create(registration));
 	}
 
+	const isNear = ({registration}: Upstream) => registration.failureDomain === failureDomain;
+
 	function index(): void {
 		services.clear();
 		for (const upstream of upstreams.values()) {
 			const {id, service, state, incarnation} = upstream.registration;
-			if (state === 'ready' && retired.get(id) !== incarnation) {
-				services.set(service, [...services.get(service) ?? [], upstream]);
+			if (state !== 'ready' || retired.get(id) === incarnation) {
+				continue;
 			}
+
+			const usable = services.get(service) ?? {all: [], near: [], far: []};
+			services.set(service, usable);
+			usable.all.push(upstream);
+			usable[isNear(upstream) ? 'near' : 'far'].push(upstream);
 		}
 	}
 
@@ -108,8 +121,12 @@
 
 			index();
 		},
-		listUsable: service => services.get(service) ?? [],
-		isUsable: ({registration: {id, service, incarnation}}) => (services.get(service) ?? []).some(({registration}) => registration.id === id && registration.incarnation === incarnation),
+		listUsable: service => (services.get(service) ?? noUpstreams).all,
+		listByDistance: (service, isNearWanted) => (services.get(service) ?? noUpstreams)[isNearWanted ? 'near' : 'far'],
+		isUsable({registration: {id, service, incarnation}}) {
+			const present = upstreams.get(id)?.registration;
+			return present?.state === 'ready' && present.service === service && present.incarnation === incarnation && retired.get(id) !== incarnation;
+		},
 		getState: ({registration, record, warmUntil}, now) => ({
 			id: registration.id,
 			isNear: registration.failureDomain === failureDomain,
