--- a/bench/faults/processes.ts
+++ b/bench/faults/processes.ts
@@ -10,7 +10,7 @@
 	readonly readyLine: string;
 	/** Ends with the process; the exit code is null after a signal. */
 	readonly exited: Promise<number | undefined>;
-	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void;
+	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void;
 };
 
 export type ChildOptions = {
