--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -166,7 +166,7 @@
 }
 
 /** Whether an orderly stop, and nothing else, ended the connection of a request. */
-function isCutByStop({status, hasLeft, error, gateway: _gateway, sentAt, endedAt}: Seen, gateway: SoakGateway | undefined): boolean {
+function isCutByStop({status, hasLeft, error, sentAt, endedAt}: Seen, gateway: SoakGateway | undefined): boolean {
 	if (status !== 0 || hasLeft || error === 'ECONNREFUSED' || gateway === undefined) {
 		return false;
 	}
--- a/src/decisions/measurement/check-budget.ts
+++ b/src/decisions/measurement/check-budget.ts
@@ -12,9 +12,12 @@
 	readonly serviceSize: number;
 };
 
+/** What a check is for: a request that has just come, or requests that are held until there is room. */
+export type CheckPurpose = 'choice' | 'held';
+
 export type CheckBudget = {
 	/** Takes one check of an upstream if the budget allows it; `entries` is the number of entries that run. */
-	tryTake(upstream: CheckedUpstream, entries: number, now: number): boolean;
+	tryTake(upstream: CheckedUpstream, purpose: CheckPurpose, entries: number, now: number): boolean;
 };
 
 /** Part of the bound that is used; the rest covers entries that count each other differently. */
@@ -23,9 +26,15 @@
 const concentration = 4;
 /** Checks that are saved up, as a time at the full rate, in milliseconds. */
 const savedMilliseconds = 2000;
+/** Share of what can be saved up that checks for held requests leave to requests that come; those would be held without it. */
+const reservedShare = 0.5;
 const millisecondsPerSecond = 1000;
 
-type Bucket = {tokens: number; at: number};
+type Bucket = {tokens: number; at: number; capacity: number};
+
+function getNeeded({capacity}: Bucket, purpose: CheckPurpose): number {
+	return purpose === 'held' ? Math.min(capacity, 1 + (reservedShare * capacity)) : 1;
+}
 
 /** Creates the budget for a bound in checks per second and upstream. */
 export function createCheckBudget(checksPerSecond: number): CheckBudget {
@@ -34,19 +43,20 @@
 
 	function fill(buckets: Map<string, Bucket>, key: string, perMillisecond: number, now: number): Bucket {
 		const capacity = Math.max(1, perMillisecond * savedMilliseconds);
-		const bucket = buckets.get(key) ?? {tokens: capacity, at: now};
+		const bucket = buckets.get(key) ?? {tokens: capacity, at: now, capacity};
 		buckets.set(key, bucket);
+		bucket.capacity = capacity;
 		bucket.tokens = Math.min(capacity, bucket.tokens + ((now - bucket.at) * perMillisecond));
 		bucket.at = now;
 		return bucket;
 	}
 
 	return {
-		tryTake({id, service, serviceSize}, entries, now) {
+		tryTake({id, service, serviceSize}, purpose, entries, now) {
 			const perMillisecond = usedShare * checksPerSecond / Math.max(1, entries) / millisecondsPerSecond;
 			const own = fill(upstreams, id, Math.min(usedShare * checksPerSecond / millisecondsPerSecond, concentration * perMillisecond), now);
 			const shared = fill(services, service, Math.max(1, serviceSize) * perMillisecond, now);
-			if (own.tokens < 1 || shared.tokens < 1) {
+			if (own.tokens < getNeeded(own, purpose) || shared.tokens < getNeeded(shared, purpose)) {
 				return false;
 			}
 
--- a/src/gateway/ask-upstreams.ts
+++ b/src/gateway/ask-upstreams.ts
@@ -1,4 +1,5 @@
 /** Asks some upstreams for their load at the same time and gathers what they say. */
+import {type CheckPurpose} from '../decisions/measurement/check-budget.ts';
 import {
 	type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck,
 } from './load-check.ts';
@@ -10,13 +11,20 @@
 export type AskHost = LoadCheckHost & {
 	readonly upstreams: Upstreams;
 	/** Takes one load check of an upstream from the budget, if it allows that. */
-	tryTakeCheck(upstream: Upstream, now: number): boolean;
+	tryTakeCheck(upstream: Upstream, purpose: CheckPurpose, now: number): boolean;
 	/** Takes note whether a service's upstreams tell their load. */
 	noteReadout(service: string, tellsLoad: boolean): void;
 	/** Whether upstreams of the service tell their load; assumed until an answer shows otherwise. */
 	tellsLoad(service: string): boolean;
 };
 
+/** Upstreams of one service, and what they are asked for. */
+export type AskedUpstreams = {
+	readonly service: string;
+	readonly upstreams: readonly Upstream[];
+	readonly purpose: CheckPurpose;
+};
+
 /** Wait for the answers, in milliseconds; ten times the way to another failure domain and back. */
 const waitMilliseconds = 25;
 /** Wait for more answers after one that promises no delay, in milliseconds. */
@@ -27,7 +35,7 @@
 const usualPace = 1;
 
 /** Asks; the listener is called once unless the returned function gives the answers up. `onCancel` is called then. */
-export function askUpstreams(host: AskHost, service: string, upstreams: readonly Upstream[], listener: (results: AskResults, checks: number) => void, onCancel: () => void = () => undefined): () => void {
+export function askUpstreams(host: AskHost, {service, upstreams, purpose}: AskedUpstreams, listener: (results: AskResults, checks: number) => void, onCancel: () => void = () => undefined): () => void {
 	const results = new Map<Upstream, CheckResult | undefined>();
 	const running = new Map<Upstream, LoadCheck>();
 	let checks = 0;
@@ -53,7 +61,7 @@
 		const now = host.getNow();
 		const {reading} = upstream.record.getState(now);
 		const isFresh = reading !== undefined && now - reading.readAt <= freshMilliseconds;
-		if (isFresh || !host.tellsLoad(service) || !host.tryTakeCheck(upstream, now)) {
+		if (isFresh || !host.tellsLoad(service) || !host.tryTakeCheck(upstream, purpose, now)) {
 			results.set(upstream, undefined);
 			return;
 		}
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -140,7 +140,7 @@
 		noteCheck(_upstream, result, milliseconds) {
 			metrics.recordCheck(result, milliseconds);
 		},
-		tryTakeCheck: ({registration: {id, service}}, now) => checkBudget.tryTake({id, service, serviceSize: upstreams.listUsable(service).length}, countEntries(), now),
+		tryTakeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryTake({id, service, serviceSize: upstreams.listUsable(service).length}, purpose, countEntries(), now),
 		noteReadout(service, tellsLoad) {
 			if (tellsLoad) {
 				silentServices.delete(service);
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -109,7 +109,7 @@
 	function start(pending: Pending): void {
 		const {service, tried} = pending.request;
 		const near = draw(service, true, nearCount, tried);
-		pending.cancelAsking = askUpstreams(host, service, near, (results, checks) => {
+		pending.cancelAsking = askUpstreams(host, {service, upstreams: near, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const best = choose(pending, results);
 			if (best && best.expectedMilliseconds <= longShare * pending.request.work.objectiveMilliseconds) {
@@ -123,7 +123,7 @@
 	function goFar(pending: Pending, near: AskResults): void {
 		const {service, tried} = pending.request;
 		const far = draw(service, false, farCount, tried);
-		pending.cancelAsking = askUpstreams(host, service, far, (results, checks) => {
+		pending.cancelAsking = askUpstreams(host, {service, upstreams: far, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const all: AskResults = new Map([...near, ...results]);
 			const best = choose(pending, all);
@@ -209,7 +209,7 @@
 		const nobody = new Set<string>();
 		const near = draw(service, true, heldCount, nobody);
 		const far = draw(service, false, heldCount - near.length, nobody);
-		askUpstreams(host, service, [...near, ...far], results => {
+		askUpstreams(host, {service, upstreams: [...near, ...far], purpose: 'held'}, results => {
 			for (const [upstream, result] of results) {
 				const isUsable = result ? result.kind === 'healthy' || (result.kind === 'unhealthy' && count >= trustedLooks) : isUsableUnasked(upstream);
 				const connection = result?.kind === 'healthy' ? result.connection : undefined;
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -1,7 +1,7 @@
-import * as net from 'node:net';
 import * as undici from 'undici';
 import * as vitest from 'vitest';
 import * as z from 'zod';
+import {findFreePorts} from '../bench/faults/free-ports.ts';
 import {type Row, rowSchema} from '../src/decisions/table/rows.ts';
 import {createFaultProxy, type FaultProxy} from '../stand-ins/fault-proxy.ts';
 import {
@@ -187,8 +187,8 @@
 				return `${log.host}:${log.port}`;
 			},
 			async createEntrySettings() {
-				const peerPort = await getFreePort();
-				const proxy = await createFaultProxy({targetHost: '127.0.0.1', targetPort: peerPort});
+				const [peerPort] = await findFreePorts(1);
+				const proxy = await createFaultProxy({targetHost: '127.0.0.1', targetPort: peerPort!});
 				proxies.push(proxy);
 				return {listen: {callerPort: 0, peerPort, announcedPeerPort: proxy.port}};
 			},
@@ -227,15 +227,3 @@
 		await waitForAll(fleet.entries, status => countLive(status) === 4);
 	});
 });
-
-async function getFreePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const address = server.address();
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return typeof address === 'object' && address ? address.port : 0;
-}
