Keep members that are listed and ask by themselves

A member of the list that asked once by itself, as the reader asks a seed, was no longer held by the list and went silent 2.5 s later; since only changes are told no later list brought it back. Before, each change of any member did.

Change: the time of a member's own request and of its place in the list are kept apart; either holds it. Both tests fail before.

--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -31,11 +31,19 @@
 	getUpdate(since: number): types.MemberUpdate;
 };
 
-type Heard = {readonly member: types.Member; readonly heardAt: number; readonly isFromList: boolean; readonly changedAt: number};
+type Known = {
+	readonly member: types.Member;
+	/** Time of its latest own request; minus infinity for none. */
+	readonly heardAt: number;
+	/** Time at which the list of the entry that is followed had it last; minus infinity where it doesn't. */
+	readonly listedAt: number;
+	/** Revision of its latest change. */
+	readonly changedAt: number;
+};
 
 /** Creates a list that holds this entry alone; `getSelf` gives its present state. */
 export function createMemberList(getSelf: () => types.Member): MemberList {
-	const others = new Map<string, Heard>();
+	const others = new Map<string, Known>();
 	/** Revisions of the latest removals by name, in the order of time. */
 	const removals = new Map<string, number>();
 	let revision = 0;
@@ -44,7 +52,7 @@
 	/** Followers at or after this revision can be told single changes. */
 	let changesSince = 0;
 
-	function put(member: types.Member, now: number, isFromList: boolean): boolean {
+	function put(member: types.Member, times: Partial<Pick<Known, 'heardAt' | 'listedAt'>>): boolean {
 		if (member.name === self.name) {
 			return false;
 		}
@@ -56,7 +64,7 @@
 
 		const isSame = present !== undefined && isUnchanged(present.member, member);
 		others.set(member.name, {
-			member, heardAt: now, isFromList, changedAt: isSame ? present.changedAt : ++revision,
+			heardAt: Number.NEGATIVE_INFINITY, listedAt: Number.NEGATIVE_INFINITY, ...present, ...times, member, changedAt: isSame ? present.changedAt : ++revision,
 		});
 		removals.delete(member.name);
 		return !isSame;
@@ -86,18 +94,24 @@
 
 	/** The entry that is followed still has the members that came from its list. */
 	function confirm(now: number): void {
-		for (const [name, heard] of others) {
-			if (heard.isFromList) {
-				others.set(name, {...heard, heardAt: now});
+		for (const [name, known] of others) {
+			if (isListed(known)) {
+				others.set(name, {...known, listedAt: now});
 			}
 		}
 	}
 
-	function removeMissing(names: ReadonlySet<string>): void {
-		for (const [name, {isFromList}] of others) {
-			if (isFromList && !names.has(name)) {
-				remove(name);
-			}
+	/** The list no longer has a member; it stays known where it asked by itself lately. */
+	function unlist(name: string, now: number): void {
+		const known = others.get(name);
+		if (!known || !isListed(known)) {
+			return;
+		}
+
+		if (known.heardAt + silenceMilliseconds < now) {
+			remove(name);
+		} else {
+			others.set(name, {...known, listedAt: Number.NEGATIVE_INFINITY});
 		}
 	}
 
@@ -107,20 +121,16 @@
 	}
 
 	return {
-		hear: (member, now) => put(member, now, false),
+		hear: (member, now) => put(member, {heardAt: now}),
 		adopt(update, now) {
-			if (update.isComplete) {
-				removeMissing(new Set(update.members.map(({name}) => name)));
-			}
-
-			for (const name of update.removed) {
-				if (others.get(name)?.isFromList) {
-					remove(name);
-				}
+			const present = new Set(update.members.map(({name}) => name));
+			const gone = update.isComplete ? [...others.keys()].filter(name => !present.has(name)) : update.removed;
+			for (const name of gone) {
+				unlist(name, now);
 			}
 
 			for (const member of update.members) {
-				put(member, now, true);
+				put(member, {listedAt: now});
 			}
 
 			confirm(now);
@@ -128,12 +138,12 @@
 		introduce(members, now) {
 			for (const member of members) {
 				if (!others.has(member.name)) {
-					put(member, now, false);
+					put(member, {heardAt: now});
 				}
 			}
 		},
 		expire(now) {
-			const silent = [...others].filter(([, {heardAt}]) => heardAt + silenceMilliseconds < now).map(([name]) => name);
+			const silent = [...others].filter(([, {heardAt, listedAt}]) => Math.max(heardAt, listedAt) + silenceMilliseconds < now).map(([name]) => name);
 			for (const name of silent) {
 				remove(name);
 			}
@@ -165,6 +175,8 @@
 	};
 }
 
+const isListed = ({listedAt}: Known) => listedAt !== Number.NEGATIVE_INFINITY;
+
 function isUnchanged(present: types.Member, next: types.Member): boolean {
 	return present.incarnation === next.incarnation && present.isReady === next.isReady && present.canRead === next.canRead;
 }
--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -101,6 +101,35 @@
 	}), {seed: 20_269});
 });
 
+test('a member of the list that asks once by itself stays known as long as it is listed', () => {
+	const source = createMemberList(() => createMember('source'));
+	const follower = createMemberList(() => createMember('follower'));
+	follower.adopt(source.getUpdate(-1), 0);
+	follower.hear(createMember('source'), 100);
+	for (let now = 400; now <= 3 * silenceMilliseconds; now += 400) {
+		follower.adopt(source.getUpdate(source.getRevision()), now);
+		expect(follower.expire(now)).toEqual([]);
+	}
+
+	follower.adopt({
+		revision: 1, isComplete: true, members: [], removed: [],
+	}, 3 * silenceMilliseconds);
+	expect(follower.list().map(({name}) => name)).toEqual(['follower']);
+});
+
+test('a member that asked lately stays known when the list no longer has it', () => {
+	const follower = createMemberList(() => createMember('follower'));
+	follower.adopt({
+		revision: 1, isComplete: true, members: [createMember('a')], removed: [],
+	}, 0);
+	follower.hear(createMember('a'), 1000);
+	follower.adopt({
+		revision: 2, isComplete: false, members: [], removed: ['a'],
+	}, 1100);
+	expect(follower.list().map(({name}) => name)).toEqual(['a', 'follower']);
+	expect(follower.expire(1001 + silenceMilliseconds)).toEqual(['a']);
+});
+
 test('an update after a change holds just that change', () => {
 	const list = createMemberList(() => createMember('self'));
 	for (const name of ['a', 'b', 'c']) {
