--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -20,8 +20,6 @@
 	readonly status: number;
 	/** Code of the error of the connection; empty for none. */
 	readonly error: string;
-	/** Whether the connection was used before. */
-	readonly isKept: boolean;
 	/** Whether the caller left by itself. */
 	readonly hasLeft: boolean;
 	readonly signature: string;
@@ -96,8 +94,9 @@
 			const finish = (end: Pick<Seen, 'status' | 'error' | 'signature' | 'body'>) => {
 				clearTimeout(timer);
 				clearTimeout(leaveTimer);
+				const digest = crypto.createHash('sha256').update(body).digest('hex');
 				resolve({
-					id, gateway: address, route, method, path, digest: crypto.createHash('sha256').update(body).digest('hex'), sentAt, endedAt: performance.now(), isKept: request.reusedSocket, hasLeft, ...end,
+					id, gateway: address, route, method, path, digest, sentAt, endedAt: performance.now(), hasLeft, ...end,
 				});
 			};
 
--- a/bench/soak/gateways.ts
+++ b/bench/soak/gateways.ts
@@ -1,4 +1,5 @@
 /** The gateways of a soak: real processes, each on a loopback address of its own, whose way to the store passes a proxy. */
+import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 import * as faultProxy from '../../stand-ins/fault-proxy.ts';
@@ -30,7 +31,6 @@
 };
 
 export type SoakGatewaysOptions = {
-	readonly seed: number;
 	readonly count: number;
 	readonly failureDomains: readonly string[];
 	readonly storeAddress: string;
@@ -43,10 +43,16 @@
 	front: 8144, ready: 8140, control: 8146, directory: 8143,
 } as const;
 const seedCount = 3;
+/** Networks of the loopback range that the gateways of a run share; each has room for 254 of them. */
+const firstNetwork = 64;
+const lastNetwork = 192;
+const largestOctet = 255;
 
 /** Starts the gateways; resolves when all have written their first line. */
 export async function startGateways(options: SoakGatewaysOptions): Promise<readonly SoakGateway[]> {
-	const hosts = Array.from({length: options.count}, (_value, index) => `127.${64 + (options.seed % 128)}.${Math.floor(index / 200)}.${1 + (index % 200)}`);
+	// Drawn anew for each run, since gateways of a run that was killed may still hold theirs.
+	const network = `127.${crypto.randomInt(firstNetwork, lastNetwork)}.${crypto.randomInt(largestOctet)}`;
+	const hosts = Array.from({length: options.count}, (_value, index) => `${network}.${1 + index}`);
 	return Promise.all(hosts.map(async (host, index) => startGateway(options, hosts, {host, index})));
 }
 
@@ -82,6 +88,11 @@
 			},
 		});
 		note('started');
+		if (child.readyLine.includes('event=gateway-crashed')) {
+			throw new Error(`${name} did not start: ${child.readyLine}`);
+		}
+
+		fs.appendFileSync(logFile, `${child.readyLine}\n`);
 		const started = child;
 		void started.exited.then(() => {
 			if (!isStopping && started === child) {
--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -25,7 +25,7 @@
 	'store-slow',
 	'store-forgets',
 	'configuration-changed',
-	'settings-reread',
+	'gateway-reread',
 ] as const;
 
 export type FaultKind = typeof faultKinds[number];
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import {assertNever} from '../../src/decisions/assert-never.ts';
 import type * as faultProxy from '../../stand-ins/fault-proxy.ts';
 import type * as platformUpstream from '../../stand-ins/platform-upstream.ts';
+import type * as storeStandIn from '../../stand-ins/store.ts';
 import {type Callers, startCallers} from './callers.ts';
 import {type SoakGateway, startGateways} from './gateways.ts';
 import {judgeSoak, type SoakVerdict, type Span} from './judge.ts';
@@ -27,6 +28,8 @@
 };
 
 type UpstreamFaultKind = Extract<FaultKind, `upstream-${string}`>;
+type StoreFaultKind = Extract<FaultKind, `store-${string}`>;
+type GatewayFaultKind = Extract<FaultKind, `gateway-${string}`>;
 
 type World = {readonly site: SoakSite; readonly gateways: readonly SoakGateway[]; readonly storeFaults: Span[]};
 
@@ -53,7 +56,7 @@
 	options.print(`logs ${folder}`);
 	const site = await startSite(options.upstreamsOfService);
 	const gateways = await startGateways({
-		seed: options.seed, count: options.gateways, failureDomains, storeAddress: site.store.address, folder,
+		count: options.gateways, failureDomains, storeAddress: site.store.address, folder,
 	});
 	const world: World = {site, gateways, storeFaults: []};
 	try {
@@ -104,7 +107,32 @@
 /** Brings a fault about; what it returns ends the fault. */
 async function start({kind, target}: PlannedFault, world: World): Promise<(() => unknown) | undefined> {
 	const {site, gateways} = world;
-	const gateway = gateways[target % gateways.length]!;
+	if (isUpstreamFault(kind)) {
+		const upstream = chooseUpstream(site, target);
+		return upstream && disturbUpstream(kind, upstream, site);
+	}
+
+	if (isStoreFault(kind)) {
+		return disturbStore(kind, world);
+	}
+
+	if (kind === 'all-gateways-killed') {
+		await Promise.all(gateways.map(async gateway => gateway.restart('SIGKILL', restartMilliseconds)));
+		return undefined;
+	}
+
+	if (kind === 'configuration-changed') {
+		site.changeConfiguration();
+		return undefined;
+	}
+
+	return disturbGateway(kind, gateways[target % gateways.length]!);
+}
+
+const isUpstreamFault = (kind: FaultKind): kind is UpstreamFaultKind => kind.startsWith('upstream-');
+const isStoreFault = (kind: FaultKind): kind is StoreFaultKind => kind.startsWith('store-');
+
+async function disturbGateway(kind: GatewayFaultKind, gateway: SoakGateway): Promise<(() => unknown) | undefined> {
 	switch (kind) {
 		case 'gateway-killed': {
 			await gateway.restart('SIGKILL', restartMilliseconds);
@@ -131,44 +159,40 @@
 			return cutFromStore(gateway, {cut: true});
 		}
 
-		case 'all-gateways-killed': {
-			await Promise.all(gateways.map(async each => each.restart('SIGKILL', restartMilliseconds)));
-			return undefined;
-		}
-
-		case 'settings-reread': {
+		case 'gateway-reread': {
 			gateway.signal('SIGHUP');
 			return undefined;
 		}
 
-		case 'upstream-crashed':
-		case 'upstream-left':
-		case 'upstream-restarted':
-		case 'upstream-silent':
-		case 'upstream-loses-answers':
-		case 'upstream-cuts-answers':
-		case 'upstream-repeats-answers':
-		case 'upstream-refuses':
-		case 'upstream-fails':
-		case 'upstream-delayed': {
-			const upstream = chooseUpstream(site, target);
-			return upstream && disturbUpstream(kind, upstream, site);
+		default: {
+			return assertNever(kind);
 		}
+	}
+}
 
+function cutFromStore(gateway: SoakGateway, faults: Partial<faultProxy.FaultProxyFaults>): () => void {
+	gateway.cutFromStore(faults);
+	return () => {
+		gateway.cutFromStore({});
+	};
+}
+
+function disturbStore(kind: StoreFaultKind, {site, storeFaults}: World): (() => void) | undefined {
+	switch (kind) {
 		case 'store-refuses': {
-			return disturbStore(world, {kind: 'refuse', statusCode: 503});
+			return setStoreFault(site, storeFaults, {kind: 'refuse', statusCode: 503});
 		}
 
 		case 'store-resets': {
-			return disturbStore(world, {kind: 'reset'});
+			return setStoreFault(site, storeFaults, {kind: 'reset'});
 		}
 
 		case 'store-silent': {
-			return disturbStore(world, {kind: 'silent'});
+			return setStoreFault(site, storeFaults, {kind: 'silent'});
 		}
 
 		case 'store-slow': {
-			return disturbStore(world, {kind: 'slow', milliseconds: slowStoreMilliseconds});
+			return setStoreFault(site, storeFaults, {kind: 'slow', milliseconds: slowStoreMilliseconds});
 		}
 
 		case 'store-forgets': {
@@ -177,30 +201,18 @@
 			return undefined;
 		}
 
-		case 'configuration-changed': {
-			site.changeConfiguration();
-			return undefined;
-		}
-
 		default: {
 			return assertNever(kind);
 		}
 	}
 }
 
-function cutFromStore(gateway: SoakGateway, faults: Partial<faultProxy.FaultProxyFaults>): () => void {
-	gateway.cutFromStore(faults);
-	return () => {
-		gateway.cutFromStore({});
-	};
-}
-
-function disturbStore({site, storeFaults}: World, fault: Parameters<SoakSite['store']['setFault']>[0]): () => void {
+function setStoreFault({store}: SoakSite, storeFaults: Span[], fault: storeStandIn.StoreFault): () => void {
 	const span: Span = {from: performance.now(), to: Number.POSITIVE_INFINITY};
 	storeFaults.push(span);
-	site.store.setFault(fault);
+	store.setFault(fault);
 	return () => {
-		site.store.setFault({kind: 'none'});
+		store.setFault({kind: 'none'});
 		span.to = performance.now();
 	};
 }
