--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -12,7 +12,7 @@
 import {judgeSoak, type SoakVerdict, type Span} from './judge.ts';
 import {createSoakPlan, type FaultKind, type PlannedFault} from './plan.ts';
 import {
-	serviceNames, type SoakSite, type SoakUpstream, startSite,
+	failureDomains, serviceNames, type SoakSite, type SoakUpstream, startSite,
 } from './site.ts';
 
 export type SoakOptions = {
@@ -33,7 +33,6 @@
 
 type World = {readonly site: SoakSite; readonly gateways: readonly SoakGateway[]; readonly storeFaults: Span[]};
 
-const failureDomains = ['courthouse', 'riverside', 'pinehill'];
 const restartMilliseconds = 300;
 /** Time after which the store takes the entry of a silent upstream out: three heartbeats. */
 const heartbeatsMilliseconds = 4500;
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -49,7 +49,7 @@
 
 const slots = 4;
 const workMilliseconds = 20;
-const failureDomains = ['courthouse', 'riverside', 'pinehill'];
+export const failureDomains = ['courthouse', 'riverside', 'pinehill'];
 const registryTopic = 'keyed.servers';
 const operatorTopic = 'keyed.op';
 /** Added routes that are kept. */
