--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -137,6 +137,7 @@
 		headers: platform.headers,
 		upstreams,
 		random,
+		countEntries,
 		getNow,
 		getHealthPath: service => platformState.getActiveConfiguration()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
 		recordCheck(_upstream, result, milliseconds) {
