Direct callers to as few entries as carry the demand

Cause: each entry is offered to all callers of its failure domain, so that each sees a few requests a second, opens a connection for a third of them, and has a sixteenth of the load checks whether it needs them or not. Change: entries tell their demand and processor capacity in the member list, in coarse steps that wake nobody; the directory answers with as many entries as carry the demand, those with most cores first and at least two; all of them while most don't know their demand. Half of the load checks are shared by demand.

--- a/src/decisions/measurement/check-budget.test.ts
+++ b/src/decisions/measurement/check-budget.test.ts
@@ -15,7 +15,7 @@
 		for (const [entry, budget] of budgets.entries()) {
 			for (let check = 0; check < checks; check++) {
 				const index = (entry + (7 * check) + now) % upstreamCount;
-				counts[index]! += budget.tryCharge({id: String(index), service: 'desk', serviceUpstreamCount: upstreamCount}, purpose, entries, now) ? 1 : 0;
+				counts[index]! += budget.tryCharge({id: String(index), service: 'desk', serviceUpstreamCount: upstreamCount}, purpose, 1 / entries, now) ? 1 : 0;
 			}
 		}
 	}
@@ -39,7 +39,7 @@
 		for (let check = 0; check < 4; check++) {
 			// Only the upstreams of the entry's own failure domain, a third of all.
 			const id = String(((request * 29) + (check * 17)) % 67);
-			refused += budget.tryCharge({id, service: 'desk', serviceUpstreamCount: 200}, 'choice', 100, request * 125) ? 0 : 1;
+			refused += budget.tryCharge({id, service: 'desk', serviceUpstreamCount: 200}, 'choice', 1 / 100, request * 125) ? 0 : 1;
 		}
 	}
 
@@ -51,12 +51,12 @@
 	let refused = 0;
 	for (let now = 0; now < 20_000; now += 10) {
 		for (let check = 0; check < 3; check++) {
-			budget.tryCharge({id: String((now + check) % 67), service: 'desk', serviceUpstreamCount: 200}, 'held', 100, now);
+			budget.tryCharge({id: String((now + check) % 67), service: 'desk', serviceUpstreamCount: 200}, 'held', 1 / 100, now);
 		}
 
 		// About eight requests per second arrive, and each checks four upstreams.
 		for (let check = 0; check < (now % 130 === 0 ? 4 : 0); check++) {
-			refused += budget.tryCharge({id: String(((now / 10) + (16 * check)) % 67), service: 'desk', serviceUpstreamCount: 200}, 'choice', 100, now) ? 0 : 1;
+			refused += budget.tryCharge({id: String(((now / 10) + (16 * check)) % 67), service: 'desk', serviceUpstreamCount: 200}, 'choice', 1 / 100, now) ? 0 : 1;
 		}
 	}
 
--- a/src/decisions/measurement/check-budget.ts
+++ b/src/decisions/measurement/check-budget.ts
@@ -1,7 +1,7 @@
 /**
 Limits the rate of load checks of each upstream across all entries, without communication between the entries.
 
-Each entry limits itself to an equal share of the checks that all upstreams of a service may receive together. Because
+Each entry limits itself to its share of the checks that all upstreams of a service may receive together. Because
 requests are routed to upstreams at random, one entry may temporarily check a single upstream more often than that, by
 a factor of up to `maximumConcentration`.
 */
@@ -17,14 +17,14 @@
 export type CheckPurpose = 'choice' | 'held';
 
 export type CheckBudget = {
-	/** Consumes one check of an upstream and returns true if the budget allows it; `entries` is the number of running entries. */
-	tryCharge(upstream: CheckedUpstream, purpose: CheckPurpose, entries: number, now: number): boolean;
+	/** Consumes one check of an upstream and returns true if the budget allows it; `share` is the part of the fleet-wide limit that this entry may use. */
+	tryCharge(upstream: CheckedUpstream, purpose: CheckPurpose, share: number, now: number): boolean;
 };
 
 /** Share of the limit that all entries use together; the rest covers entries that disagree on the number of entries. */
 const usableShare = 0.8;
 /**
-Maximum rate at which one entry checks one upstream, as a multiple of its equal share. An entry checks the upstreams of
+Maximum rate at which one entry checks one upstream, as a multiple of its share. An entry checks the upstreams of
 its own failure domain first, and these are only a third of all.
 */
 const maximumConcentration = 4;
@@ -57,8 +57,8 @@
 	}
 
 	return {
-		tryCharge({id, service, serviceUpstreamCount: serviceSize}, purpose, entries, now) {
-			const checksPerMillisecond = usableShare * checksPerSecond / Math.max(1, entries) / millisecondsPerSecond;
+		tryCharge({id, service, serviceUpstreamCount: serviceSize}, purpose, share, now) {
+			const checksPerMillisecond = usableShare * checksPerSecond * share / millisecondsPerSecond;
 			const upstreamBucket = refillBucket(upstreams, id, Math.min(usableShare * checksPerSecond / millisecondsPerSecond, maximumConcentration * checksPerMillisecond), now);
 			const serviceBucket = refillBucket(services, service, Math.max(1, serviceSize) * checksPerMillisecond, now);
 			if (upstreamBucket.tokens < getRequiredTokens(upstreamBucket, purpose) || serviceBucket.tokens < getRequiredTokens(serviceBucket, purpose)) {
--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -14,7 +14,7 @@
 
 /** The running entries, with a revision that increases with each change. */
 export type MemberList = {
-	/** Records the description that a member sent of itself. Returns whether the list changed. */
+	/** Records the description that a member sent of itself. Returns whether more than its demand changed. */
 	recordMember(member: types.Member, now: number): boolean;
 	/** Applies an update of the source's list. A complete update replaces all members that were listed earlier. */
 	applyUpdate(update: types.MemberUpdate, now: number): void;
@@ -28,6 +28,8 @@
 	count(): number;
 	/** Gets the revision of the latest change. */
 	getRevision(): number;
+	/** Gets the revision of the latest change other than of a member's demand, which followers need at once. */
+	getUrgentRevision(): number;
 	/** Gets the changes after a revision of this list; the complete list if the revision is too old or -1. */
 	getUpdate(since: number): types.MemberUpdate;
 };
@@ -49,6 +51,7 @@
 	/** Revisions of the latest removals by name, oldest first. */
 	const removals = new Map<string, number>();
 	let revision = 0;
+	let urgentRevision = 0;
 	let self = getSelf();
 	let selfChangedAt = 0;
 	/** Oldest revision of a follower for which an incremental update is possible. */
@@ -69,13 +72,19 @@
 			heardAt: Number.NEGATIVE_INFINITY, listedAt: Number.NEGATIVE_INFINITY, ...current, ...times, member, changedAt: isSame ? current.changedAt : ++revision,
 		});
 		removals.delete(member.name);
-		return !isSame;
+		const isUrgent = current === undefined || !isSameState(current.member, member);
+		if (isUrgent) {
+			urgentRevision = revision;
+		}
+
+		return isUrgent;
 	}
 
 	function remove(name: string): void {
 		others.delete(name);
 		removals.delete(name);
 		removals.set(name, ++revision);
+		urgentRevision = revision;
 		for (const [oldest, at] of removals) {
 			if (removals.size <= retainedRemovals) {
 				return;
@@ -88,10 +97,16 @@
 
 	function refreshSelf(): void {
 		const next = getSelf();
-		if (!isUnchanged(self, next)) {
-			self = next;
-			selfChangedAt = ++revision;
+		if (isUnchanged(self, next)) {
+			return;
 		}
+
+		selfChangedAt = ++revision;
+		if (!isSameState(self, next)) {
+			urgentRevision = revision;
+		}
+
+		self = next;
 	}
 
 	/** Confirms all members that the source's list contains. */
@@ -158,6 +173,10 @@
 			refreshSelf();
 			return revision;
 		},
+		getUrgentRevision() {
+			refreshSelf();
+			return urgentRevision;
+		},
 		getUpdate(since) {
 			refreshSelf();
 			if (since < oldestIncrementalRevision) {
@@ -180,18 +199,10 @@
 const isListed = ({listedAt}: TrackedMember) => listedAt !== Number.NEGATIVE_INFINITY;
 
 function isUnchanged(current: types.Member, next: types.Member): boolean {
-	return current.incarnation === next.incarnation && current.isReady === next.isReady && current.canRead === next.canRead;
+	return isSameState(current, next) && current.requestsPerSecond === next.requestsPerSecond;
 }
 
-/**
-Chooses the addresses for a caller: those of the ready entries in its failure domain, else in its region, else of all.
-
-Callers choose among these at random, so each entry of a failure domain gets an equal share of the domain's callers.
-*/
-export function chooseCallerAddresses(members: readonly types.Member[], location: {readonly failureDomain: string | undefined; readonly region: string | undefined}, limit: number): readonly string[] {
-	const ready = members.filter(({isReady}) => isReady);
-	const inFailureDomain = ready.filter(({failureDomain}) => failureDomain === location.failureDomain);
-	const inRegion = ready.filter(({region}) => region === location.region);
-	const chosen = [inFailureDomain, inRegion, ready].find(candidates => candidates.length > 0) ?? [];
-	return chosen.slice(0, limit).map(({callerAddress}) => callerAddress);
+/** Whether two descriptions of a member differ at most in its demand. */
+function isSameState(current: types.Member, next: types.Member): boolean {
+	return current.incarnation === next.incarnation && current.isReady === next.isReady && current.canRead === next.canRead;
 }
--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -1,6 +1,7 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
-import {chooseCallerAddresses, createMemberList, silenceMilliseconds} from './member-list.ts';
+import {chooseCallerAddresses} from './entry-selection.ts';
+import {createMemberList, silenceMilliseconds} from './member-list.ts';
 import {avoidanceMilliseconds, createSourceSelector} from './source-selector.ts';
 import {type Member} from './types.ts';
 
@@ -8,7 +9,7 @@
 
 function createMember(name: string, startedAt = 0, changes: Partial<Member> = {}): Member {
 	return {
-		name, incarnation: `${name}-${startedAt}`, startedAt, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, linkMegabits: 1000, ...changes,
+		name, incarnation: `${name}-${startedAt}`, startedAt, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, linkMegabits: 1000, cores: 1, requestsPerSecond: 10, ...changes,
 	};
 }
 
--- a/src/decisions/sharing/types.ts
+++ b/src/decisions/sharing/types.ts
@@ -19,6 +19,10 @@
 	readonly canRead: boolean;
 	/** Bandwidth of the entry's network link, in megabits per second. */
 	readonly linkMegabits: number;
+	/** Processor capacity of the entry, in cores. */
+	readonly cores: number;
+	/** Recent demand on the entry, in requests per second and in coarse steps; undefined shortly after its start. */
+	readonly requestsPerSecond: number | undefined;
 };
 
 /** Changes of an entry's member list since an earlier revision. */
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -6,6 +6,8 @@
 import {createRandomSource} from '../decisions/random.ts';
 import {createFleetRetryBudget} from '../decisions/retries/fleet-retry-budget.ts';
 import {createWorkEstimator} from '../decisions/routing/work-estimator.ts';
+import * as demandMeter from '../decisions/sharing/demand-meter.ts';
+import * as entrySelection from '../decisions/sharing/entry-selection.ts';
 import {staleMilliseconds} from '../decisions/sharing/source-selector.ts';
 import {type Member} from '../decisions/sharing/types.ts';
 import {splitAddress} from '../entry/address.ts';
@@ -64,6 +66,8 @@
 const drainCheckIntervalMilliseconds = 20;
 const closeIdleIntervalMilliseconds = 1000;
 const peerGraceMilliseconds = 50;
+/** Time for which a computed share of a budget is used, in milliseconds; the demand that it depends on changes less often. */
+const shareLifetimeMilliseconds = 200;
 const maximumRandomSeed = 2 ** 31;
 const defaultHealthPath = '/healthz';
 /** Connection limit of an upstream whose service has no configured limit: the lowest limit among the users' services. */
@@ -78,6 +82,7 @@
 	const incarnation = crypto.randomBytes(8).toString('hex');
 	const startedAt = host.getWallTime();
 	const random = createRandomSource(crypto.randomInt(maximumRandomSeed));
+	const demand = demandMeter.createDemandMeter(getNow());
 	const lifeCycle = createLifeCycle(state => {
 		logger.info('gateway-state', {state});
 	});
@@ -92,6 +97,8 @@
 		isReady: lifeCycle.getState() === 'serving',
 		canRead: reader.canRead(),
 		linkMegabits: settings.linkMegabits,
+		cores: settings.cores,
+		requestsPerSecond: demand.getReportedRate(getNow()),
 	});
 	const upstreams = createUpstreams({
 		getMaximumConnections: service => platformState.getActiveConfiguration()?.routes.getService(service)?.maximumConnections ?? defaultMaximumConnections,
@@ -131,6 +138,16 @@
 		getNow,
 	});
 	const countEntries = () => sharing.members.count();
+	let checkShare = {value: 0, expiresAt: Number.NEGATIVE_INFINITY};
+	/** Share of the load checks of all entries that this entry may make. */
+	function getCheckShare(now: number): number {
+		if (now >= checkShare.expiresAt) {
+			checkShare = {value: entrySelection.getBudgetShare(settings.name, sharing.members.list()), expiresAt: now + shareLifetimeMilliseconds};
+		}
+
+		return checkShare.value;
+	}
+
 	const checkBudget = createCheckBudget(settings.checksPerSecondPerUpstream);
 	const servicesWithoutLoad = new Set<string>();
 	const selector = createSelector({
@@ -143,7 +160,7 @@
 		recordCheck(_upstream, result, milliseconds) {
 			metrics.recordCheck(result, milliseconds);
 		},
-		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, countEntries(), now),
+		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
 				servicesWithoutLoad.delete(service);
@@ -170,7 +187,10 @@
 		isStale: () => platformState.getAge(getNow()) > staleRouteMilliseconds,
 		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
 		getNow,
-		startCall: (request, target) => startCall(callRunnerHost, request, target),
+		startCall(request, target) {
+			demand.countRequest(getNow());
+			return startCall(callRunnerHost, request, target);
+		},
 		recordRefusal(reason, id, statusCode) {
 			logger.warn('request-refused', {
 				id, status: statusCode, reason, configuration: platformState.getActiveConfiguration()?.configuration.version, knowledgeAge: getRoundedAge(),
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,13 +1,7 @@
 /** Provides the addresses of the entries to callers, and the readiness of this entry to the platform. */
-import {chooseCallerAddresses} from '../decisions/sharing/member-list.ts';
+import * as entrySelection from '../decisions/sharing/entry-selection.ts';
 import {type Member} from '../decisions/sharing/types.ts';
 
-/** Location of a caller; undefined where the caller doesn't provide it. */
-export type CallerLocation = {
-	readonly failureDomain: string | undefined;
-	readonly region: string | undefined;
-};
-
 /** Addresses of the entries that a caller should use. */
 export type DirectoryResponse = {
 	readonly addresses: readonly string[];
@@ -17,7 +11,7 @@
 
 /** Directory of the running entries. */
 export type Directory = {
-	resolve(place: CallerLocation): DirectoryResponse;
+	resolve(place: entrySelection.CallerLocation): DirectoryResponse;
 	isReady(): boolean;
 };
 
@@ -30,7 +24,7 @@
 export function createDirectory(host: {listMembers(): readonly Member[]; isReady(): boolean}, longestLifetimeSeconds: number): Directory {
 	return {
 		resolve: place => ({
-			addresses: chooseCallerAddresses(host.listMembers(), place, maximumAddresses),
+			addresses: entrySelection.chooseCallerAddresses(host.listMembers(), place, maximumAddresses),
 			lifetimeSeconds: Math.min(longestLifetimeSeconds, lifetimeSeconds),
 		}),
 		isReady: host.isReady,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -18,6 +18,7 @@
 		directory: address.describe('For callers that ask where to connect'),
 	}),
 	linkMegabits: z.number().positive().describe('Bandwidth of the link of this instance, in megabits a second'),
+	cores: z.number().positive().describe('Processor capacity of this instance, in cores'),
 	isFirstStart: z.boolean().describe('Whether all entries start for the first time, so that none of them knows anything'),
 	seeds: z.array(z.string()).describe('Peer addresses of a few entries, which may be old'),
 	storeAddress: address.describe('Store of the platform'),
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -75,7 +75,7 @@
 	let source = '';
 	/** Source and revision of the member list that was last received from the followed entry. */
 	let memberListVersion = noMemberListVersion;
-	/** Revision of the member list that was last announced to the followers. */
+	/** Urgent revision of the member list that was last announced to the followers. */
 	let announcedRevision = -1;
 
 	const findSource = () => sourceSelector.selectSource(members.list(), host.getNow());
@@ -251,7 +251,7 @@
 
 	/** Wakes the waiting followers if the member list has changed. */
 	function announceMembers(): void {
-		const revision = members.getRevision();
+		const revision = members.getUrgentRevision();
 		if (revision !== announcedRevision) {
 			announcedRevision = revision;
 			platformState.wakeWaiters();
