Correct the slowness of an upstream by the median of three answers

Cause: 3 in 100 requests have seven times the work; each of them more than doubled the slowness of its upstream, which was then expected to be slow, and passed over, for seconds. Change: the median of the last three durations corrects the slowness.

--- a/src/decisions/routing/upstream-statistics.ts
+++ b/src/decisions/routing/upstream-statistics.ts
@@ -29,6 +29,8 @@
 /** Time in which the deviation of the slowness from 1 halves without new answers, in milliseconds. */
 const slownessHalfLifeMilliseconds = 3000;
 const maximumSlowness = 8;
+/** Number of answers whose median duration corrects the slowness; a single request with much more work says nothing about its upstream. */
+const ratioCount = 3;
 /** Age above which a reading no longer describes the load, in milliseconds. */
 const maximumReadingAgeMilliseconds = 1000;
 
@@ -40,6 +42,8 @@
 	let failureShare = 0;
 	let failureUpdatedAt = 0;
 	let slowness = 1;
+	/** Durations of the latest answers relative to their expectations, oldest first. */
+	let durationRatios: number[] = [];
 	let slownessUpdatedAt = 0;
 
 	const getFailureShare = (now: number) => failureShare * (0.5 ** ((now - failureUpdatedAt) / failureHalfLifeMilliseconds));
@@ -67,8 +71,8 @@
 		recordAnswer(milliseconds, expectedMilliseconds, now) {
 			inFlight--;
 			updateFailureShare(0, now);
-			const durationRatio = Math.min(maximumSlowness, milliseconds / Math.max(1, expectedMilliseconds));
-			slowness = Math.max(1, getSlowness(now) * (1 + (slownessWeight * (durationRatio - 1))));
+			durationRatios = [...durationRatios, Math.min(maximumSlowness, milliseconds / Math.max(1, expectedMilliseconds))].slice(-ratioCount);
+			slowness = Math.max(1, getSlowness(now) * (1 + (slownessWeight * (getMedian(durationRatios) - 1))));
 			slowness = Math.min(maximumSlowness, slowness);
 			slownessUpdatedAt = now;
 		},
@@ -95,3 +99,8 @@
 		},
 	};
 }
+
+/** Returns the median; the lower one of the two middle values if their number is even. */
+function getMedian(values: readonly number[]): number {
+	return values.toSorted((left, right) => left - right)[Math.floor((values.length - 1) / 2)]!;
+}
