Bound what a load check reads, and believe no response without its identifier

Cause, each shown by a test that failed first: a load check read a body without end at full speed for its 300 ms (493 MB on loopback); the late second copy of an answer counted as the answer to a load check, so that the check's own answer met the next request; a late rejection without an identifier counted as proof that a request had not run, which a repeat then ran twice; an attempt whose caller had left was never given up where its upstream never answered, and kept its connection. Change: 64 KiB for the response to a check; a response to a check that names a request closes the connection; not-run needs the identifier, which upstreams echo; the deadline ends attempts after the caller has left. Endless heads, chunks, trailers and bodies to requests were bounded before and have tests now. The test of a not-executed response now sends the identifier, as upstreams do; one without it is its own test.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -286,7 +286,11 @@
 	}
 
 	const deadlineTimer = setTimeout(() => {
-		giveUp('time-over');
+		if (isAnswered) {
+			stop();
+		} else {
+			giveUp('time-over');
+		}
 	}, Math.max(1, request.deadlineAt + deadlineSlackMilliseconds - host.getNow()));
 	host.budget.countRequest(service, host.getNow());
 	selectUpstream();
@@ -298,8 +302,8 @@
 			}
 
 			if (route.kind === 'non-idempotent' && running.size > 0) {
+				// The upstream may finish its work until the deadline.
 				isAnswered = true;
-				clearTimeout(deadlineTimer);
 				report(callerLeftStatus, 'cancelled', 'caller-left');
 				return;
 			}
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -104,15 +104,24 @@
 		finish({kind: 'broken', reason});
 	}
 
-	/** Classifies a complete response. A response to another request shows nothing about this one. */
+	/**
+	Classifies a complete response. A response to another request shows nothing about this one.
+
+	A response without an identifier may be a late copy of the response to a load check, so it proves nothing either.
+	*/
 	function classifyResponse(connection: Connection): void {
 		const {statusCode, headers, metadata} = responseHead!;
+		if (metadata.requestId !== undefined && metadata.requestId !== request.id) {
+			failAttempt(connection, 'foreign-answer');
+			return;
+		}
+
 		if (metadata.load) {
 			record.recordReading({...metadata.load, readAt: host.getNow()});
 		}
 
-		if (metadata.requestId !== undefined && metadata.requestId !== request.id) {
-			failAttempt(connection, 'foreign-answer');
+		if (metadata.requestId === undefined) {
+			failAttempt(connection, 'unidentified-answer');
 			return;
 		}
 
@@ -122,11 +131,6 @@
 			return;
 		}
 
-		if (metadata.requestId === undefined) {
-			failAttempt(connection, 'unidentified-answer');
-			return;
-		}
-
 		if (!metadata.isSigned && statusCode < firstFailureStatus) {
 			failAttempt(connection, 'unsigned-answer');
 			return;
--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -34,6 +34,8 @@
 const okStatus = 200;
 /** Time after which a check without a response fails, in milliseconds; a busy entry reads responses tens of milliseconds late. */
 const timeoutMilliseconds = 300;
+/** Maximum size of the body of a response, in bytes; the load is in its headers. */
+const maximumResponseBytes = 65_536;
 
 /** Starts a check. The listener is called once, unless the check is detached first. */
 export function startLoadCheck(host: LoadCheckHost, upstream: Upstream, listener: (result: CheckResult) => void): LoadCheck {
@@ -42,6 +44,7 @@
 	let runningAttempt: attempt.Attempt | undefined;
 	let isOver = false;
 	let isDetached = false;
+	let receivedBytes = 0;
 	let responseHead: {readonly statusCode: number; readonly headers: http.IncomingHttpHeaders} | undefined;
 
 	function finish(result: CheckResult): void {
@@ -66,6 +69,12 @@
 
 	function evaluateResponse(connection: Connection): CheckResult {
 		const metadata = host.headers.readResponse(responseHead!.headers);
+		if (metadata.requestId !== undefined) {
+			// A late copy of the response to an earlier request; the response to the check may still follow.
+			pool.discard(connection);
+			return {kind: 'silent'};
+		}
+
 		if (metadata.upstreamId !== undefined && metadata.upstreamId !== registration.id) {
 			pool.discard(connection);
 			return {kind: 'misdirected'};
@@ -94,7 +103,15 @@
 			onHead(statusCode, headers) {
 				responseHead = {statusCode, headers};
 			},
-			onData: () => true,
+			onData(chunk) {
+				receivedBytes += chunk.length;
+				if (receivedBytes > maximumResponseBytes) {
+					pool.discard(connection);
+					finish({kind: 'silent'});
+				}
+
+				return true;
+			},
 			onEnd() {
 				connection.lastActiveAt = host.getNow();
 				finish(evaluateResponse(connection));
--- a/stand-ins/platform-upstream.ts
+++ b/stand-ins/platform-upstream.ts
@@ -84,7 +84,7 @@
 			requestId, hasRun, method: request.method ?? '', path: request.url ?? '', digest, receivedAt: performance.now(),
 		});
 		if (isMisdirected) {
-			response.writeHead(misdirectedStatus, {'instance-id': id}).end();
+			response.writeHead(misdirectedStatus, {'instance-id': id, 'attempt-id': requestId}).end();
 		} else if (hasRun) {
 			execute(requestId, digest, response);
 		} else {
--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -3,8 +3,12 @@
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import {type AttemptEnd} from '../src/decisions/outcomes/retry-decision.ts';
+import {createFleetRetryBudget} from '../src/decisions/retries/fleet-retry-budget.ts';
+import {createWorkEstimator} from '../src/decisions/routing/work-estimator.ts';
 import {createHeaderHost} from '../platform/headers.ts';
+import {startCall} from '../src/gateway/call-runner.ts';
 import {type AttemptResponse, createGatewayAttempt} from '../src/gateway/gateway-attempt.ts';
+import {type CheckResult, startLoadCheck} from '../src/gateway/load-check.ts';
 import {type GatewayRequest} from '../src/gateway/types.ts';
 import {createUpstreams, type Upstream} from '../src/gateway/upstreams.ts';
 
@@ -139,7 +143,140 @@
 	});
 	expect((await attempt(unsigned, 'a')).end).toEqual({kind: 'broken', reason: 'unsigned-answer'}); // eslint-disable-line unicorn/no-await-expression-member
 	const full = await startUpstream(socket => {
-		socket.write('HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+		socket.write('HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
 	});
 	expect((await attempt(full, 'a')).end).toEqual({kind: 'not-run'}); // eslint-disable-line unicorn/no-await-expression-member
 });
+
+test('a not-executed response without the identifier of the request is no proof that it has not run', async () => {
+	// The late second copy of a rejected load check, which has no identifier.
+	for (const statusLine of ['503 Service Unavailable\r\nNot-Executed: 1', '421 Misdirected Request']) {
+		const upstream = await startUpstream(socket => {
+			socket.write(`HTTP/1.1 ${statusLine}\r\nContent-Length: 0\r\n\r\n`);
+		});
+		const {end} = await attempt(upstream, 'a');
+		expect(end).toEqual({kind: 'broken', reason: 'unidentified-answer'});
+	}
+});
+
+async function checkLoad(upstream: Upstream): Promise<CheckResult['kind']> {
+	return new Promise(resolve => {
+		startLoadCheck({
+			headers: createHeaderHost(), getNow, getHealthPath: () => '/healthz', recordCheck: () => undefined,
+		}, upstream, ({kind}) => {
+			resolve(kind);
+		});
+	});
+}
+
+test('the late second copy of an answer is no answer to a load check, and its connection is not used again', async () => {
+	let closedConnections = 0;
+	const upstream = await startUpstream(socket => {
+		socket.once('close', () => {
+			closedConnections++;
+		});
+		socket.write(`${createResponseHead('earlier', 'Content-Length: 2\r\nUpstream-Load: 0,0,4,100\r\n')}ok`);
+	});
+	expect(await checkLoad(upstream)).toBe('silent');
+	await waitUntil(() => closedConnections === 1);
+	expect(upstream.pool.count()).toBe(0);
+	expect(upstream.record.getState(getNow()).reading).toBeUndefined();
+});
+
+/** Upper limit of what an endless response may deliver before its connection is closed: the largest response, and what sockets buffer. */
+const maximumEndlessBytes = 16 * 1024 * 1024;
+
+/** Writes a start and then parts without end; returns a function that reports the written bytes once the connection is closed. */
+function writeWithoutEnd(socket: net.Socket, start: string, part: string): () => number | undefined {
+	let isClosed = false;
+	let written = 0;
+	const write = (text: string) => {
+		written += text.length;
+		return socket.write(text, 'latin1');
+	};
+
+	const writeMore = () => {
+		while (write(part)) {
+			// Writes until the socket's buffer is full or the socket is closed.
+		}
+	};
+
+	socket.on('drain', writeMore);
+	socket.once('close', () => {
+		isClosed = true;
+	});
+	write(start);
+	writeMore();
+	return () => isClosed ? written : undefined;
+}
+
+const okHead = (id: string) => `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nUpstream-Signature: s\r\n`;
+const endlessResponses = [
+	{name: 'head', start: 'HTTP/1.1 200 OK\r\nX: ', part: 'a'.repeat(10_000)},
+	{name: 'header fields', start: 'HTTP/1.1 200 OK\r\n', part: 'A: b\r\n'.repeat(1000)},
+	{name: 'body in chunks', start: `${okHead('a')}Transfer-Encoding: chunked\r\n\r\n`, part: `2710\r\n${'x'.repeat(10_000)}\r\n`},
+	{name: 'body until the connection closes', start: `${okHead('a')}\r\n`, part: 'x'.repeat(10_000)},
+	{name: 'trailers', start: `${okHead('a')}Transfer-Encoding: chunked\r\n\r\n0\r\n`, part: 'A: b\r\n'.repeat(1000)},
+	{name: 'bytes that are no response', start: '', part: '\u0000\u0001garbage'.repeat(1000)},
+];
+
+test.each(endlessResponses)('an endless response ($name) ends the attempt and its connection', async ({start, part}) => {
+	let getWritten: (() => number | undefined) | undefined;
+	const upstream = await startUpstream(socket => {
+		getWritten ??= writeWithoutEnd(socket, start, part);
+	});
+	const {end} = await attempt(upstream, 'a');
+	expect(end.kind).toBe('broken');
+	await waitUntil(() => getWritten!() !== undefined);
+	expect(getWritten!()).toBeLessThan(maximumEndlessBytes);
+	expect(upstream.pool.count()).toBe(0);
+});
+
+test.each(endlessResponses)('an endless response ($name) to a load check ends the check and its connection', async ({start, part}) => {
+	let getWritten: (() => number | undefined) | undefined;
+	const upstream = await startUpstream(socket => {
+		getWritten ??= writeWithoutEnd(socket, start.replace('Attempt-Id: a\r\n', ''), part);
+	});
+	expect(await checkLoad(upstream)).toBe('silent');
+	await waitUntil(() => getWritten!() !== undefined);
+	expect(getWritten!()).toBeLessThan(maximumEndlessBytes);
+	expect(upstream.pool.count()).toBe(0);
+});
+
+test('an upstream that never answers is given up at the deadline, also after the caller of a non-idempotent request has left', async () => {
+	let closedConnections = 0;
+	let requests = 0;
+	const upstream = await startUpstream(socket => {
+		requests++;
+		socket.once('close', () => {
+			closedConnections++;
+		});
+	});
+	const request = createRequest('a');
+	const running = startCall({
+		selector: {
+			select(_request, listener) {
+				listener({
+					kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
+				});
+				return () => undefined;
+			},
+			hasHeldRequests: () => false,
+			onAttemptEnded: () => undefined,
+			close: () => undefined,
+		},
+		headers: createHeaderHost(),
+		learner: createWorkEstimator(),
+		budget: createFleetRetryBudget({ratio: 0, windowMilliseconds: 1000, slack: 0}, 0),
+		countEntries: () => 1,
+		getNow,
+		onEnd: () => undefined,
+	}, {...request, route: {...request.route, kind: 'non-idempotent'}, deadlineAt: getNow() + 200}, {respond: () => undefined});
+	await waitUntil(() => requests === 1);
+	running.cancel();
+	await timers.setTimeout(20);
+	expect(closedConnections).toBe(0);
+	await timers.setTimeout(500);
+	expect(closedConnections).toBe(1);
+	expect(upstream.record.getState(getNow()).inFlight).toBe(0);
+});
