Send a hedged request while it can still meet the objective

Cause: 3 in 100 requests have seven times the work. Change: hedge-delay.ts sends it at the latest while it can still be answered in time, and not before the first is late by a fifth.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -5,6 +5,7 @@
 starts after the response.
 */
 import {assertNever} from '../decisions/assert-never.ts';
+import * as hedgeDelay from '../decisions/retries/hedge-delay.ts';
 import {type FleetRetryBudget} from '../decisions/retries/fleet-retry-budget.ts';
 import * as retryDecision from '../decisions/outcomes/retry-decision.ts';
 import {type WorkEstimator} from '../decisions/routing/work-estimator.ts';
@@ -67,9 +68,6 @@
 const minimumRetryHoldMilliseconds = 100;
 /** Largest share of the time until its deadline for which a request is held for lack of capacity; a refused caller needs the rest to retry. */
 const maximumHoldShare = 0.4;
-/** A second attempt is made after this multiple of the expected time of the first one, plus this time in milliseconds. */
-const hedgeFactor = 2;
-const hedgeDelayMilliseconds = 60;
 /** Time after which a refused caller should retry, in multiples of the latency objective; peaks of demand last at least this long. */
 const retryAfterObjectives = 2;
 /** Time after which a caller should retry if the upstreams refused although they have capacity, in milliseconds; a few times the way to an upstream. */
@@ -156,7 +154,11 @@
 		attempt.start();
 		if (route.kind === 'idempotent') {
 			clearTimeout(hedgeTimer);
-			hedgeTimer = setTimeout(startHedge, (expectedMilliseconds * hedgeFactor) + hedgeDelayMilliseconds);
+			hedgeTimer = setTimeout(startHedge, hedgeDelay.getHedgeDelay({
+				expectedMilliseconds,
+				secondExpectedMilliseconds: host.learner.getRouteMilliseconds(route.name),
+				objectiveMilliseconds: request.receivedAt + route.objectiveMilliseconds - sentAt,
+			}));
 		}
 	}
 
