Keep to connected upstreams, and plan entries with room for a burst

Change: selections keep to the upstreams that the entry is connected to where there are more than eight, but for 4 in 100 (warm-candidates.ts); 25 requests a second and core.

--- a/src/decisions/routing/prequal-selection.ts
+++ b/src/decisions/routing/prequal-selection.ts
@@ -127,7 +127,7 @@
 }
 
 /** Share of failures above which an upstream counts as failing; it is probed only if there are too few others. */
-const largestFailureShare = 0.3;
+export const largestFailureShare = 0.3;
 
 /** Samples up to `count` candidates at random; failing ones are used only to fill up, and come last. */
 export function sampleCandidates<Candidate>(candidates: readonly Candidate[], count: number, getFailureShare: (candidate: Candidate) => number, random: RandomSource): readonly Candidate[] {
--- a/src/decisions/sharing/entry-selection.ts
+++ b/src/decisions/sharing/entry-selection.ts
@@ -14,8 +14,8 @@
 	readonly region: string | undefined;
 };
 
-/** Requests per second for each processor core up to which an entry is planned to be used; a third of what it can process. */
-const plannedRequestsPerCore = 60;
+/** Requests per second for each processor core up to which an entry is planned to be used; a seventh of what it can process, so that a burst fits before callers learn of more entries. */
+const plannedRequestsPerCore = 25;
 /** Minimum number of entries in use in a failure domain, so that callers have a second one when one is lost. */
 const minimumEntries = 2;
 /** Share of the budgets that is divided equally among all entries; the rest is divided in proportion to their demand. */
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -9,6 +9,7 @@
 import * as holdAdmission from '../decisions/admission/hold-admission.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as prequalSelection from '../decisions/routing/prequal-selection.ts';
+import {restrictToWarm} from '../decisions/routing/warm-candidates.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {
 	queryUpstreams, type UpstreamQueryHost, type QueryResults, maximumReadingAgeMilliseconds,
@@ -122,18 +123,25 @@
 		return capacity / durationMilliseconds / Math.max(1, host.countEntries());
 	}
 
-	function sampleUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>): readonly Upstream[] {
+	function sampleUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>, restrict = (candidates: readonly Upstream[]) => candidates): readonly Upstream[] {
 		const now = host.getNow();
 		const isUntried = ({registration}: Upstream) => !tried.has(registration.id);
 		const mayRepeat = tried.size > 0 && !host.upstreams.listUsable(service).some(upstream => isUntried(upstream));
 		const candidates = host.upstreams.listByLocality(service, isLocal);
 		const allowed = tried.size === 0 || mayRepeat ? candidates : candidates.filter(upstream => isUntried(upstream));
-		return prequalSelection.sampleCandidates(allowed, count, ({record}) => record.getFailureShare(now), host.random);
+		return prequalSelection.sampleCandidates(restrict(allowed), count, ({record}) => record.getFailureShare(now), host.random);
+	}
+
+	/** Samples upstreams for a request that just arrived, mostly among those that this entry is connected to. */
+	function sampleWarmUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>): readonly Upstream[] {
+		const now = host.getNow();
+		const isWarm = ({pool, record}: Upstream) => pool.count() > 0 && record.getFailureShare(now) <= prequalSelection.largestFailureShare;
+		return sampleUpstreams(service, isLocal, count, tried, candidates => restrictToWarm(candidates, isWarm, host.random));
 	}
 
 	function queryLocal(pending: PendingSelection): void {
 		const {service, tried} = pending.request;
-		const local = sampleUpstreams(service, true, localSampleSize, tried);
+		const local = sampleWarmUpstreams(service, true, localSampleSize, tried);
 		pending.cancelQuery = queryUpstreams(host, {service, upstreams: local, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const best = chooseBest(pending, results);
@@ -147,7 +155,7 @@
 
 	function queryRemote(pending: PendingSelection, local: QueryResults): void {
 		const {service, tried} = pending.request;
-		const remote = sampleUpstreams(service, false, remoteSampleSize, tried);
+		const remote = sampleWarmUpstreams(service, false, remoteSampleSize, tried);
 		pending.cancelQuery = queryUpstreams(host, {service, upstreams: remote, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const all: QueryResults = new Map([...local, ...results]);
