Take the departures of held requests by demand, not by the number of entries

Cause: where a fifth of the entries is in use, the rate that is assumed until departures are measured was five times too low, so that requests would be refused at the onset of a crest although there is room. Found when reading the change; not seen on a site, since nearly all entries of the small sites are in use when requests are held.

--- a/src/decisions/sharing/entry-selection.ts
+++ b/src/decisions/sharing/entry-selection.ts
@@ -62,14 +62,14 @@
 
 /** Gets the share of a fleet-wide budget that an entry may use, from 0 to 1; the shares of all members add up to 1. */
 export function getBudgetShare(name: string, members: readonly types.Member[]): number {
-	const equal = 1 / Math.max(1, members.length);
-	const total = sum(members.map(({requestsPerSecond}) => requestsPerSecond ?? 0));
-	if (total === 0) {
-		return equal;
-	}
+	return (equalShare / Math.max(1, members.length)) + ((1 - equalShare) * getDemandShare(name, members));
+}
 
+/** Gets the part of the demand on all members that an entry receives, from 0 to 1; an equal part while there is no demand. */
+export function getDemandShare(name: string, members: readonly types.Member[]): number {
+	const total = sum(members.map(({requestsPerSecond}) => requestsPerSecond ?? 0));
 	const own = members.find(member => member.name === name)?.requestsPerSecond ?? 0;
-	return (equalShare * equal) + ((1 - equalShare) * own / total);
+	return total === 0 ? 1 / Math.max(1, members.length) : own / total;
 }
 
 function sum(values: readonly number[]): number {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -138,14 +138,17 @@
 		getNow,
 	});
 	const countEntries = () => sharing.members.count();
-	let checkShare = {value: 0, expiresAt: Number.NEGATIVE_INFINITY};
-	/** Share of the load checks of all entries that this entry may make. */
-	function getCheckShare(now: number): number {
-		if (now >= checkShare.expiresAt) {
-			checkShare = {value: entrySelection.getBudgetShare(settings.name, sharing.members.list()), expiresAt: now + shareLifetimeMilliseconds};
+	let shares = {checks: 0, demand: 0, expiresAt: Number.NEGATIVE_INFINITY};
+	/** Gets the parts of the fleet's load checks and of its demand that this entry may make and receives. */
+	function getShares(now: number): typeof shares {
+		if (now >= shares.expiresAt) {
+			const members = sharing.members.list();
+			shares = {
+				checks: entrySelection.getBudgetShare(settings.name, members), demand: entrySelection.getDemandShare(settings.name, members), expiresAt: now + shareLifetimeMilliseconds,
+			};
 		}
 
-		return checkShare.value;
+		return shares;
 	}
 
 	const checkBudget = createCheckBudget(settings.checksPerSecondPerUpstream);
@@ -154,13 +157,13 @@
 		headers: platform.headers,
 		upstreams,
 		random,
-		countEntries,
+		getDemandShare: () => getShares(getNow()).demand,
 		getNow,
 		getHealthPath: service => platformState.getActiveConfiguration()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
 		recordCheck(_upstream, result, milliseconds) {
 			metrics.recordCheck(result, milliseconds);
 		},
-		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
+		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getShares(now).checks, now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
 				servicesWithoutLoad.delete(service);
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -39,7 +39,7 @@
 		},
 		upstreams,
 		random: createRandomSource(20_266),
-		countEntries: () => 1,
+		getDemandShare: () => 1,
 		getNow,
 		getHealthPath: () => '/healthz',
 		recordCheck: () => undefined,
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -48,8 +48,8 @@
 export type SelectionHost = UpstreamQueryHost & {
 	readonly upstreams: Upstreams;
 	readonly random: RandomSource;
-	/** Returns the number of running entries, which share the capacity of the upstreams. */
-	countEntries(): number;
+	/** Returns the part of the demand on all entries that this entry receives, from 0 to 1. */
+	getDemandShare(): number;
 };
 
 /** Selects upstreams for the requests of all services. */
@@ -112,7 +112,7 @@
 		}
 	}
 
-	/** Estimates the requests per millisecond that this entry can send if all entries share the capacity of a service equally. */
+	/** Estimates the requests per millisecond that this entry can send if the entries share the capacity of a service by demand. */
 	function getAssumedDepartureRate(service: string): number {
 		let capacity = 0;
 		for (const {registration} of host.upstreams.listUsable(service)) {
@@ -120,7 +120,7 @@
 		}
 
 		const durationMilliseconds = Math.max(1, meanDurations.get(service) ?? 1);
-		return capacity / durationMilliseconds / Math.max(1, host.countEntries());
+		return host.getDemandShare() * capacity / durationMilliseconds;
 	}
 
 	function sampleUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>, restrict = (candidates: readonly Upstream[]) => candidates): readonly Upstream[] {
