--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -163,3 +163,15 @@
 	expect(chooseCallerAddresses(members, {failureDomain: 'x', region: 'west'}, 64)).toEqual(['a:1', 'b:1']);
 	expect(chooseCallerAddresses([], {failureDomain: 'b', region: 'east'}, 64)).toEqual([]);
 });
+
+test('a change of demand alone is not urgent, but part of the next update', () => {
+	const list = createMemberList(() => createMember('self'));
+	list.recordMember(createMember('a'), 0);
+	const revision = list.getRevision();
+	const urgentRevision = list.getUrgentRevision();
+	expect(list.recordMember(createMember('a', 0, {requestsPerSecond: 40}), 10)).toBe(false);
+	expect(list.getUrgentRevision()).toBe(urgentRevision);
+	expect(list.getUpdate(revision).members).toMatchObject([{name: 'a', requestsPerSecond: 40}]);
+	expect(list.recordMember(createMember('a', 0, {requestsPerSecond: 40, isReady: false}), 20)).toBe(true);
+	expect(list.getUrgentRevision()).toBeGreaterThan(urgentRevision);
+});
