Count slots of less urgent requests as departures of urgent ones

Cause: the rate at which held requests leave was measured for each rank by itself, so an urgent rank that is seldom held seemed to move slowly and was refused, while less urgent ones were sent.

--- a/src/decisions/admission/hold-admission.test.ts
+++ b/src/decisions/admission/hold-admission.test.ts
@@ -73,3 +73,21 @@
 	expect(holdAdmission.listHopelessRequests([late], 400)).toEqual([]);
 	expect(holdAdmission.listHopelessRequests([inTime], 400)).toEqual([]);
 });
+
+test('an urgent request is held where less urgent ones are sent often, although urgent ones were seldom held', () => {
+	const admission = holdAdmission.createHoldAdmission(() => 0.02);
+	const urgent = (receivedAt: number) => createRequest(0, receivedAt, {objectiveEndsAt: receivedAt + 400, expectedMilliseconds: 200});
+	for (let now = 1000; now < 5000; now += 50) {
+		admission.recordDeparture(service, now % 500 === 0 ? 0 : 2, now);
+	}
+
+	// Two before it leave within 100 ms at 20 departures a second, and it may start 200 ms late.
+	expect(admission.canHold(service, urgent(5000), [urgent(4990), urgent(4995)], 5000)).toBe(true);
+	// Less urgent requests get only what the urgent ones leave.
+	for (let now = 5000; now < 9000; now += 50) {
+		admission.recordDeparture(service, 0, now);
+	}
+
+	expect(admission.canHold(service, createRequest(2, 9000, {expectedMilliseconds: 400}), [urgent(8990), urgent(8995), urgent(8997)], 9000)).toBe(false);
+});
+
--- a/src/decisions/admission/hold-admission.ts
+++ b/src/decisions/admission/hold-admission.ts
@@ -22,23 +22,30 @@
 
 /** Creates the admission; `getAssumedRate` returns the departures per millisecond to assume for a service while none were measured. */
 export function createHoldAdmission(getAssumedRate: (service: string) => number): HoldAdmission {
-	const admissions = new Map<string, admissionControl.AdmissionControl>();
+	const admissionsByService = new Map<string, Map<number, admissionControl.AdmissionControl>>();
+
+	function getAdmissions(service: string): Map<number, admissionControl.AdmissionControl> {
+		const admissions = admissionsByService.get(service) ?? new Map<number, admissionControl.AdmissionControl>();
+		admissionsByService.set(service, admissions);
+		return admissions;
+	}
 
 	function getAdmission(service: string, priority: number): admissionControl.AdmissionControl {
-		const key = `${priority} ${service}`;
-		const existing = admissions.get(key);
-		if (existing) {
-			return existing;
-		}
-
-		const created = admissionControl.createAdmissionControl(waitShare, () => getAssumedRate(service));
-		admissions.set(key, created);
-		return created;
+		const admissions = getAdmissions(service);
+		const admission = admissions.get(priority) ?? admissionControl.createAdmissionControl(waitShare, () => getAssumedRate(service));
+		admissions.set(priority, admission);
+		return admission;
 	}
 
 	return {
 		recordDeparture(service, priority, now) {
-			getAdmission(service, priority).recordDeparture(now);
+			getAdmission(service, priority);
+			for (const [rank, admission] of getAdmissions(service)) {
+				// A slot that a less urgent request got would have been free for a more urgent one.
+				if (rank <= priority) {
+					admission.recordDeparture(now);
+				}
+			}
 		},
 		canHold(service, request, held, now) {
 			let requestsAhead = 0;
