Revert the refusals at arrival

A queue that refuses is often empty; arrivals take that for free capacity and skip the order by rank.

--- a/src/decisions/admission/held-requests.ts
+++ b/src/decisions/admission/held-requests.ts
@@ -29,14 +29,9 @@
 	return next;
 }
 
-/** Whether a request that is sent now will probably be answered within its latency objective. */
-export function canMeetObjective({expectedMilliseconds, objectiveEndsAt}: HeldRequest, now: number): boolean {
-	return now + expectedMilliseconds <= objectiveEndsAt;
-}
-
 function hasPrecedence(left: HeldRequest, right: HeldRequest, now: number): boolean {
-	const canLeftMeetObjective = canMeetObjective(left, now);
-	const canRightMeetObjective = canMeetObjective(right, now);
+	const canLeftMeetObjective = now + left.expectedMilliseconds <= left.objectiveEndsAt;
+	const canRightMeetObjective = now + right.expectedMilliseconds <= right.objectiveEndsAt;
 	if (canLeftMeetObjective !== canRightMeetObjective) {
 		return canLeftMeetObjective;
 	}
--- a/src/decisions/sharing/entry-selection.test.ts
+++ b/src/decisions/sharing/entry-selection.test.ts
@@ -72,16 +72,13 @@
 	fastCheck.assert(fastCheck.property(membersArbitrary, fastCheck.constantFrom(1, 312, 1000), (some, count) => {
 		const members = [...some, ...createMembers(count)].map((member, index) => ({...member, name: `entry-${index}`}));
 		let total = 0;
-		let totalDemandShare = 0;
 		for (const {name} of members) {
-			totalDemandShare += entrySelection.getDemandShare(name, members);
 			const share = entrySelection.getBudgetShare(name, members);
 			expect(share).toBeGreaterThanOrEqual(0.5 / members.length);
 			total += share;
 		}
 
 		expect(total).toBeCloseTo(1, 6);
-		expect(totalDemandShare).toBeCloseTo(1, 6);
 	}), {seed, numRuns: 20});
 });
 
--- a/src/decisions/sharing/entry-selection.ts
+++ b/src/decisions/sharing/entry-selection.ts
@@ -66,7 +66,7 @@
 }
 
 /** Gets the part of the demand on all members that an entry receives, from 0 to 1; an equal part while there is no demand. */
-export function getDemandShare(name: string, members: readonly types.Member[]): number {
+function getDemandShare(name: string, members: readonly types.Member[]): number {
 	const total = sum(members.map(({requestsPerSecond}) => requestsPerSecond ?? 0));
 	const own = members.find(member => member.name === name)?.requestsPerSecond ?? 0;
 	return total === 0 ? 1 / Math.max(1, members.length) : own / total;
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -138,17 +138,14 @@
 		getNow,
 	});
 	const countEntries = () => sharing.members.count();
-	let shares = {checks: 0, demand: 0, expiresAt: Number.NEGATIVE_INFINITY};
-	/** Gets the parts of the fleet's load checks and of its demand that this entry may make and receives. */
-	function getShares(now: number): typeof shares {
-		if (now >= shares.expiresAt) {
-			const members = sharing.members.list();
-			shares = {
-				checks: entrySelection.getBudgetShare(settings.name, members), demand: entrySelection.getDemandShare(settings.name, members), expiresAt: now + shareLifetimeMilliseconds,
-			};
+	let checkShare = {value: 0, expiresAt: Number.NEGATIVE_INFINITY};
+	/** Gets the part of the fleet's load checks that this entry may make. */
+	function getCheckShare(now: number): number {
+		if (now >= checkShare.expiresAt) {
+			checkShare = {value: entrySelection.getBudgetShare(settings.name, sharing.members.list()), expiresAt: now + shareLifetimeMilliseconds};
 		}
 
-		return shares;
+		return checkShare.value;
 	}
 
 	const checkBudget = createCheckBudget(settings.checksPerSecondPerUpstream);
@@ -157,13 +154,12 @@
 		headers: platform.headers,
 		upstreams,
 		random,
-		getDemandShare: () => getShares(getNow()).demand,
 		getNow,
 		getHealthPath: service => platformState.getActiveConfiguration()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
 		recordCheck(_upstream, result, milliseconds) {
 			metrics.recordCheck(result, milliseconds);
 		},
-		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getShares(now).checks, now),
+		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
 				servicesWithoutLoad.delete(service);
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -39,7 +39,6 @@
 		},
 		upstreams,
 		random: createRandomSource(20_266),
-		getDemandShare: () => 1,
 		getNow,
 		getHealthPath: () => '/healthz',
 		recordCheck: () => undefined,
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -6,7 +6,6 @@
 as soon as a response or a load check shows capacity, in the order of `held-requests.ts`, or is given up at its time limit.
 */
 import {findNextRequest, type HeldRequest} from '../decisions/admission/held-requests.ts';
-import * as holdAdmission from '../decisions/admission/hold-admission.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as prequalSelection from '../decisions/routing/prequal-selection.ts';
 import {restrictToWarm} from '../decisions/routing/warm-candidates.ts';
@@ -48,8 +47,6 @@
 export type SelectionHost = UpstreamQueryHost & {
 	readonly upstreams: Upstreams;
 	readonly random: RandomSource;
-	/** Returns the part of the demand on all entries that this entry receives, from 0 to 1. */
-	getDemandShare(): number;
 };
 
 /** Selects upstreams for the requests of all services. */
@@ -89,9 +86,6 @@
 export function createSelector(host: SelectionHost): Selector {
 	const heldByService = new Map<string, Set<PendingSelection>>();
 	const roundsByService = new Map<string, number>();
-	/** Mean duration of the work of each service, as its latest request states it, in milliseconds. */
-	const meanDurations = new Map<string, number>();
-	const admission = holdAdmission.createHoldAdmission(getAssumedDepartureRate);
 	let heldRoundTimer: NodeJS.Timeout | undefined;
 
 	const findHeld = (service: string) => heldByService.get(service);
@@ -112,17 +106,6 @@
 		}
 	}
 
-	/** Estimates the requests per millisecond that this entry can send if the entries share the capacity of a service by demand. */
-	function getAssumedDepartureRate(service: string): number {
-		let capacity = 0;
-		for (const {registration} of host.upstreams.listUsable(service)) {
-			capacity += prequalSelection.getCapacity(registration.slots);
-		}
-
-		const durationMilliseconds = Math.max(1, meanDurations.get(service) ?? 1);
-		return host.getDemandShare() * capacity / durationMilliseconds;
-	}
-
 	function sampleUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>, restrict = (candidates: readonly Upstream[]) => candidates): readonly Upstream[] {
 		const now = host.getNow();
 		const isUntried = ({registration}: Upstream) => !tried.has(registration.id);
@@ -204,14 +187,13 @@
 
 	function hold(pending: PendingSelection): void {
 		const {service} = pending.request;
-		const now = host.getNow();
 		pending.cancelQuery = undefined;
-		const held = findHeld(service) ?? new Set<PendingSelection>();
-		if (now >= pending.expiresAt || !admission.canHold(service, pending, held, now)) {
+		if (host.getNow() >= pending.expiresAt) {
 			finish(pending, {kind: 'no-room', checks: pending.checks});
 			return;
 		}
 
+		const held = findHeld(service) ?? new Set<PendingSelection>();
 		heldByService.set(service, held.add(pending));
 		heldRoundTimer ??= setTimeout(runHeldRound, heldRoundIntervalMilliseconds);
 	}
@@ -227,10 +209,6 @@
 				}
 			}
 
-			for (const pending of holdAdmission.listHopelessRequests(held, now)) {
-				finish(pending, {kind: 'no-room', checks: pending.checks});
-			}
-
 			if (findHeld(service)) {
 				queryForHeld(service);
 			}
@@ -273,7 +251,6 @@
 			return false;
 		}
 
-		admission.recordDeparture(service, pending.priority, now);
 		finish(pending, {
 			kind: 'selected', upstream, connection, expectedMilliseconds: expectation.expectedMilliseconds, checks: pending.checks,
 		});
@@ -293,7 +270,6 @@
 				cancelQuery: undefined,
 				isOver: false,
 			};
-			meanDurations.set(request.service, prequalSelection.getMeanDurationMilliseconds(request.work.meanWorkMilliseconds));
 			if (findHeld(request.service)) {
 				hold(pending);
 			} else {
