--- a/src/decisions/routing/upstream-statistics.test.ts
+++ b/src/decisions/routing/upstream-statistics.test.ts
@@ -1,13 +1,13 @@
 import * as vitest from 'vitest';
-import {createRandomSource} from '../random.ts';
-import {createUpstreamStatistics} from './upstream-statistics.ts';
+import * as randomness from '../random.ts';
+import * as upstreamStatistics from './upstream-statistics.ts';
 
 const {expect, test} = vitest;
 
 /** Returns the mean slowness of an upstream with the usual work, where a share of the requests has seven times the work. */
 function getMeanSlowness(shareOfLongRequests: number): number {
-	const statistics = createUpstreamStatistics();
-	const random = createRandomSource(20_272);
+	const statistics = upstreamStatistics.createUpstreamStatistics();
+	const random = randomness.createRandomSource(20_272);
 	const answers = 5000;
 	let slownessSum = 0;
 	for (let answer = 0; answer < answers; answer++) {
@@ -27,7 +27,7 @@
 });
 
 test('an upstream that became five times slower is known as slow after a few answers', () => {
-	const statistics = createUpstreamStatistics();
+	const statistics = upstreamStatistics.createUpstreamStatistics();
 	for (let answer = 0; answer < 15; answer++) {
 		statistics.recordStart(answer * 100);
 		statistics.recordAnswer(1000, 200 * statistics.getState(answer * 100).slowness, answer * 100);
--- a/src/decisions/routing/warm-candidates.test.ts
+++ b/src/decisions/routing/warm-candidates.test.ts
@@ -1,7 +1,7 @@
 import * as vitest from 'vitest';
-import {createRandomSource} from '../random.ts';
+import * as randomness from '../random.ts';
 import * as prequalSelection from './prequal-selection.ts';
-import {restrictToWarm} from './warm-candidates.ts';
+import * as warmCandidates from './warm-candidates.ts';
 
 const {expect, test} = vitest;
 
@@ -10,7 +10,7 @@
 
 /** Plays entries that each receive requests at a rate, and close connections that were idle for eight seconds. */
 function playRequests(options: {readonly entries: number; readonly upstreams: number; readonly requestsPerEntryAndSecond: number}): {readonly connectionsPerRequest: number; readonly requests: readonly number[]} {
-	const random = createRandomSource(20_274);
+	const random = randomness.createRandomSource(20_274);
 	const upstreams: Upstream[] = Array.from({length: options.upstreams}, (_, id) => ({id, requests: 0}));
 	const entries: Entry[] = Array.from({length: options.entries}, () => ({lastUsedAt: new Map()}));
 	const totalRequests = 60 * options.entries * options.requestsPerEntryAndSecond;
@@ -19,7 +19,7 @@
 		const now = 60_000 * request / totalRequests;
 		const {lastUsedAt} = entries[random.nextInteger(entries.length)]!;
 		const isWarm = ({id}: Upstream) => now - (lastUsedAt.get(id) ?? Number.NEGATIVE_INFINITY) < 8000;
-		const sample = prequalSelection.sampleCandidates(restrictToWarm(upstreams, isWarm, random), 3, () => 0, random);
+		const sample = prequalSelection.sampleCandidates(warmCandidates.restrictToWarm(upstreams, isWarm, random), 3, () => 0, random);
 		for (const upstream of sample) {
 			connections += isWarm(upstream) ? 0 : 1;
 			lastUsedAt.set(upstream.id, now);
@@ -43,10 +43,10 @@
 });
 
 test('all candidates are used while few of them are warm, and an upstream that joins is used within a few selections', () => {
-	const random = createRandomSource(20_275);
+	const random = randomness.createRandomSource(20_275);
 	const candidates = Array.from({length: 40}, (_, index) => index);
-	expect(restrictToWarm(candidates, index => index < 7, random)).toEqual(candidates);
-	const selections = Array.from({length: 200}, () => restrictToWarm(candidates, index => index < 10, random));
+	expect(warmCandidates.restrictToWarm(candidates, index => index < 7, random)).toEqual(candidates);
+	const selections = Array.from({length: 200}, () => warmCandidates.restrictToWarm(candidates, index => index < 10, random));
 	expect(selections.some(selection => selection.length === 40)).toBe(true);
 	expect(selections.filter(selection => selection.length === 10).length).toBeGreaterThan(150);
 });
--- a/src/decisions/routing/warm-candidates.ts
+++ b/src/decisions/routing/warm-candidates.ts
@@ -6,7 +6,7 @@
 therefore keeps to the upstreams it is connected to, adds another one now and then so that none is left out for good, and
 returns to all of them when these few are busy.
 */
-import {type RandomSource} from '../random.ts';
+import type * as randomness from '../random.ts';
 
 /** Minimum number of connected upstreams to which a selection is restricted; enough for an idle one among them. */
 const minimumWarmCandidates = 8;
@@ -14,7 +14,7 @@
 const explorationShare = 0.04;
 
 /** Returns the candidates to sample from: mostly those that are warm, i.e. sound and connected to this entry. */
-export function restrictToWarm<Candidate>(candidates: readonly Candidate[], isWarm: (candidate: Candidate) => boolean, random: RandomSource): readonly Candidate[] {
+export function restrictToWarm<Candidate>(candidates: readonly Candidate[], isWarm: (candidate: Candidate) => boolean, random: randomness.RandomSource): readonly Candidate[] {
 	if (candidates.length <= minimumWarmCandidates || random.nextFraction() < explorationShare) {
 		return candidates;
 	}
--- a/src/decisions/sharing/entry-selection.ts
+++ b/src/decisions/sharing/entry-selection.ts
@@ -5,7 +5,7 @@
 opens a connection for nearly every request, knows little of the load of the upstreams, and has budgets of less than one
 token. Callers are therefore directed to as few entries as carry the present demand with room for a burst.
 */
-import {hashText} from '../hash.ts';
+import * as hash from '../hash.ts';
 import type * as types from './types.ts';
 
 /** Location of a caller; undefined where the caller doesn't provide it. */
@@ -44,7 +44,7 @@
 	}
 
 	const ranked = entries
-		.map(entry => ({entry, score: hashText(entry.name)}))
+		.map(entry => ({entry, score: hash.hashText(entry.name)}))
 		.toSorted((left, right) => right.entry.cores - left.entry.cores || left.score - right.score || (left.entry.name < right.entry.name ? -1 : 1));
 	let remainingDemand = sum(rates);
 	const inUse = new Set<types.Member>();
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -8,7 +8,7 @@
 import {findNextRequest, type HeldRequest} from '../decisions/admission/held-requests.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as prequalSelection from '../decisions/routing/prequal-selection.ts';
-import {restrictToWarm} from '../decisions/routing/warm-candidates.ts';
+import * as warmCandidates from '../decisions/routing/warm-candidates.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {
 	queryUpstreams, type UpstreamQueryHost, type QueryResults, maximumReadingAgeMilliseconds,
@@ -119,7 +119,7 @@
 	function sampleWarmUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>): readonly Upstream[] {
 		const now = host.getNow();
 		const isWarm = ({pool, record}: Upstream) => pool.count() > 0 && record.getFailureShare(now) <= prequalSelection.largestFailureShare;
-		return sampleUpstreams(service, isLocal, count, tried, candidates => restrictToWarm(candidates, isWarm, host.random));
+		return sampleUpstreams(service, isLocal, count, tried, candidates => warmCandidates.restrictToWarm(candidates, isWarm, host.random));
 	}
 
 	function queryLocal(pending: PendingSelection): void {
