--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -5,7 +5,7 @@
 
 const {describe, expect, test} = vitest;
 
-const documents = ['README.md', ...fs.readdirSync('docs').filter(file => file.endsWith('.md')).map(file => path.join('docs', file))];
+const documents = ['README.md', ...fs.readdirSync('docs', {recursive: true}).map(String).filter(file => file.endsWith('.md')).map(file => path.join('docs', file))];
 
 function readDocument(file: string): string {
 	return fs.readFileSync(file, 'utf8');
