Read and log the rate limits that upstreams state

The logs of the incident don't show whether an entry has heard of a limit, so they can't tell an entry that ignores it from one that doesn't know it. The header is read at one boundary (platform/headers.ts) and its changes are logged by upstream-limit-changed; a value that can't be used is logged once for each incarnation and changes nothing. Nothing acts on the limit yet.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -12,8 +12,10 @@
 import {type HeaderPairs} from '../entry/call.ts';
 import {getForwardedAnswerHeaders} from '../entry/headers.ts';
 import {type SelectedUpstream, type Selector} from './selection.ts';
-import {createGatewayAttempt, type AttemptResponse, type GatewayAttempt} from './gateway-attempt.ts';
-import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
+import {
+	createGatewayAttempt, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
+} from './gateway-attempt.ts';
+import {type GatewayResponse, type GatewayRequest} from './types.ts';
 
 /** Result of a request, for logs and metrics. */
 export type CallReport = {
@@ -39,15 +41,12 @@
 };
 
 /** Dependencies of all calls of an entry. */
-export type CallRunnerHost = {
+export type CallRunnerHost = GatewayAttemptHost & {
 	readonly selector: Selector;
-	readonly headers: HeaderHost;
 	readonly learner: WorkEstimator;
 	readonly budget: FleetRetryBudget;
 	/** Returns the number of running entries. */
 	countEntries(): number;
-	/** Present time in milliseconds of a monotonic clock. */
-	getNow(): number;
 	onEnd(report: CallReport): void;
 };
 
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -25,6 +25,7 @@
 import {createSharingLoop} from './sharing-loop.ts';
 import {createStoreReader} from './store-reader.ts';
 import {type HeaderHost, type StoreHost} from './types.ts';
+import * as upstreamStatements from './upstream-statements.ts';
 import {createUpstreams} from './upstreams.ts';
 
 /** Functions of the platform that a gateway uses. */
@@ -100,6 +101,7 @@
 		cores: settings.cores,
 		requestsPerSecond: demand.getReportedRate(getNow()),
 	});
+	const statements = upstreamStatements.createUpstreamStatements({logger, getNow});
 	const upstreams = createUpstreams({
 		getMaximumConnections: service => platformState.getActiveConfiguration()?.routes.getService(service)?.maximumConnections ?? defaultMaximumConnections,
 		countEntries: () => sharing.members.count(),
@@ -113,7 +115,10 @@
 			updateReadiness();
 		},
 		onUpstreams() {
-			upstreams.update(platformState.registry.list());
+			const registrations = platformState.registry.list();
+			const ids = new Set(registrations.map(({id}) => id));
+			upstreams.update(registrations);
+			statements.retain(id => ids.has(id));
 			updateReadiness();
 		},
 	});
@@ -159,6 +164,7 @@
 		recordCheck(_upstream, result, milliseconds) {
 			metrics.recordCheck(result, milliseconds);
 		},
+		recordStatements: statements.recordResponse,
 		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
@@ -173,6 +179,7 @@
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
+		recordStatements: statements.recordResponse,
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget(settings.retries, getNow()),
 		countEntries,
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -5,6 +5,8 @@
 import * as attempt from '../entry/attempt.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {type SelectedUpstream} from './selection.ts';
+import type * as upstreamStatements from './upstream-statements.ts';
+import type * as upstreams from './upstreams.ts';
 import {type ResponseMetadata, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** A complete response of an upstream. */
@@ -21,6 +23,8 @@
 	readonly headers: HeaderHost;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
+	/** Records what an upstream stated about itself in its response. */
+	recordStatements(upstream: upstreams.Upstream, metadata: ResponseMetadata, exchange: upstreamStatements.ExchangeKind): void;
 };
 
 /** Receives the progress of an attempt. */
@@ -77,7 +81,11 @@
 				listener.onSent();
 			},
 			onHead(statusCode, headers) {
-				responseHead = {statusCode, headers, metadata: host.headers.readResponse(headers)};
+				const metadata = host.headers.readResponse(headers);
+				responseHead = {statusCode, headers, metadata};
+				if (metadata.requestId === request.id && statusCode !== misdirectedStatus) {
+					host.recordStatements(upstream, metadata, 'request');
+				}
 			},
 			onData(chunk) {
 				chunks.push(chunk);
--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -3,7 +3,8 @@
 import * as attempt from '../entry/attempt.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {type Upstream} from './upstreams.ts';
-import {type HeaderHost} from './types.ts';
+import type * as upstreamStatements from './upstream-statements.ts';
+import {type HeaderHost, type ResponseMetadata} from './types.ts';
 
 /** Dependencies of a load check. */
 export type LoadCheckHost = {
@@ -13,6 +14,8 @@
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	recordCheck(upstream: Upstream, result: CheckResult['kind'], milliseconds: number): void;
+	/** Records what an upstream stated about itself in its response. */
+	recordStatements(upstream: Upstream, metadata: ResponseMetadata, exchange: upstreamStatements.ExchangeKind): void;
 };
 
 /** Result of a check. The receiver must use or release the connection of a healthy result. */
@@ -80,6 +83,10 @@
 			return {kind: 'misdirected'};
 		}
 
+		if (metadata.upstreamId !== undefined) {
+			host.recordStatements(upstream, metadata, 'check');
+		}
+
 		if (metadata.load) {
 			record.recordReading({...metadata.load, readAt: host.getNow()});
 		}
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -31,7 +31,7 @@
 		headers: {
 			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined}),
 			readResponse: () => ({
-				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined,
+				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, rateLimit: {kind: 'none'},
 			}),
 			createUpstreamHeaders: () => [],
 			isReplacedHeader: () => false,
@@ -42,6 +42,7 @@
 		getNow,
 		getHealthPath: () => '/healthz',
 		recordCheck: () => undefined,
+		recordStatements: () => undefined,
 		tryChargeCheck: () => false,
 		recordLoadSupport: () => undefined,
 		reportsLoad: () => true,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -51,6 +51,13 @@
 	readonly deadlineMilliseconds: number | undefined;
 };
 
+/** Rate limit that an upstream's response states, or doesn't. */
+export type StatedRateLimit
+	= | {readonly kind: 'none'}
+		| {readonly kind: 'limited'; readonly requestsPerSecond: number}
+	/** The response states a limit that can't be used. */
+		| {readonly kind: 'invalid'; readonly text: string};
+
 /** Data from the headers of an upstream's response. */
 export type ResponseMetadata = {
 	/** Identifier of the request to which the upstream responds. */
@@ -62,6 +69,8 @@
 	/** Identifier of the upstream. */
 	readonly upstreamId: string | undefined;
 	readonly load: Omit<prequalSelection.LoadReading, 'readAt'> | undefined;
+	/** Requests per second that the upstream accepts from all entries together. */
+	readonly rateLimit: StatedRateLimit;
 };
 
 /** Reads and creates the platform's headers in messages with callers and upstreams. */
--- a/stand-ins/platform-upstream.ts
+++ b/stand-ins/platform-upstream.ts
@@ -37,7 +37,11 @@
 	/** IDs of the executed requests, in the order of their receipt. */
 	readonly executedRequestIds: readonly string[];
 	readonly receivedRequests: readonly ReceivedRequest[];
+	/** Times at which load checks were received, in milliseconds of the monotonic clock. */
+	readonly checkTimes: readonly number[];
 	setBehavior(behaviour: PlatformUpstreamBehavior): void;
+	/** Sets headers that are added to each response to a request, e.g. a rate limit. */
+	setStatements(headers: Readonly<Record<string, string>>): void;
 	/** Sets whether health checks fail and responses close their connection, as for an upstream that is shutting down. */
 	setDraining(isLeaving: boolean): void;
 	close(): Promise<void>;
@@ -57,6 +61,8 @@
 	let behaviour: PlatformUpstreamBehavior = {kind: 'answer', milliseconds: 1};
 	let runningCount = 0;
 	let isLeaving = false;
+	let statements: Readonly<Record<string, string>> = {};
+	const checkTimes: number[] = [];
 
 	const formatLoad = () => `${runningCount},0,${slots},100`;
 
@@ -67,6 +73,7 @@
 		});
 		request.once('end', () => {
 			if (request.url === '/healthz') {
+				checkTimes.push(performance.now());
 				response.writeHead(isLeaving ? 503 : 200, {'instance-id': id, 'upstream-load': formatLoad()}).end();
 				return;
 			}
@@ -88,13 +95,15 @@
 		} else if (hasRun) {
 			execute(requestId, digest, response);
 		} else {
-			response.writeHead(503, {'attempt-id': requestId, 'not-executed': '1', 'upstream-load': formatLoad()}).end();
+			response.writeHead(503, {
+				'attempt-id': requestId, 'not-executed': '1', 'upstream-load': formatLoad(), ...statements,
+			}).end();
 		}
 	}
 
 	function execute(requestId: string, digest: string, response: http.ServerResponse): void {
 		const createHeaders = () => ({
-			'attempt-id': requestId, 'upstream-signature': `signed-by-${id}`, 'upstream-load': formatLoad(), ...(isLeaving ? {connection: 'close'} : {}),
+			'attempt-id': requestId, 'upstream-signature': `signed-by-${id}`, 'upstream-load': formatLoad(), ...(isLeaving ? {connection: 'close'} : {}), ...statements,
 		});
 		const text = createResponseBody(id, requestId, digest);
 		switch (behaviour.kind) {
@@ -156,12 +165,16 @@
 		id,
 		address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`,
 		receivedRequests: arrivals,
+		checkTimes,
 		get executedRequestIds() {
 			return arrivals.filter(({hasRun}) => hasRun).map(({requestId}) => requestId);
 		},
 		setBehavior(newBehavior) {
 			behaviour = newBehavior;
 		},
+		setStatements(headers) {
+			statements = headers;
+		},
 		setDraining(isNowLeaving) {
 			isLeaving = isNowLeaving;
 		},
--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -79,7 +79,7 @@
 /** Makes an attempt; `afterSending` is called once the request has been written. */
 async function attempt(upstream: Upstream, id: string, afterSending: () => Promise<void> = async () => undefined): Promise<{end: AttemptEnd; answer: AttemptResponse | undefined}> {
 	return new Promise(resolve => {
-		createGatewayAttempt({headers: createHeaderHost(), getNow}, createRequest(id), {
+		createGatewayAttempt({headers: createHeaderHost(), getNow, recordStatements: () => undefined}, createRequest(id), {
 			kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
 		}, {
 			onSent() {
@@ -162,7 +162,7 @@
 async function checkLoad(upstream: Upstream): Promise<CheckResult['kind']> {
 	return new Promise(resolve => {
 		startLoadCheck({
-			headers: createHeaderHost(), getNow, getHealthPath: () => '/healthz', recordCheck: () => undefined,
+			headers: createHeaderHost(), getNow, getHealthPath: () => '/healthz', recordCheck: () => undefined, recordStatements: () => undefined,
 		}, upstream, ({kind}) => {
 			resolve(kind);
 		});
@@ -266,6 +266,7 @@
 			close: () => undefined,
 		},
 		headers: createHeaderHost(),
+		recordStatements: () => undefined,
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget({ratio: 0, windowMilliseconds: 1000, slack: 0}, 0),
 		countEntries: () => 1,
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,22 +1,18 @@
 /** Tests of gateways with the real platform adapter against stand-ins for the store and the upstreams. */
 import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
-import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import * as z from 'zod';
 import {findFreePorts} from '../bench/faults/free-ports.ts';
-import {createPlatform} from '../platform/create-platform.ts';
-import {decodePlatformSettings} from '../platform/settings.ts';
-import {createGateway, type Gateway} from '../src/gateway/create-gateway.ts';
-import {type Logger} from '../src/observability/logger.ts';
-import {createGatewayMetrics} from '../src/observability/gateway-metrics.ts';
 import {createResponseBody, type PlatformUpstream, startPlatformUpstream} from '../stand-ins/platform-upstream.ts';
 import {startStore, type StoreStandIn} from '../stand-ins/store.ts';
+import * as gateways from './support/gateways.ts';
 
 const {afterEach, beforeEach, expect, test} = vitest;
-const host = 'desk.example';
+const {createConfiguration, isReady, send, waitUntil} = gateways;
 const resolveAnswerSchema = z.object({addrs: z.array(z.string())});
+type RunningGateway = gateways.RunningGateway;
 const cleanups: Array<() => Promise<void>> = [];
 let store: StoreStandIn;
 
@@ -31,28 +27,8 @@
 	}
 });
 
-function createConfiguration(version: number, paths: readonly string[] = ['/price/', '/credit/']) {
-	return {
-		version: version.toString(16).padStart(8, '0'),
-		limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-		},
-		listeners: [{
-			host,
-			rules: paths.map(pathPrefix => ({
-				name: pathPrefix, kind: pathPrefix === '/credit/' ? 'non_idempotent' : 'idempotent', targetLatencyMs: 400, priority: 1, match: {pathPrefix}, action: {service: 'desk', timeoutMs: 1500, attempts: 2},
-			})),
-		}],
-		clusters: [{
-			name: 'desk', healthPath: '/healthz', maxConns: 200, protocol: 'h1', tls: false,
-		}],
-	};
-}
-
-function register(upstream: PlatformUpstream, state = 'ready', sequence = 1, born = 1000) {
-	store.put('keyed.servers', upstream.id, {
-		service: 'desk', addr: upstream.address, zone: 'riverside', version: 'v1', slots: 4, state, coldLeftMs: 0, seq: sequence, born,
-	});
+function register(upstream: PlatformUpstream, state = 'ready', sequence = 1) {
+	gateways.register(store, upstream, {state, seq: sequence});
 }
 
 async function startUpstream(id: string): Promise<PlatformUpstream> {
@@ -61,86 +37,14 @@
 	return upstream;
 }
 
-const silentLogger: Logger = {
-	error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined,
-};
-
-type RunningGateway = {readonly gateway: Gateway; readonly front: string; readonly directory: string; readonly ready: string; readonly peers: string};
-
 async function startGateway(name: string, seeds: readonly string[] = [], peers?: string): Promise<RunningGateway> {
-	const ports = await findFreePorts(4);
-	const [front, ready, freeControl, directory] = ports.map(port => `127.0.0.1:${port}`);
-	const control = peers ?? freeControl;
-	const settings = decodePlatformSettings({
-		node: name,
-		zone: 'riverside',
-		region: 'east',
-		listen: {
-			front, ready, control, directory,
-		},
-		seeds,
-		bounds: ['graceS=1', 'retryRatio=0.2', 'retryWindowS=10', 'retrySlack=58', 'probesPerS=60', 'ttl_max_s=5', 'unknown=true'],
-		platform: {addr: store.address, unknown: 1},
-		unknown: 'ignored',
-	})._unsafeUnwrap();
-	const getNow = () => performance.now();
-	const gateway = await createGateway(settings, {
-		platform: createPlatform(store.address, getNow, () => undefined),
-		logger: silentLogger,
-		metrics: createGatewayMetrics(),
-		metricsPort: 0,
-		getNow,
-		getWallTime: () => Date.now(),
+	const running = await gateways.startGateway({
+		name, storeAddress: store.address, seeds, peers,
 	});
-	cleanups.push(gateway.leave);
-	return {
-		gateway, front: front!, directory: directory!, ready: ready!, peers: control!,
-	};
+	cleanups.push(running.gateway.leave);
+	return running;
 }
 
-type Answer = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: string; readonly id: string};
-
-async function send(address: string, path: string, method = 'GET', body = ''): Promise<Answer> {
-	const id = crypto.randomBytes(8).toString('hex');
-	return new Promise((resolve, reject) => {
-		const request = http.request(`http://${address}${path}`, {
-			method, agent: false, headers: {
-				host, 'attempt-id': id, 'deadline-ms': '2000', ...(body === '' ? {} : {'content-length': String(body.length)}),
-			},
-		}, response => {
-			let text = '';
-			response.on('data', chunk => {
-				text += String(chunk);
-			});
-			response.on('end', () => {
-				resolve({
-					status: response.statusCode ?? 0, headers: response.headers, body: text, id,
-				});
-			});
-			response.on('error', reject);
-		});
-		request.on('error', reject);
-		request.end(body);
-	});
-}
-
-async function waitUntil(condition: () => Promise<boolean> | boolean): Promise<void> {
-	for (let count = 0; count < 600; count++) {
-		if (await condition()) {
-			return;
-		}
-
-		await timers.setTimeout(20);
-	}
-
-	throw new Error('The condition did not become true within 600 checks.');
-}
-
-const isReady = async ({ready}: RunningGateway) => {
-	const answer = await send(ready, '/api/ready');
-	return answer.status === 200;
-};
-
 async function startGatewayWithUpstreams(): Promise<{running: RunningGateway; first: PlatformUpstream; second: PlatformUpstream}> {
 	const first = await startUpstream('i-1');
 	const second = await startUpstream('i-2');
