Send to an upstream with a rate limit only with a permit of one coordinator

Cause: no entry acted on the limit, and a limit binds a sum that no entry can see. Change: all permits of an upstream come from one entry, chosen by rendezvous hashing, spaced evenly below the limit; an entry sends to the upstream only with a permit, for first attempts, retries, hedged and held requests alike, and doesn't check its load. What an entry has heard travels with the other news. A service whose upstreams all have a limit refuses at once what has no permit.

--- /dev/null
+++ b/src/decisions/backpressure/upstream-statements.test.ts
@@ -0,0 +1,70 @@
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import * as upstreamStatements from './upstream-statements.ts';
+
+const {expect, test} = vitest;
+const upstream = {id: 'i-1', incarnation: 1000};
+const createLimit = (requestsPerSecond: number, heardAt: number, incarnation = upstream.incarnation): upstreamStatements.UpstreamStatement => ({
+	id: upstream.id, incarnation, heardAt, content: {kind: 'rate-limit', requestsPerSecond},
+});
+const createEnd = (heardAt: number): upstreamStatements.UpstreamStatement => ({...upstream, heardAt, content: {kind: 'no-rate-limit'}});
+
+test('an upstream with a rate limit needs permits until it states no limit, and returns gradually', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	expect(statements.getAccess(upstream, 0)).toEqual({kind: 'open', selectionShare: 1});
+	expect(statements.record(createLimit(2.2, 100))).toBe(true);
+	expect(statements.getAccess(upstream, 60_000)).toEqual({kind: 'by-permit', requestsPerSecond: 2.2, heardAt: 100});
+	expect(statements.record(createLimit(2.2, 200))).toBe(false);
+	expect(statements.record(createEnd(300))).toBe(true);
+	const shares = [300, 1300, 5000].map(now => statements.getAccess(upstream, now));
+	expect(shares).toEqual([0, 0.5, 1].map(selectionShare => ({kind: 'open', selectionShare})));
+});
+
+test('an older statement, and one of an earlier incarnation, changes nothing', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	statements.record(createLimit(2, 100));
+	statements.record(createLimit(2, 500));
+	expect(statements.record(createEnd(400))).toBe(false);
+	expect(statements.record(createLimit(9, 600, 999))).toBe(false);
+	expect(statements.getAccess(upstream, 700)).toMatchObject({kind: 'by-permit', requestsPerSecond: 2});
+});
+
+test('a restart of the upstream under its id clears what it had stated', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	statements.record(createLimit(2, 100));
+	expect(statements.getAccess({...upstream, incarnation: 1001}, 200)).toEqual({kind: 'open', selectionShare: 1});
+});
+
+test('the end of a limit that was not known holds against an older statement of the limit', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	statements.record(createEnd(100));
+	expect(statements.record(createLimit(2, 50))).toBe(false);
+	expect(statements.getAccess(upstream, 5000)).toEqual({kind: 'open', selectionShare: 1});
+});
+
+test('tables that exchange their updates in any order agree', () => {
+	const statementArbitrary = fastCheck.record({
+		id: fastCheck.constantFrom('i-1', 'i-2'),
+		incarnation: fastCheck.integer({min: 1, max: 2}),
+		// Two upstreams' responses are heard at different times.
+		heardAt: fastCheck.integer({min: 0, max: 1_000_000}),
+		content: fastCheck.oneof(fastCheck.constant({kind: 'no-rate-limit'} as const), fastCheck.record({kind: fastCheck.constant('rate-limit' as const), requestsPerSecond: fastCheck.constantFrom(1, 2)})),
+	});
+	fastCheck.assert(fastCheck.property(fastCheck.uniqueArray(statementArbitrary, {selector: ({heardAt}) => heardAt}), fastCheck.integer(), (all, split) => {
+		const tables = [upstreamStatements.createUpstreamStatements(), upstreamStatements.createUpstreamStatements()] as const;
+		for (const [index, statement] of all.entries()) {
+			tables[(index + split) % 2 === 0 ? 0 : 1].record(statement);
+		}
+
+		for (const [from, to] of [[0, 1], [1, 0], [0, 1]] as const) {
+			for (const statement of tables[from].getUpdate(-1).statements) {
+				tables[to].record(statement);
+			}
+		}
+
+		for (const id of ['i-1', 'i-2']) {
+			const [left, right] = tables.map(table => [1, 2].map(incarnation => table.getAccess({id, incarnation}, 3_000_000)));
+			expect(left!.map(access => access.kind === 'by-permit' ? access.requestsPerSecond : 0)).toEqual(right!.map(access => access.kind === 'by-permit' ? access.requestsPerSecond : 0));
+		}
+	}), {seed: 28, numRuns: 500});
+});
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -11,7 +11,7 @@
 import {type WorkEstimator} from '../decisions/routing/work-estimator.ts';
 import {type HeaderPairs} from '../entry/call.ts';
 import {getForwardedAnswerHeaders} from '../entry/headers.ts';
-import {type SelectedUpstream, type Selector} from './selection.ts';
+import {type SelectedUpstream, type Selection, type Selector} from './selection.ts';
 import {
 	createGatewayAttempt, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
 } from './gateway-attempt.ts';
@@ -111,17 +111,42 @@
 			isSelected = true;
 			cancelSelection = undefined;
 			checks += selection.checks;
-			if (selection.kind === 'selected') {
-				send(selection);
-			} else if (running.size === 0) {
-				giveUp('no-room');
-			}
+			handleSelection(selection);
 		});
 		if (!isSelected) {
 			cancelSelection = cancel;
 		}
 	}
 
+	function handleSelection(selection: Selection): void {
+		switch (selection.kind) {
+			case 'selected': {
+				send(selection);
+				break;
+			}
+
+			case 'no-room': {
+				if (running.size === 0) {
+					giveUp('no-room');
+				}
+
+				break;
+			}
+
+			case 'rate-limited': {
+				if (running.size === 0) {
+					giveUp('rate-limited', selection.retryAfterMilliseconds);
+				}
+
+				break;
+			}
+
+			default: {
+				assertNever(selection);
+			}
+		}
+	}
+
 	function send(selected: SelectedUpstream): void {
 		const sentAt = host.getNow();
 		const {upstream, expectedMilliseconds} = selected;
@@ -240,7 +265,7 @@
 		return request.body.kind !== 'streamed' || end.kind === 'not-sent';
 	}
 
-	function giveUp(reason: retryDecision.GiveUpReason): void {
+	function giveUp(reason: retryDecision.GiveUpReason, retryAfterMilliseconds = getRetryAfterMilliseconds(reason)): void {
 		if (isAnswered) {
 			return;
 		}
@@ -251,7 +276,7 @@
 		}
 
 		const statusCode = retryDecision.getFailureStatus(getHistory(), reason);
-		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(getRetryAfterMilliseconds(reason)) : [];
+		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(retryAfterMilliseconds) : [];
 		finish({
 			statusCode, headers, body: new Uint8Array(), hasOwnEnd: true,
 		}, statusCode === 503 ? 'refused' : 'failed', reason);
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -14,18 +14,20 @@
 import {createLifeCycle} from '../entry/life-cycle.ts';
 import {type GatewayMetrics} from '../observability/gateway-metrics.ts';
 import {type Logger} from '../observability/logger.ts';
+import * as peerPermits from '../peers/permits.ts';
 import {createPeerServer} from '../peers/peer-server.ts';
 import {createSharingClient, createSharingRoutes} from '../peers/sharing.ts';
 import {type CallReport, startCall} from './call-runner.ts';
 import {createDirectory, type Directory} from './directory.ts';
 import {createFrontServer, listen} from './front-server.ts';
+import * as permitsModule from './permits.ts';
 import {createPlatformState} from './platform-state.ts';
 import {createSelector} from './selection.ts';
 import {type GatewaySettings} from './settings.ts';
 import {createSharingLoop} from './sharing-loop.ts';
 import {createStoreReader} from './store-reader.ts';
 import {type HeaderHost, type StoreHost} from './types.ts';
-import * as upstreamStatements from './upstream-statements.ts';
+import * as statementRecorder from './statement-recorder.ts';
 import {createUpstreams} from './upstreams.ts';
 
 /** Functions of the platform that a gateway uses. */
@@ -65,7 +67,7 @@
 /** Time before the end of the grace period at which requests in flight are aborted, in milliseconds. */
 const abortMarginMilliseconds = 150;
 const drainCheckIntervalMilliseconds = 20;
-const closeIdleIntervalMilliseconds = 1000;
+const maintenanceIntervalMilliseconds = 1000;
 const peerGraceMilliseconds = 50;
 /** Time for which a computed share of a budget is used, in milliseconds; the demand that it depends on changes less often. */
 const shareLifetimeMilliseconds = 200;
@@ -101,10 +103,17 @@
 		cores: settings.cores,
 		requestsPerSecond: demand.getReportedRate(getNow()),
 	});
-	const statements = upstreamStatements.createUpstreamStatements({logger, getNow});
+	const recorder = statementRecorder.createStatementRecorder({
+		logger,
+		getNow,
+		onChange() {
+			upstreams.refresh();
+		},
+	});
 	const upstreams = createUpstreams({
 		getMaximumConnections: service => platformState.getActiveConfiguration()?.routes.getService(service)?.maximumConnections ?? defaultMaximumConnections,
 		countEntries: () => sharing.members.count(),
+		getAccess: recorder.statements.getAccess,
 		getNow,
 	}, settings.failureDomain);
 	const platformState = createPlatformState({
@@ -118,7 +127,8 @@
 			const registrations = platformState.registry.list();
 			const ids = new Set(registrations.map(({id}) => id));
 			upstreams.update(registrations);
-			statements.retain(id => ids.has(id));
+			recorder.retain(id => ids.has(id));
+			permits.retain(id => ids.has(id));
 			updateReadiness();
 		},
 	});
@@ -135,6 +145,7 @@
 		logger,
 		platformState,
 		reader,
+		statements: recorder,
 		client: createSharingClient(),
 		getSelf,
 		getSeeds: () => seeds,
@@ -142,6 +153,16 @@
 		random,
 		getNow,
 	});
+	const permits = permitsModule.createPermits({
+		client: peerPermits.createPermitClient(),
+		recorder,
+		random,
+		name: settings.name,
+		listByPermit: upstreams.listByPermit,
+		listMembers: sharing.members.list,
+		getNow,
+		recordPermit: metrics.recordPermit,
+	});
 	const countEntries = () => sharing.members.count();
 	let checkShare = {value: 0, expiresAt: Number.NEGATIVE_INFINITY};
 	/** Gets the part of the fleet's load checks that this entry may make. */
@@ -158,13 +179,14 @@
 	const selector = createSelector({
 		headers: platform.headers,
 		upstreams,
+		permits,
 		random,
 		getNow,
 		getHealthPath: service => platformState.getActiveConfiguration()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
 		recordCheck(_upstream, result, milliseconds) {
 			metrics.recordCheck(result, milliseconds);
 		},
-		recordStatements: statements.recordResponse,
+		recordStatements: recorder.recordResponse,
 		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
@@ -179,7 +201,7 @@
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
-		recordStatements: statements.recordResponse,
+		recordStatements: recorder.recordResponse,
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget(settings.retries, getNow()),
 		countEntries,
@@ -263,7 +285,7 @@
 	}
 
 	const peers = splitAddress(settings.listen.peers);
-	const peerServer = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond})]});
+	const peerServer = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest})]});
 	if (peerServer.isErr()) {
 		throw new Error(peerServer.error.message);
 	}
@@ -275,7 +297,10 @@
 		listen(metricsServer, {host: peers.host, port: host.metricsPort}),
 	]);
 	sharing.start();
-	const closeIdleTimer = setInterval(upstreams.closeIdle, closeIdleIntervalMilliseconds);
+	const maintenanceTimer = setInterval(() => {
+		upstreams.closeIdle();
+		permits.observeEntries();
+	}, maintenanceIntervalMilliseconds);
 	logger.info('gateway-started', {
 		incarnation, address: settings.listen.callers, failureDomain: settings.failureDomain, startMilliseconds: Math.round(getNow()), staleMilliseconds,
 	});
@@ -301,10 +326,11 @@
 
 		logger.info('gateway-stopped', {cutOff: frontServer.countOpen()});
 		lifeCycle.send('calls-ended');
-		clearInterval(closeIdleTimer);
+		clearInterval(maintenanceTimer);
 		sharing.stop();
 		selector.close();
 		upstreams.close();
+		permits.close();
 		directoryServer.close();
 		readinessServer.close();
 		metricsServer.close();
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -5,7 +5,7 @@
 import * as attempt from '../entry/attempt.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {type SelectedUpstream} from './selection.ts';
-import type * as upstreamStatements from './upstream-statements.ts';
+import type * as statementRecorder from './statement-recorder.ts';
 import type * as upstreams from './upstreams.ts';
 import {type ResponseMetadata, type GatewayRequest, type HeaderHost} from './types.ts';
 
@@ -24,7 +24,7 @@
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Records what an upstream stated about itself in its response. */
-	recordStatements(upstream: upstreams.Upstream, metadata: ResponseMetadata, exchange: upstreamStatements.ExchangeKind): void;
+	recordStatements(upstream: upstreams.Upstream, metadata: ResponseMetadata, exchange: statementRecorder.ExchangeKind): void;
 };
 
 /** Receives the progress of an attempt. */
--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -3,7 +3,7 @@
 import * as attempt from '../entry/attempt.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {type Upstream} from './upstreams.ts';
-import type * as upstreamStatements from './upstream-statements.ts';
+import type * as statementRecorder from './statement-recorder.ts';
 import {type HeaderHost, type ResponseMetadata} from './types.ts';
 
 /** Dependencies of a load check. */
@@ -15,7 +15,7 @@
 	getNow(): number;
 	recordCheck(upstream: Upstream, result: CheckResult['kind'], milliseconds: number): void;
 	/** Records what an upstream stated about itself in its response. */
-	recordStatements(upstream: Upstream, metadata: ResponseMetadata, exchange: upstreamStatements.ExchangeKind): void;
+	recordStatements(upstream: Upstream, metadata: ResponseMetadata, exchange: statementRecorder.ExchangeKind): void;
 };
 
 /** Result of a check. The receiver must use or release the connection of a healthy result. */
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -25,7 +25,9 @@
 
 /** Creates a selector without a budget for load checks, so that it uses only the recorded load readings. */
 function createParts(ids: readonly string[]): {selector: Selector; upstreams: Upstreams} {
-	const upstreams = createUpstreams({getMaximumConnections: () => 10, countEntries: () => 1, getNow}, 'here');
+	const upstreams = createUpstreams({
+		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), getNow,
+	}, 'here');
 	upstreams.update(ids.map(id => createRegistration(id)));
 	const selector = createSelector({
 		headers: {
@@ -38,6 +40,7 @@
 			createRetryHeaders: () => [],
 		},
 		upstreams,
+		permits: {take: () => undefined, areNeeded: () => false, getWaitMilliseconds: () => 0},
 		random: createRandomSource(20_266),
 		getNow,
 		getHealthPath: () => '/healthz',
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -4,6 +4,9 @@
 The selector queries the load of a few upstreams in its own failure domain, and of some in the other failure domains if
 the local ones can't meet the latency objective. If no upstream has capacity, the request is held. A held request is sent
 as soon as a response or a load check shows capacity, in the order of `held-requests.ts`, or is given up at its time limit.
+
+Upstreams with a rate limit are not queried. A request goes to one of them if this entry has a permit, before any other
+upstream is considered. If a service has no other upstreams, requests without a permit are not held.
 */
 import {findNextRequest, type HeldRequest} from '../decisions/admission/held-requests.ts';
 import {type RandomSource} from '../decisions/random.ts';
@@ -13,6 +16,7 @@
 import {
 	queryUpstreams, type UpstreamQueryHost, type QueryResults, maximumReadingAgeMilliseconds,
 } from './query-upstreams.ts';
+import type * as permits from './permits.ts';
 import {type Upstream, type Upstreams} from './upstreams.ts';
 
 /** A selected upstream. */
@@ -27,8 +31,13 @@
 	readonly checks: number;
 };
 
-/** Result of a selection; `no-room` if no upstream had capacity in time. */
-export type Selection = SelectedUpstream | {readonly kind: 'no-room'; readonly checks: number};
+/** Result of a selection. */
+export type Selection
+	= | SelectedUpstream
+	/** No upstream had capacity in time. */
+		| {readonly kind: 'no-room'; readonly checks: number}
+	/** All upstreams of the service have a rate limit, and this entry has no permit. */
+		| {readonly kind: 'rate-limited'; readonly checks: number; readonly retryAfterMilliseconds: number};
 
 /** Properties of a request that determine its upstream. */
 export type SelectionRequest = {
@@ -46,6 +55,7 @@
 /** Dependencies of a selector. */
 export type SelectionHost = UpstreamQueryHost & {
 	readonly upstreams: Upstreams;
+	readonly permits: Pick<permits.Permits, 'take' | 'areNeeded' | 'getWaitMilliseconds'>;
 	readonly random: RandomSource;
 };
 
@@ -110,11 +120,17 @@
 		const now = host.getNow();
 		const isUntried = ({registration}: Upstream) => !tried.has(registration.id);
 		const mayRepeat = tried.size > 0 && !host.upstreams.listUsable(service).some(upstream => isUntried(upstream));
-		const candidates = host.upstreams.listByLocality(service, isLocal);
+		const candidates = host.upstreams.listByLocality(service, isLocal).filter(upstream => isConsidered(upstream, now));
 		const allowed = tried.size === 0 || mayRepeat ? candidates : candidates.filter(upstream => isUntried(upstream));
 		return prequalSelection.sampleCandidates(restrict(allowed), count, ({record}) => record.getFailureShare(now), host.random);
 	}
 
+	/** Whether this selection considers an upstream; most don't shortly after the end of its rate limit. */
+	function isConsidered(upstream: Upstream, now: number): boolean {
+		const share = host.upstreams.getSelectionShare(upstream, now);
+		return share === 1 || host.random.nextFraction() < share;
+	}
+
 	/** Samples upstreams for a request that just arrived, mostly among those that this entry is connected to. */
 	function sampleWarmUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>): readonly Upstream[] {
 		const now = host.getNow();
@@ -188,6 +204,11 @@
 	function hold(pending: PendingSelection): void {
 		const {service} = pending.request;
 		pending.cancelQuery = undefined;
+		if (isOnlyByPermit(service)) {
+			rejectWithoutPermit(pending);
+			return;
+		}
+
 		if (host.getNow() >= pending.expiresAt) {
 			finish(pending, {kind: 'no-room', checks: pending.checks});
 			return;
@@ -198,6 +219,34 @@
 		heldRoundTimer ??= setTimeout(runHeldRound, heldRoundIntervalMilliseconds);
 	}
 
+	const isOnlyByPermit = (service: string) => host.upstreams.listUsable(service).length === 0 && host.permits.areNeeded(service);
+
+	function rejectWithoutPermit(pending: PendingSelection): void {
+		finish(pending, {kind: 'rate-limited', checks: pending.checks, retryAfterMilliseconds: host.permits.getWaitMilliseconds(pending.request.service)});
+	}
+
+	/** Sends a request to an upstream with a rate limit if there is a permit. Returns whether it was sent. */
+	function trySendByPermit(pending: PendingSelection): boolean {
+		const upstream = host.permits.take(pending.request.service, pending.request.tried);
+		if (!upstream) {
+			return false;
+		}
+
+		const {expectedMilliseconds} = prequalSelection.estimateUpstream(host.upstreams.getState(upstream, host.getNow()), pending.request.work);
+		finish(pending, {
+			kind: 'selected', upstream, connection: undefined, expectedMilliseconds, checks: pending.checks,
+		});
+		return true;
+	}
+
+	/** Sends the next held requests of a service to upstreams with a rate limit while there are permits. */
+	function sendHeldByPermit(service: string): void {
+		let next = findNextRequest(findHeld(service) ?? [], host.getNow());
+		while (next && trySendByPermit(next)) {
+			next = findNextRequest(findHeld(service) ?? [], host.getNow());
+		}
+	}
+
 	/** Gives up the held requests whose time is over, and queries a few upstreams for the others. */
 	function runHeldRound(): void {
 		heldRoundTimer = undefined;
@@ -209,6 +258,13 @@
 				}
 			}
 
+			sendHeldByPermit(service);
+			if (isOnlyByPermit(service)) {
+				for (const pending of held) {
+					rejectWithoutPermit(pending);
+				}
+			}
+
 			if (findHeld(service)) {
 				queryForHeld(service);
 			}
@@ -272,7 +328,8 @@
 			};
 			if (findHeld(request.service)) {
 				hold(pending);
-			} else {
+				sendHeldByPermit(request.service);
+			} else if (!trySendByPermit(pending)) {
 				queryLocal(pending);
 			}
 
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -9,6 +9,7 @@
 import type * as codec from '../peers/sharing-codec.ts';
 import {type SharingClient, type SharingError} from '../peers/sharing.ts';
 import {type PlatformState} from './platform-state.ts';
+import type * as statementRecorder from './statement-recorder.ts';
 import {type StoreReader} from './store-reader.ts';
 
 /** Dependencies of a sharing loop. */
@@ -16,6 +17,7 @@
 	readonly logger: Logger;
 	readonly platformState: PlatformState;
 	readonly reader: StoreReader;
+	readonly statements: statementRecorder.StatementRecorder;
 	readonly client: SharingClient;
 	/** Whether all entries start for the first time. */
 	readonly isFirstStart: boolean;
@@ -61,7 +63,7 @@
 response to each follower, and callers keep addresses for at least a second anyway.
 */
 const announceIntervalMilliseconds = 200;
-const noMemberListVersion = {source: '', revision: -1};
+const noVersion = {source: '', membersRevision: -1, statementsRevision: -1};
 
 /** Creates the loop of an entry; call `start` to begin. */
 export function createSharingLoop(host: SharingLoopHost): SharingLoop {
@@ -73,8 +75,10 @@
 	const seedWaitEndsAt = host.getNow() + seedWaitMilliseconds;
 	let followAbort = new AbortController();
 	let source = '';
-	/** Source and revision of the member list that was last received from the followed entry. */
-	let memberListVersion = noMemberListVersion;
+	/** Source and revisions of the member list and the statements that were last received from the followed entry. */
+	let receivedVersion = noVersion;
+	/** Revision of the own statements that the followed entry has received. */
+	let sentStatementsRevision = -1;
 	/** Urgent revision of the member list that was last announced to the followers. */
 	let announcedRevision = -1;
 
@@ -85,8 +89,10 @@
 			follower: host.getSelf(),
 			configurationVersion: platformState.getActiveConfiguration()?.configuration.version ?? -1,
 			registryPosition: platformState.registry.getPosition(),
-			membersSource: memberListVersion.source,
-			membersRevision: memberListVersion.revision,
+			membersSource: receivedVersion.source,
+			membersRevision: receivedVersion.membersRevision,
+			statements: host.statements.getUpdate(sentStatementsRevision).statements,
+			statementsRevision: receivedVersion.statementsRevision,
 			waitMilliseconds,
 		};
 	}
@@ -94,7 +100,8 @@
 	function applyUpdate(update: codec.SharingUpdate, origin: string): void {
 		const now = host.getNow();
 		members.applyUpdate(update.memberUpdate, now);
-		memberListVersion = {source: update.membersSource, revision: update.memberUpdate.revision};
+		receivedVersion = {source: update.membersSource, membersRevision: update.memberUpdate.revision, statementsRevision: update.statementsRevision};
+		host.statements.recordShared(update.statements, origin);
 		applyPublishedData(update, origin);
 	}
 
@@ -118,7 +125,8 @@
 				source: next, previous: source || undefined, members: members.list().length, ageMilliseconds: Math.round(platformState.getAge(host.getNow())),
 			});
 			source = next;
-			memberListVersion = noMemberListVersion;
+			receivedVersion = noVersion;
+			sentStatementsRevision = -1;
 		}
 	}
 
@@ -145,13 +153,23 @@
 			recordSource(name);
 			const {peerAddress} = members.list().find(member => member.name === name)!;
 			followAbort = new AbortController();
+			const {revision} = host.statements.getUpdate(sentStatementsRevision);
 			const result = await client.follow(peerAddress, createRequest(followWaitMilliseconds), followAbort.signal);
 			if (!followAbort.signal.aborted) {
+				recordSentStatements(result, revision);
 				await handleFollowResult(name, result);
 			}
 		}
 	}
 
+	/** Records that the followed entry has the own statements up to a revision, unless it restarted meanwhile. */
+	function recordSentStatements(result: neverthrow.Result<codec.SharingUpdate, SharingError>, revision: number): void {
+		if (result.isOk()) {
+			const isSameSource = receivedVersion.source === '' || receivedVersion.source === result.value.membersSource;
+			sentStatementsRevision = isSameSource ? revision : -1;
+		}
+	}
+
 	/** Follows another entry for a while if this entry should read the store, but its reads fail. */
 	async function recoverFromReadFailure(): Promise<void> {
 		if (stopping.signal.aborted || findSource() !== undefined) {
@@ -263,12 +281,18 @@
 		return update.position > position ? update : undefined;
 	}
 
+	function getStatementUpdate({membersSource, statementsRevision}: codec.SharingRequest) {
+		const {revision, statements} = host.statements.getUpdate(membersSource === self.incarnation ? statementsRevision : -1);
+		return {statementsRevision: revision, statements};
+	}
+
 	function hasUpdate(request: codec.SharingRequest): boolean {
 		const version = platformState.getActiveConfiguration()?.configuration.version ?? -1;
 		const update = getRegistryUpdate(request.registryPosition);
 		return version > request.configurationVersion
 			|| (update !== undefined && (update.changes.length > 0 || update.isComplete))
 			|| request.membersSource !== self.incarnation
+			|| host.statements.getUpdate(request.statementsRevision).statements.length > 0
 			|| request.membersRevision < announcedRevision;
 	}
 
@@ -282,6 +306,10 @@
 			void expireMembers();
 		},
 		async respond(request) {
+			if (host.statements.recordShared(request.statements, request.follower.name)) {
+				platformState.wakeWaiters();
+			}
+
 			if (members.recordMember(request.follower, host.getNow())) {
 				logger.info('member-heard', {member: request.follower.name, incarnation: request.follower.incarnation, isReady: request.follower.isReady});
 			}
@@ -299,6 +327,7 @@
 				registryUpdate: getRegistryUpdate(request.registryPosition),
 				membersSource: self.incarnation,
 				memberUpdate: members.getUpdate(request.membersSource === self.incarnation ? request.membersRevision : -1),
+				...getStatementUpdate(request),
 			};
 		},
 		announce() {
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,4 +1,6 @@
 /** The upstreams of all services, with their connection pools and their observed load and failures. */
+import type * as upstreamStatements from '../decisions/backpressure/upstream-statements.ts';
+import {assertNever} from '../decisions/assert-never.ts';
 import type * as registry from '../decisions/registry/types.ts';
 import type * as prequalSelection from '../decisions/routing/prequal-selection.ts';
 import * as upstreamStatistics from '../decisions/routing/upstream-statistics.ts';
@@ -19,6 +21,8 @@
 	getMaximumConnections(service: string): number;
 	/** Returns the number of running entries. */
 	countEntries(): number;
+	/** Gets how an upstream may be used according to its own statements. */
+	getAccess(upstream: upstreamStatements.UpstreamIncarnation, now: number): upstreamStatements.UpstreamAccess;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 };
@@ -27,12 +31,18 @@
 export type Upstreams = {
 	/** Replaces the set of upstreams by the given registrations; keeps the connections and records of unchanged processes. */
 	update(registrations: readonly registry.Registration[]): void;
-	/** Lists the upstreams of a service that may receive new requests. */
+	/** Assigns the upstreams anew to the lists, after a change of how they may be used. */
+	refresh(): void;
+	/** Lists the upstreams of a service that may receive new requests without a permit. */
 	listUsable(service: string): readonly Upstream[];
 	/** Lists the usable upstreams of a service inside the failure domain of this entry, or outside of it. */
 	listByLocality(service: string, isLocal: boolean): readonly Upstream[];
-	/** Whether an upstream may still receive new requests. */
+	/** Lists the upstreams of a service that need a permit for each request. */
+	listByPermit(service: string): readonly Upstream[];
+	/** Whether an upstream may still receive new requests without a permit. */
 	isUsable(upstream: Upstream): boolean;
+	/** Gets the share of the selections that may consider an upstream, from 0 to 1. */
+	getSelectionShare(upstream: Upstream, now: number): number;
 	getState(upstream: Upstream, now: number): prequalSelection.UpstreamState;
 	/** Excludes an upstream until it registers with a new incarnation, because another upstream responded at its address. */
 	exclude(id: string): void;
@@ -48,8 +58,11 @@
 const idleMilliseconds = 8000;
 
 /** Usable upstreams of a service. */
-type ServiceUpstreams = {readonly all: Upstream[]; readonly local: Upstream[]; readonly remote: Upstream[]};
-const noUpstreams: ServiceUpstreams = {all: [], local: [], remote: []};
+type ServiceUpstreams = {readonly all: Upstream[]; readonly local: Upstream[]; readonly remote: Upstream[]; readonly byPermit: Upstream[]};
+const createServiceUpstreams = (): ServiceUpstreams => ({
+	all: [], local: [], remote: [], byPermit: [],
+});
+const noUpstreams = createServiceUpstreams();
 
 /** Creates an empty set of upstreams for an entry in the given failure domain. */
 export function createUpstreams(host: UpstreamsHost, failureDomain: string): Upstreams {
@@ -92,6 +105,7 @@
 	const isLocal = ({registration}: Upstream) => registration.failureDomain === failureDomain;
 
 	function rebuildIndex(): void {
+		const now = host.getNow();
 		usableByService.clear();
 		for (const upstream of upstreams.values()) {
 			const {id, service, state, incarnation} = upstream.registration;
@@ -99,10 +113,29 @@
 				continue;
 			}
 
-			const usable = usableByService.get(service) ?? {all: [], local: [], remote: []};
+			const usable = usableByService.get(service) ?? createServiceUpstreams();
 			usableByService.set(service, usable);
-			usable.all.push(upstream);
-			usable[isLocal(upstream) ? 'local' : 'remote'].push(upstream);
+			addUpstream(usable, upstream, now);
+		}
+	}
+
+	function addUpstream(usable: ServiceUpstreams, upstream: Upstream, now: number): void {
+		const access = host.getAccess(upstream.registration, now);
+		switch (access.kind) {
+			case 'open': {
+				usable.all.push(upstream);
+				usable[isLocal(upstream) ? 'local' : 'remote'].push(upstream);
+				break;
+			}
+
+			case 'by-permit': {
+				usable.byPermit.push(upstream);
+				break;
+			}
+
+			default: {
+				assertNever(access);
+			}
 		}
 	}
 
@@ -123,11 +156,19 @@
 
 			rebuildIndex();
 		},
+		refresh: rebuildIndex,
 		listUsable: service => (usableByService.get(service) ?? noUpstreams).all,
 		listByLocality: (service, isLocalRequested) => (usableByService.get(service) ?? noUpstreams)[isLocalRequested ? 'local' : 'remote'],
-		isUsable({registration: {id, service, incarnation}}) {
+		listByPermit: service => (usableByService.get(service) ?? noUpstreams).byPermit,
+		isUsable({registration}) {
+			const {id, service, incarnation} = registration;
 			const existing = upstreams.get(id)?.registration;
-			return existing?.state === 'ready' && existing.service === service && existing.incarnation === incarnation && excludedIncarnations.get(id) !== incarnation;
+			const isPresent = existing?.state === 'ready' && existing.service === service && existing.incarnation === incarnation;
+			return isPresent && excludedIncarnations.get(id) !== incarnation && host.getAccess(registration, host.getNow()).kind === 'open';
+		},
+		getSelectionShare({registration}, now) {
+			const access = host.getAccess(registration, now);
+			return access.kind === 'open' ? access.selectionShare : 0;
 		},
 		getState: ({registration, record, warmUntil}, now) => ({
 			id: registration.id,
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -21,6 +21,7 @@
 	recordAttempt(upstream: string, end: string): void;
 	recordCheck(result: string, milliseconds: number): void;
 	recordStoreCall(call: string, result: string, milliseconds: number): void;
+	recordPermit(side: string, result: string): void;
 	getText(gauges: GatewayGauges): Promise<string>;
 };
 
@@ -46,6 +47,9 @@
 	const storeCalls = new prometheus.Histogram({
 		name: 'fescuering_gateway_store_call_seconds', help: 'Calls to the store of the platform, by call and result.', labelNames: ['call', 'result'] as const, buckets: requestBuckets, registers,
 	});
+	const permits = new prometheus.Counter({
+		name: 'fescuering_gateway_permits_total', help: 'Requests for permits to use an upstream with a rate limit, by side (asked or issued) and result.', labelNames: ['side', 'result'] as const, registers,
+	});
 	const gaugeNames = {
 		configurationVersion: 'fescuering_gateway_configuration_version',
 		knowledgeAgeMilliseconds: 'fescuering_gateway_knowledge_age_seconds',
@@ -69,6 +73,9 @@
 		recordStoreCall(call, result, milliseconds) {
 			storeCalls.observe({call, result}, milliseconds * secondsPerMillisecond);
 		},
+		recordPermit(side, result) {
+			permits.inc({side, result});
+		},
 		async getText(gauges) {
 			gaugeMetrics.get(gaugeNames.configurationVersion)!.set(gauges.configurationVersion);
 			gaugeMetrics.get(gaugeNames.knowledgeAgeMilliseconds)!.set(Math.min(gauges.knowledgeAgeMilliseconds, Number.MAX_SAFE_INTEGER) * secondsPerMillisecond);
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -1,12 +1,17 @@
 /** Converts requests and updates of the sharing service to and from their wire form. */
 import * as protobuf from '@bufbuild/protobuf';
 import * as z from 'zod';
+import {assertNever} from '../decisions/assert-never.ts';
+import type * as upstreamStatements from '../decisions/backpressure/upstream-statements.ts';
 import * as configuration from '../decisions/configuration/types.ts';
 import * as registry from '../decisions/registry/types.ts';
 import {type RegistryUpdate} from '../decisions/registry/upstream-registry.ts';
 import {type Member, type MemberUpdate} from '../decisions/sharing/types.ts';
 import * as generated from '../generated/sharing_pb.ts';
 
+/** A statement of an upstream, with its age in place of a time, since the clocks of two entries differ. */
+export type SharedStatement = Omit<upstreamStatements.UpstreamStatement, 'heardAt'> & {readonly ageMilliseconds: number};
+
 /** Request of an entry that follows another entry: the follower, and the versions of its data. */
 export type SharingRequest = {
 	readonly follower: Member;
@@ -18,6 +23,10 @@
 	readonly membersSource: string;
 	/** Revision of the follower's member list; -1 for none. */
 	readonly membersRevision: number;
+	/** Statements that changed since the follower's last successful request to the responder. */
+	readonly statements: readonly SharedStatement[];
+	/** Revision of the responder's statements that the follower has; -1 for none. */
+	readonly statementsRevision: number;
 	/** How long the responder may wait for changes before it answers. */
 	readonly waitMilliseconds: number;
 };
@@ -31,6 +40,8 @@
 	/** Incarnation of the responder. */
 	readonly membersSource: string;
 	readonly memberUpdate: MemberUpdate;
+	readonly statementsRevision: number;
+	readonly statements: readonly SharedStatement[];
 };
 
 const registryUpdateSchema = z.object({
@@ -57,6 +68,63 @@
 	};
 }
 
+function toStatementMessage({id, incarnation, content, ageMilliseconds}: SharedStatement): generated.UpstreamStatement {
+	return protobuf.create(generated.UpstreamStatementSchema, {
+		upstreamId: id,
+		incarnation: BigInt(incarnation),
+		ageMilliseconds: Math.round(Math.min(maximumAgeMilliseconds, Math.max(0, ageMilliseconds))),
+		content: toContentMessage(content),
+	});
+}
+
+function toContentMessage(content: upstreamStatements.StatementContent): generated.UpstreamStatement['content'] {
+	switch (content.kind) {
+		case 'rate-limit': {
+			return {case: 'requestsPerSecond', value: content.requestsPerSecond};
+		}
+
+		case 'no-rate-limit': {
+			return {case: 'isUnlimited', value: true};
+		}
+
+		default: {
+			return assertNever(content);
+		}
+	}
+}
+
+/** Converts statements from their wire form; leaves out those of kinds that this version doesn't know. */
+function toStatements(messages: readonly generated.UpstreamStatement[]): readonly SharedStatement[] {
+	return messages.flatMap(({upstreamId, incarnation, ageMilliseconds, content}) => {
+		const known = toContent(content);
+		return known
+			? [{
+				id: upstreamId, incarnation: Number(incarnation), ageMilliseconds, content: known,
+			}]
+			: [];
+	});
+}
+
+function toContent(content: generated.UpstreamStatement['content']): upstreamStatements.StatementContent | undefined {
+	switch (content.case) {
+		case 'requestsPerSecond': {
+			return content.value > 0 ? {kind: 'rate-limit', requestsPerSecond: content.value} : undefined;
+		}
+
+		case 'isUnlimited': {
+			return {kind: 'no-rate-limit'};
+		}
+
+		case undefined: {
+			return undefined;
+		}
+
+		default: {
+			return assertNever(content);
+		}
+	}
+}
+
 export function toRequestMessage(request: SharingRequest): generated.FollowRequest {
 	return protobuf.create(generated.FollowRequestSchema, {
 		...request,
@@ -64,6 +132,8 @@
 		configurationVersion: BigInt(request.configurationVersion),
 		registryPosition: BigInt(request.registryPosition),
 		membersRevision: BigInt(request.membersRevision),
+		statementsRevision: BigInt(request.statementsRevision),
+		statements: request.statements.map(statement => toStatementMessage(statement)),
 	});
 }
 
@@ -75,6 +145,8 @@
 		registryPosition: Number(message.registryPosition),
 		membersSource: message.membersSource,
 		membersRevision: Number(message.membersRevision),
+		statementsRevision: Number(message.statementsRevision),
+		statements: toStatements(message.statements),
 		waitMilliseconds: message.waitMilliseconds,
 	};
 }
@@ -89,6 +161,8 @@
 		membersRevision: BigInt(update.memberUpdate.revision),
 		membersComplete: update.memberUpdate.isComplete,
 		removedMembers: [...update.memberUpdate.removed],
+		statementsRevision: BigInt(update.statementsRevision),
+		statements: update.statements.map(statement => toStatementMessage(statement)),
 	});
 }
 
@@ -105,5 +179,7 @@
 			members: message.members.map(member => toMember(member)),
 			removed: message.removedMembers,
 		},
+		statementsRevision: Number(message.statementsRevision),
+		statements: toStatements(message.statements),
 	};
 }
--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -42,7 +42,9 @@
 	});
 	const address = server.address();
 	const port = typeof address === 'object' && address ? address.port : 0;
-	const upstreams = createUpstreams({getMaximumConnections: () => 10, countEntries: () => 1, getNow}, 'here');
+	const upstreams = createUpstreams({
+		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), getNow,
+	}, 'here');
 	upstreams.update([{
 		id: 'u-1', service: 'desk', address: `127.0.0.1:${port}`, failureDomain: 'here', slots: 4, state: 'ready', warmUpMilliseconds: 0, incarnation: 1, sequence: 1,
 	}]);
