Send a request no more on a connection on which it was refused

Callers could be told that a request had not run which had run, and a request that may run once could run several times.

Cause: when all upstreams of a service have refused a request, it goes to one of them again, with the same identifier and often on the same connection. A late second copy of the refusal is then taken for the new answer. Change: an attempt remembers the connections on which its request was refused, closes them and uses others.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -13,7 +13,7 @@
 import {getForwardedAnswerHeaders} from '../entry/headers.ts';
 import {type SelectedUpstream, type Selection, type Selector} from './selection.ts';
 import {
-	createGatewayAttempt, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
+	createGatewayAttempt, type AttemptRequest, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
 } from './gateway-attempt.ts';
 import {type GatewayResponse, type GatewayRequest} from './types.ts';
 
@@ -77,6 +77,7 @@
 /** Starts to run a request. */
 export function startCall(host: CallRunnerHost, request: GatewayRequest, target: ResponseTarget): RunningCall {
 	const {route, service} = request;
+	const attemptRequest: AttemptRequest = {...request, refusedOn: new Set()};
 	const attempts: AttemptReport[] = [];
 	const tried = new Set<string>();
 	const running = new Set<GatewayAttempt>();
@@ -154,7 +155,7 @@
 		firstSentAt ??= sentAt;
 		tried.add(id);
 		let isCounted = false;
-		const attempt = createGatewayAttempt(host, request, selected, {
+		const attempt = createGatewayAttempt(host, attemptRequest, selected, {
 			onSent() {
 				isCounted = true;
 				mayHaveRunOn++;
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -27,6 +27,12 @@
 	recordStatements(upstream: upstreams.Upstream, metadata: ResponseMetadata, exchange: statementRecorder.ExchangeKind): void;
 };
 
+/** A request and what its earlier attempts have shown. */
+export type AttemptRequest = GatewayRequest & {
+	/** Connections on which an upstream refused the request; a late second copy of the refusal would be taken for the response. */
+	readonly refusedOn: Set<Connection>;
+};
+
 /** Receives the progress of an attempt. */
 export type GatewayAttemptListener = {
 	/** The first bytes of the request were sent; from now on the upstream may run it. */
@@ -50,7 +56,7 @@
 const minimumDeadlineMilliseconds = 1;
 
 /** Creates an attempt; call `start` to begin. */
-export function createGatewayAttempt(host: GatewayAttemptHost, request: GatewayRequest, selected: SelectedUpstream, listener: GatewayAttemptListener): GatewayAttempt {
+export function createGatewayAttempt(host: GatewayAttemptHost, request: AttemptRequest, selected: SelectedUpstream, listener: GatewayAttemptListener): GatewayAttempt {
 	const {upstream} = selected;
 	const {pool, registration, record} = upstream;
 	const chunks: Uint8Array[] = [];
@@ -68,6 +74,29 @@
 		}
 	}
 
+	function use(connection: Connection): void {
+		if (request.refusedOn.has(connection)) {
+			pool.discard(connection);
+			acquire();
+		} else {
+			send(connection);
+		}
+	}
+
+	function acquire(): void {
+		cancelAcquire = pool.acquire(true, connection => {
+			if (isOver) {
+				if (connection) {
+					pool.release(connection);
+				}
+			} else if (connection) {
+				use(connection);
+			} else {
+				finish({kind: 'not-sent'});
+			}
+		});
+	}
+
 	function send(connection: Connection): void {
 		const milliseconds = Math.max(minimumDeadlineMilliseconds, Math.floor(request.deadlineAt - host.getNow()));
 		runningAttempt = attempt.startAttempt(connection.client, {
@@ -134,6 +163,7 @@
 		}
 
 		if (metadata.isNotRun || statusCode === misdirectedStatus) {
+			request.refusedOn.add(connection);
 			pool.release(connection);
 			finish({kind: 'not-run'});
 			return;
@@ -159,21 +189,10 @@
 		start() {
 			record.recordStart(host.getNow());
 			if (selected.connection) {
-				send(selected.connection);
-				return;
+				use(selected.connection);
+			} else {
+				acquire();
 			}
-
-			cancelAcquire = pool.acquire(true, connection => {
-				if (isOver) {
-					if (connection) {
-						pool.release(connection);
-					}
-				} else if (connection) {
-					send(connection);
-				} else {
-					finish({kind: 'not-sent'});
-				}
-			});
 		},
 		giveUp() {
 			if (isOver) {
--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -1,76 +1,19 @@
 /** Tests of how a gateway attempt classifies the responses of an upstream. */
-import * as net from 'node:net';
+import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
-import {type AttemptEnd} from '../src/decisions/outcomes/retry-decision.ts';
 import {createFleetRetryBudget} from '../src/decisions/retries/fleet-retry-budget.ts';
 import {createWorkEstimator} from '../src/decisions/routing/work-estimator.ts';
 import {createHeaderHost} from '../platform/headers.ts';
 import {startCall} from '../src/gateway/call-runner.ts';
-import {type AttemptResponse, createGatewayAttempt} from '../src/gateway/gateway-attempt.ts';
 import {type CheckResult, startLoadCheck} from '../src/gateway/load-check.ts';
-import {type GatewayRequest} from '../src/gateway/types.ts';
-import {createUpstreams, type Upstream} from '../src/gateway/upstreams.ts';
+import {type Upstream} from '../src/gateway/upstreams.ts';
+import * as hostileUpstream from './support/hostile-upstream.ts';
 
 const {afterEach, expect, test} = vitest;
-const getNow = () => performance.now();
-const cleanups: Array<() => void> = [];
+const {attempt, createRequest, getNow, start: startUpstream} = hostileUpstream;
 
-afterEach(() => {
-	for (const cleanup of cleanups.splice(0)) {
-		cleanup();
-	}
-});
-
-type RequestListener = (socket: net.Socket, requestText: string) => void;
-
-/** Starts an upstream that passes each request to a listener; a paused upstream leaves requests unread. */
-async function startUpstream(onRequest: RequestListener, isPaused = false): Promise<Upstream> {
-	const server = net.createServer({pauseOnConnect: isPaused}, socket => {
-		socket.on('error', () => undefined);
-		if (isPaused) {
-			onRequest(socket, '');
-			return;
-		}
-
-		socket.on('data', chunk => {
-			onRequest(socket, chunk.toString('latin1'));
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const address = server.address();
-	const port = typeof address === 'object' && address ? address.port : 0;
-	const upstreams = createUpstreams({
-		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), getNow,
-	}, 'here');
-	upstreams.update([{
-		id: 'u-1', service: 'desk', address: `127.0.0.1:${port}`, failureDomain: 'here', slots: 4, state: 'ready', warmUpMilliseconds: 0, incarnation: 1, sequence: 1,
-	}]);
-	cleanups.push(() => {
-		upstreams.close();
-		server.close();
-	});
-	return upstreams.listUsable('desk')[0]!;
-}
-
-function createRequest(id: string): GatewayRequest {
-	return {
-		id,
-		route: {
-			name: 'price', host: 'desk.example', pathPrefix: '/price/', kind: 'idempotent', destinations: [{service: 'desk', weight: 1}], timeoutMilliseconds: 1000, objectiveMilliseconds: 300, maximumAttempts: 2, priority: 0,
-		},
-		service: 'desk',
-		configurationVersion: 1,
-		method: 'GET',
-		path: '/price/1',
-		headers: [['host', 'desk.example'], ['attempt-id', id]],
-		body: {kind: 'none'},
-		receivedAt: getNow(),
-		deadlineAt: getNow() + 1000,
-	};
-}
+afterEach(hostileUpstream.close);
 
 async function waitUntil(condition: () => boolean): Promise<void> {
 	while (!condition()) {
@@ -78,24 +21,6 @@
 	}
 }
 
-/** Makes an attempt; `afterSending` is called once the request has been written. */
-async function attempt(upstream: Upstream, id: string, afterSending: () => Promise<void> = async () => undefined): Promise<{end: AttemptEnd; answer: AttemptResponse | undefined}> {
-	return new Promise(resolve => {
-		createGatewayAttempt({headers: createHeaderHost(), getNow, recordStatements: () => undefined}, createRequest(id), {
-			kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
-		}, {
-			onSent() {
-				setImmediate(() => {
-					void afterSending();
-				});
-			},
-			onEnd(end, answer) {
-				resolve({end, answer});
-			},
-		}).start();
-	});
-}
-
 const createResponseHead = (id: string, rest: string) => `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nUpstream-Signature: s\r\n${rest}\r\n`;
 
 test('a response without a content-length whose connection is reset is broken', async () => {
@@ -283,3 +208,49 @@
 	expect(closedConnections).toBe(1);
 	expect(upstream.record.getState(getNow()).inFlight).toBe(0);
 });
+
+test('a refusal that is written again on its connection is no proof that the repeated request has not run', async () => {
+	let executions = 0;
+	const upstream = await startUpstream((() => {
+		const seen = new Set<net.Socket>();
+		return socket => {
+			const refusal = 'HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
+			if (seen.size === 0) {
+				socket.write(refusal);
+			} else {
+				executions++;
+				socket.write(seen.has(socket) ? refusal : `${createResponseHead('a', 'Content-Length: 2\r\n')}ok`);
+			}
+
+			seen.add(socket);
+		};
+	})());
+	const statusCode = await new Promise<number>(resolve => {
+		startCall({
+			selector: {
+				select(_request, listener) {
+					listener({
+						kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
+					});
+					return () => undefined;
+				},
+				hasHeldRequests: () => false,
+				onAttemptEnded: () => undefined,
+				close: () => undefined,
+			},
+			headers: createHeaderHost(),
+			recordStatements: () => undefined,
+			learner: createWorkEstimator(),
+			budget: createFleetRetryBudget({ratio: 1, windowMilliseconds: 1000, slack: 10}, 0),
+			countEntries: () => 1,
+			getNow,
+			onEnd: () => undefined,
+		}, {...createRequest('a'), route: {...createRequest('a').route, kind: 'non-idempotent'}}, {
+			respond(response) {
+				resolve(response.statusCode);
+			},
+		});
+	});
+	expect(executions).toBe(1);
+	expect(statusCode).toBe(200);
+});
