Take on no request that the grace period of a stop can't finish

Callers of an entry that was stopped as planned got no answer to requests that came late in the grace period, also to requests that they may not repeat.

Cause: after SIGTERM each request that still arrived was sent to an upstream, whatever time was left until the process ends. Change: shutdown-admission.ts decides from the time limit of the request, its usual work and the end of the grace period; what can't be finished is rejected at once as not run.

The test failed before: status 200 in a process that isn't killed, which is a cut connection in one that is; now 503 and nothing sent.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
+import * as shutdownAdmission from '../decisions/admission/shutdown-admission.ts';
 import {createCheckBudget} from '../decisions/measurement/check-budget.ts';
 import {createRandomSource} from '../decisions/random.ts';
 import {createFleetRetryBudget} from '../decisions/retries/fleet-retry-budget.ts';
@@ -198,6 +199,25 @@
 		},
 		reportsLoad: service => !servicesWithoutLoad.has(service),
 	});
+	let stopsAt = Number.POSITIVE_INFINITY;
+	function getShutdownPhase(): shutdownAdmission.ShutdownPhase {
+		switch (lifeCycle.getState()) {
+			case 'starting':
+			case 'serving': {
+				return {kind: 'running'};
+			}
+
+			case 'leaving': {
+				return {kind: 'notice', stopsAt};
+			}
+
+			case 'draining':
+			case 'stopped': {
+				return {kind: 'draining', stopsAt};
+			}
+		}
+	}
+
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
@@ -214,6 +234,7 @@
 		getActiveConfiguration: platformState.getActiveConfiguration,
 		isStale: () => platformState.getAge(getNow()) > staleRouteMilliseconds,
 		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
+		canFinish: ({deadlineAt, route}) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: callRunnerHost.learner.getRouteMilliseconds(route.name)}, getNow()),
 		getNow,
 		startCall(request, target) {
 			demand.countRequest(getNow());
@@ -306,11 +327,12 @@
 	});
 
 	async function leave(): Promise<void> {
-		const abortAt = getNow() + settings.graceMilliseconds - abortMarginMilliseconds;
 		if (!lifeCycle.send('leave')) {
 			return;
 		}
 
+		stopsAt = getNow() + settings.graceMilliseconds - abortMarginMilliseconds;
+
 		logger.info('gateway-leaving', {openRequests: frontServer.countOpen()});
 		sharing.announce();
 		if (lifeCycle.getState() === 'leaving') {
@@ -320,7 +342,7 @@
 
 		frontServer.server.close();
 		frontServer.server.closeIdleConnections();
-		while (frontServer.countOpen() > 0 && getNow() < abortAt) {
+		while (frontServer.countOpen() > 0 && getNow() < stopsAt) {
 			await timers.setTimeout(drainCheckIntervalMilliseconds);
 		}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -12,7 +12,7 @@
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'memory-full' | 'body-cut';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'memory-full' | 'stopping' | 'body-cut';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -26,6 +26,8 @@
 	isStale(): boolean;
 	/** Whether connections of callers should close after the next response. */
 	isLeaving(): boolean;
+	/** Whether a request can be finished before a planned stop of this entry. */
+	canFinish(request: RequestContext): boolean;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	startCall(request: GatewayRequest, target: ResponseTarget): RunningCall;
@@ -51,6 +53,8 @@
 const assumedBodyBytes = 65_536;
 /** Time after which a refused caller should retry, in milliseconds. */
 const retryAfterMilliseconds = 300;
+/** Time after which a caller should retry that another entry can serve at once, in milliseconds. */
+const retryElsewhereMilliseconds = 20;
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
 const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut'>, number>> = {
@@ -61,6 +65,7 @@
 	'headers-too-large': 431,
 	'body-too-large': 413,
 	'memory-full': 503,
+	stopping: 503,
 };
 
 /** Creates the server; the caller starts and stops it. */
@@ -149,6 +154,11 @@
 			}
 
 			case 'body': {
+				if (!host.canFinish(context)) {
+					refuse(request, response, 'stopping', context.id);
+					break;
+				}
+
 				const running = host.startCall({
 					...context,
 					method: request.method ?? 'GET',
@@ -183,7 +193,7 @@
 		request.resume();
 		writeResponse(request, response, {
 			statusCode,
-			headers: statusCode === 503 ? host.headers.createRetryHeaders(retryAfterMilliseconds) : [],
+			headers: statusCode === 503 ? host.headers.createRetryHeaders(reason === 'stopping' ? retryElsewhereMilliseconds : retryAfterMilliseconds) : [],
 			body: new Uint8Array(),
 			hasOwnEnd: true,
 		});
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -193,6 +193,25 @@
 	await stopped;
 });
 
+test('a request that arrives too late in the grace period to be finished is rejected at once, and not sent', async () => {
+	const {running, first, second} = await startGatewayWithUpstreams();
+	for (const upstream of [first, second]) {
+		upstream.setBehavior({kind: 'answer', milliseconds: 700});
+	}
+
+	// The gateway learns how long such requests take.
+	expect((await send(running.front, '/credit/1', 'POST', 'amount=1')).status).toBe(200); // eslint-disable-line unicorn/no-await-expression-member
+	const executedBefore = first.executedRequestIds.length + second.executedRequestIds.length;
+	const stopped = running.gateway.leave();
+	await timers.setTimeout(300);
+	const late = await send(running.front, '/credit/2', 'POST', 'amount=1');
+	expect(late.status).toBe(503);
+	expect(Number(late.headers['retry-after'])).toBeLessThanOrEqual(0.1);
+	expect(late.headers.connection).toBe('close');
+	await stopped;
+	expect(first.executedRequestIds.length + second.executedRequestIds.length).toBe(executedBefore);
+});
+
 test('gateways discover gateways that start later, and only one of them reads the store', async () => {
 	const upstream = await startUpstream('i-1');
 	store.put('keyed.op', 'config', createConfiguration(4));
