Close all idle connections of a pool that closes

Cause: the loop over the idle connections skipped every second one, since each close takes one out of the list; and a connection that had never sent a call kept its socket, which its client didn't own yet. Seen when the pool of an upstream that leaves is to close. Change: the list is emptied first, and the socket is closed with the client. The test failed before: 2 of 4 were still counted as open, and sockets stayed open.

--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -29,6 +29,8 @@
 /** Connection that the pool opened. */
 export type Connection = {
 	readonly client: undici.Client;
+	/** The client owns the socket from its first call on. */
+	readonly socket: net.Socket;
 	/** Time at which the connection was opened or last received data from the upstream. */
 	lastActiveAt: number;
 	isClosed: boolean;
@@ -171,7 +173,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, lastActiveAt: options.getNow(), isClosed: false, isBroken: false,
+			client, socket, lastActiveAt: options.getNow(), isClosed: false, isBroken: false,
 		};
 		socket.once('error', () => {
 			connection.isBroken = true;
@@ -195,6 +197,7 @@
 		}
 
 		void connection.client.destroy().catch(() => undefined);
+		connection.socket.destroy();
 		openConnectionsForWaiters();
 	}
 
@@ -242,7 +245,7 @@
 		count: () => openCount + openingCount,
 		close() {
 			isClosed = true;
-			for (const connection of idleConnections) {
+			for (const connection of idleConnections.splice(0)) {
 				closeConnection(connection);
 			}
 		},
