Send nothing to upstreams that state that they leave or want no requests

Upstreams that had said in their answers that they leave went on receiving requests, and so did upstreams that had rejected an entry's request with the time for which they want nothing from it.

Cause: entries acted on the store's word alone. Change: both are statements beside the rate limit, in one table with one access decision that each path to an upstream asks: selections, held requests, repeats, permits and load checks. That an upstream leaves is told to the other entries. A service whose upstreams are all paused or limited rejects at once what it can't send in time, with a Retry-After that is spread after the first pause.

Also: statements are kept for two minutes without a registration, which may return with the same incarnation after an outage of the store.

--- a/src/decisions/backpressure/upstream-statements.test.ts
+++ b/src/decisions/backpressure/upstream-statements.test.ts
@@ -42,13 +42,52 @@
 	expect(statements.getAccess(upstream, 5000)).toEqual({kind: 'open', selectionShare: 1});
 });
 
+test('an incarnation that leaves never returns, whatever is heard of it, and a new incarnation does', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	statements.record(createLimit(2, 100));
+	expect(statements.record({...upstream, heardAt: 200, content: {kind: 'leaving'}})).toBe(true);
+	statements.record(createEnd(300));
+	expect(statements.getAccess(upstream, 60_000)).toEqual({kind: 'leaving'});
+	expect(statements.record({...upstream, heardAt: 50, content: {kind: 'leaving'}})).toBe(false);
+	expect(statements.getAccess({...upstream, incarnation: 1001}, 60_000)).toEqual({kind: 'open', selectionShare: 1});
+});
+
+test('a pause lasts until the latest of its ends, is told to no other entry, and the upstream returns gradually', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	const createPause = (heardAt: number, milliseconds: number): upstreamStatements.UpstreamStatement => ({...upstream, heardAt, content: {kind: 'pause', milliseconds}});
+	expect(statements.record(createPause(1000, 4000))).toBe(true);
+	expect(statements.record(createPause(1100, 500))).toBe(false);
+	expect(statements.record(createPause(2000, 4000))).toBe(true);
+	expect(statements.getAccess(upstream, 5999)).toEqual({kind: 'paused', endsAt: 6000});
+	expect([6000, 7000, 8000].map(now => statements.getAccess(upstream, now))).toEqual([0, 0.5, 1].map(selectionShare => ({kind: 'open', selectionShare})));
+	expect(statements.getUpdate(-1).statements).toEqual([]);
+});
+
+test('a pause without a plausible end is bounded', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	statements.record({...upstream, heardAt: 0, content: {kind: 'pause', milliseconds: 1e15}});
+	expect(statements.getAccess(upstream, 3_599_999)).toMatchObject({kind: 'paused'});
+	expect(statements.getAccess(upstream, 3_610_000)).toEqual({kind: 'open', selectionShare: 1});
+});
+
+test('the statements of an upstream whose registration expires and returns still hold', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	statements.record({...upstream, heardAt: 0, content: {kind: 'leaving'}});
+	statements.retain(() => false, 1000);
+	statements.retain(() => true, 31_000);
+	statements.retain(() => false, 121_500);
+	expect(statements.getAccess(upstream, 122_000)).toEqual({kind: 'leaving'});
+	statements.retain(() => false, 300_000);
+	expect(statements.getAccess(upstream, 300_000)).toEqual({kind: 'open', selectionShare: 1});
+});
+
 test('tables that exchange their updates in any order agree', () => {
 	const statementArbitrary = fastCheck.record({
 		id: fastCheck.constantFrom('i-1', 'i-2'),
 		incarnation: fastCheck.integer({min: 1, max: 2}),
 		// Two upstreams' responses are heard at different times.
 		heardAt: fastCheck.integer({min: 0, max: 1_000_000}),
-		content: fastCheck.oneof(fastCheck.constant({kind: 'no-rate-limit'} as const), fastCheck.record({kind: fastCheck.constant('rate-limit' as const), requestsPerSecond: fastCheck.constantFrom(1, 2)})),
+		content: fastCheck.oneof(fastCheck.constant({kind: 'no-rate-limit'} as const), fastCheck.constant({kind: 'leaving'} as const), fastCheck.record({kind: fastCheck.constant('rate-limit' as const), requestsPerSecond: fastCheck.constantFrom(1, 2)})),
 	});
 	fastCheck.assert(fastCheck.property(fastCheck.uniqueArray(statementArbitrary, {selector: ({heardAt}) => heardAt}), fastCheck.integer(), (all, split) => {
 		const tables = [upstreamStatements.createUpstreamStatements(), upstreamStatements.createUpstreamStatements()] as const;
@@ -64,7 +103,8 @@
 
 		for (const id of ['i-1', 'i-2']) {
 			const [left, right] = tables.map(table => [1, 2].map(incarnation => table.getAccess({id, incarnation}, 3_000_000)));
-			expect(left!.map(access => access.kind === 'by-permit' ? access.requestsPerSecond : 0)).toEqual(right!.map(access => access.kind === 'by-permit' ? access.requestsPerSecond : 0));
+			const describe = (access: upstreamStatements.UpstreamAccess) => access.kind === 'by-permit' ? access.requestsPerSecond : access.kind;
+			expect(left!.map(access => describe(access))).toEqual(right!.map(access => describe(access)));
 		}
 	}), {seed: 28, numRuns: 500});
 });
--- a/src/decisions/backpressure/upstream-statements.ts
+++ b/src/decisions/backpressure/upstream-statements.ts
@@ -2,23 +2,32 @@
 Keeps what upstreams have stated about the requests that they accept, and decides how each upstream may be used.
 
 A statement belongs to one incarnation of an upstream. It is heard in the upstream's own responses or from another entry.
-Of two statements about the same matter, the one that was heard later holds. After the end of a rate limit, the share of
-the selections that may consider the upstream grows from 0 to 1, so that the entries don't return to it at the same moment.
+Of two statements about the same subject, the one that was heard later holds, except that an incarnation that leaves never
+returns. After a rate limit or a pause, the share of the selections that may consider the upstream grows from 0 to 1, so
+that the entries don't return to it at the same moment.
 */
 import {assertNever} from '../assert-never.ts';
 
 /** Identity of one incarnation of an upstream. */
 export type UpstreamIncarnation = {readonly id: string; readonly incarnation: number};
 
-/** What an upstream stated. */
-export type StatementContent
+/** What an upstream states to all entries. */
+export type SharedContent
 	/** The upstream accepts so many requests per second from all entries together. */
 	= | {readonly kind: 'rate-limit'; readonly requestsPerSecond: number}
-		| {readonly kind: 'no-rate-limit'};
+		| {readonly kind: 'no-rate-limit'}
+	/** The upstream is about to stop. */
+		| {readonly kind: 'leaving'};
+
+/** What an upstream states. */
+export type StatementContent
+	= | SharedContent
+	/** The upstream accepts no requests from this entry for a time. */
+		| {readonly kind: 'pause'; readonly milliseconds: number};
 
 /** A statement with its origin and time. */
-export type UpstreamStatement = UpstreamIncarnation & {
-	readonly content: StatementContent;
+export type UpstreamStatement<Content = StatementContent> = UpstreamIncarnation & {
+	readonly content: Content;
 	/** Time at which an entry received the statement from the upstream. */
 	readonly heardAt: number;
 };
@@ -26,7 +35,7 @@
 /** Statements that are newer than a revision. */
 export type StatementUpdate = {
 	readonly revision: number;
-	readonly statements: readonly UpstreamStatement[];
+	readonly statements: ReadonlyArray<UpstreamStatement<SharedContent>>;
 };
 
 /** How an entry may use an upstream. */
@@ -34,67 +43,124 @@
 	/** The given share of the selections may consider the upstream. */
 	= | {readonly kind: 'open'; readonly selectionShare: number}
 	/** Each request needs a permit, because the upstream has a rate limit. */
-		| {readonly kind: 'by-permit'; readonly requestsPerSecond: number; readonly heardAt: number};
+		| {readonly kind: 'by-permit'; readonly requestsPerSecond: number; readonly heardAt: number}
+	/** The upstream accepts no requests from this entry until `endsAt`. */
+		| {readonly kind: 'paused'; readonly endsAt: number}
+	/** The upstream receives no requests any more. */
+		| {readonly kind: 'leaving'};
 
 /** The statements of all upstreams. */
 export type UpstreamStatements = {
 	/** Records a statement unless a newer one is known. Returns whether it changes what is known of the upstream. */
 	record(statement: UpstreamStatement): boolean;
 	getAccess(upstream: UpstreamIncarnation, now: number): UpstreamAccess;
-	/** Whether a statement of this incarnation of an upstream is known. */
-	has(upstream: UpstreamIncarnation): boolean;
-	/** Gets the statements that changed after a revision of this table; all of them for -1. */
+	/** Whether this incarnation of an upstream has stated a rate limit, or its end. */
+	hasStatedRate(upstream: UpstreamIncarnation): boolean;
+	/** Gets the statements to all entries that changed after a revision of this table; all of them for -1. */
 	getUpdate(since: number): StatementUpdate;
-	/** Forgets the upstreams that are no longer registered. */
-	retain(isRegistered: (id: string) => boolean): void;
+	/** Forgets the upstreams that have not been registered for a while. */
+	retain(isRegistered: (id: string) => boolean, now: number): void;
 };
 
-/** Time after the end of a limit until all selections consider an upstream, in milliseconds. */
+/** Time after the end of a limit until all selections consider an upstream, in milliseconds; after a pause, at most this. */
 const returnMilliseconds = 2000;
+/** Longest pause that is kept, in milliseconds. */
+const maximumPauseMilliseconds = 3_600_000;
+/** Time for which statements of an upstream without a registration are kept, in milliseconds; a registration that expired while the store was down returns with the same incarnation. */
+const retentionMilliseconds = 120_000;
 const openAccess: UpstreamAccess = {kind: 'open', selectionShare: 1};
 
-type TrackedStatement = UpstreamStatement & {
-	/** Revision of the table at the latest change. */
-	readonly revision: number;
+type RateStatement = UpstreamStatement<Extract<SharedContent, {readonly kind: 'rate-limit' | 'no-rate-limit'}>> & {
 	/** Time of the statement that made the latest change. */
 	readonly changedAt: number;
 };
 
+type Pause = {readonly startsAt: number; readonly endsAt: number};
+
+/** What is known of one incarnation of an upstream. */
+type TrackedUpstream = {
+	readonly incarnation: number;
+	readonly rate: (RateStatement & {readonly revision: number}) | undefined;
+	readonly leaving: {readonly heardAt: number; readonly revision: number} | undefined;
+	readonly pause: Pause | undefined;
+	/** Time at which the upstream was first seen without a registration; undefined while it has one. */
+	readonly unregisteredSince: number | undefined;
+};
+
 /** Creates an empty table. */
 export function createUpstreamStatements(): UpstreamStatements {
-	const statementsById = new Map<string, TrackedStatement>();
+	const trackedById = new Map<string, TrackedUpstream>();
 	let revision = 0;
 
+	function find({id, incarnation}: UpstreamIncarnation): TrackedUpstream | undefined {
+		const tracked = trackedById.get(id);
+		return tracked?.incarnation === incarnation ? tracked : undefined;
+	}
+
+	function recordRate(current: TrackedUpstream, {id, incarnation, heardAt}: UpstreamStatement, content: RateStatement['content']): boolean {
+		const {rate} = current;
+		if (rate && heardAt < rate.heardAt) {
+			return false;
+		}
+
+		if (rate && isSameRate(rate.content, content)) {
+			trackedById.set(id, {...current, rate: {...rate, heardAt}});
+			return false;
+		}
+
+		trackedById.set(id, {
+			...current, rate: {
+				id, incarnation, content, heardAt, changedAt: heardAt, revision: ++revision,
+			},
+		});
+		return true;
+	}
+
+	function recordPause(current: TrackedUpstream, {id, heardAt}: UpstreamStatement, milliseconds: number): boolean {
+		const endsAt = heardAt + Math.min(milliseconds, maximumPauseMilliseconds);
+		if (current.pause && endsAt <= current.pause.endsAt) {
+			return false;
+		}
+
+		const isExtension = current.pause !== undefined && heardAt < current.pause.endsAt;
+		trackedById.set(id, {...current, pause: {startsAt: isExtension ? current.pause.startsAt : heardAt, endsAt}});
+		return true;
+	}
+
+	function recordLeaving(current: TrackedUpstream, {id, heardAt}: UpstreamStatement): boolean {
+		if (current.leaving) {
+			return false;
+		}
+
+		trackedById.set(id, {...current, leaving: {heardAt, revision: ++revision}});
+		return true;
+	}
+
 	return {
 		record(statement) {
-			const current = statementsById.get(statement.id);
-			if (current && isOlder(statement, current)) {
+			const {id, incarnation, content} = statement;
+			const known = trackedById.get(id);
+			if (known && incarnation < known.incarnation) {
 				return false;
 			}
 
-			const isChange = current?.incarnation !== statement.incarnation || !isSameContent(current.content, statement.content);
-			if (isChange) {
-				statementsById.set(statement.id, {...statement, revision: ++revision, changedAt: statement.heardAt});
-			} else {
-				statementsById.set(statement.id, {...current, heardAt: statement.heardAt});
-			}
-
-			return isChange;
-		},
-		getAccess({id, incarnation}, now) {
-			const statement = statementsById.get(id);
-			if (statement?.incarnation !== incarnation) {
-				return openAccess;
-			}
-
-			const {content, changedAt, heardAt} = statement;
+			const current: TrackedUpstream = known?.incarnation === incarnation
+				? known
+				: {
+					incarnation, rate: undefined, leaving: undefined, pause: undefined, unregisteredSince: undefined,
+				};
 			switch (content.kind) {
-				case 'rate-limit': {
-					return {kind: 'by-permit', requestsPerSecond: content.requestsPerSecond, heardAt};
+				case 'rate-limit':
+				case 'no-rate-limit': {
+					return recordRate(current, statement, content);
 				}
 
-				case 'no-rate-limit': {
-					return {kind: 'open', selectionShare: Math.min(1, Math.max(0, (now - changedAt) / returnMilliseconds))};
+				case 'pause': {
+					return recordPause(current, statement, content.milliseconds);
+				}
+
+				case 'leaving': {
+					return recordLeaving(current, statement);
 				}
 
 				default: {
@@ -102,29 +168,70 @@
 				}
 			}
 		},
-		has: ({id, incarnation}) => statementsById.get(id)?.incarnation === incarnation,
+		getAccess(upstream, now) {
+			const tracked = find(upstream);
+			if (!tracked) {
+				return openAccess;
+			}
+
+			const {leaving, pause, rate} = tracked;
+			if (leaving) {
+				return {kind: 'leaving'};
+			}
+
+			if (pause && now < pause.endsAt) {
+				return {kind: 'paused', endsAt: pause.endsAt};
+			}
+
+			if (rate?.content.kind === 'rate-limit') {
+				return {kind: 'by-permit', requestsPerSecond: rate.content.requestsPerSecond, heardAt: rate.heardAt};
+			}
+
+			return {kind: 'open', selectionShare: Math.min(getShareAfterLimit(rate, now), getShareAfterPause(pause, now))};
+		},
+		hasStatedRate: upstream => find(upstream)?.rate !== undefined,
 		getUpdate: since => ({
 			revision,
-			statements: [...statementsById.values()]
-				.filter(statement => statement.revision > since)
-				.map(({id, incarnation, content, heardAt}) => ({
-					id, incarnation, content, heardAt,
-				})),
+			statements: [...trackedById].flatMap(([id, {incarnation, rate, leaving}]) => [
+				...(rate && rate.revision > since
+					? [{
+						id, incarnation, content: rate.content, heardAt: rate.heardAt,
+					}]
+					: []),
+				...(leaving && leaving.revision > since
+					? [{
+						id, incarnation, content: {kind: 'leaving'} as const, heardAt: leaving.heardAt,
+					}]
+					: []),
+			]),
 		}),
-		retain(isRegistered) {
-			for (const id of statementsById.keys()) {
-				if (!isRegistered(id)) {
-					statementsById.delete(id);
+		retain(isRegistered, now) {
+			for (const [id, tracked] of trackedById) {
+				if (isRegistered(id)) {
+					trackedById.set(id, {...tracked, unregisteredSince: undefined});
+				} else if (now - (tracked.unregisteredSince ?? now) >= retentionMilliseconds) {
+					trackedById.delete(id);
+				} else {
+					trackedById.set(id, {...tracked, unregisteredSince: tracked.unregisteredSince ?? now});
 				}
 			}
 		},
 	};
 }
 
-function isOlder(statement: UpstreamStatement, current: UpstreamStatement): boolean {
-	return statement.incarnation < current.incarnation || (statement.incarnation === current.incarnation && statement.heardAt < current.heardAt);
+function isSameRate(left: RateStatement['content'], right: RateStatement['content']): boolean {
+	return left.kind === 'rate-limit' && right.kind === 'rate-limit' ? left.requestsPerSecond === right.requestsPerSecond : left.kind === right.kind;
 }
 
-function isSameContent(left: StatementContent, right: StatementContent): boolean {
-	return left.kind === 'rate-limit' && right.kind === 'rate-limit' ? left.requestsPerSecond === right.requestsPerSecond : left.kind === right.kind;
+function getShareAfterLimit(rate: RateStatement | undefined, now: number): number {
+	return rate ? getReturnShare(rate.changedAt, returnMilliseconds, now) : 1;
+}
+
+/** An upstream is used again within the time of the pause, or within `returnMilliseconds` if that is shorter. */
+function getShareAfterPause(pause: Pause | undefined, now: number): number {
+	return pause ? getReturnShare(pause.endsAt, Math.min(returnMilliseconds, pause.endsAt - pause.startsAt), now) : 1;
+}
+
+function getReturnShare(endedAt: number, milliseconds: number, now: number): number {
+	return Math.min(1, Math.max(0, (now - endedAt) / milliseconds));
 }
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -134,9 +134,9 @@
 				break;
 			}
 
-			case 'rate-limited': {
+			case 'not-accepting': {
 				if (running.size === 0) {
-					giveUp('rate-limited', selection.retryAfterMilliseconds);
+					giveUp('not-accepting', selection.retryAfterMilliseconds);
 				}
 
 				break;
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -353,6 +353,7 @@
 		selector.close();
 		upstreams.close();
 		permits.close();
+		recorder.close();
 		directoryServer.close();
 		readinessServer.close();
 		metricsServer.close();
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -24,7 +24,7 @@
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Records what an upstream stated about itself in its response. */
-	recordStatements(upstream: upstreams.Upstream, metadata: ResponseMetadata, exchange: statementRecorder.ExchangeKind): void;
+	recordStatements(upstream: upstreams.Upstream, metadata: ResponseMetadata, exchange: statementRecorder.Exchange): void;
 };
 
 /** A request and what its earlier attempts have shown. */
@@ -113,7 +113,7 @@
 				const metadata = host.headers.readResponse(headers);
 				responseHead = {statusCode, headers, metadata};
 				if (metadata.requestId === request.id && statusCode !== misdirectedStatus) {
-					host.recordStatements(upstream, metadata, 'request');
+					host.recordStatements(upstream, metadata, {kind: 'request', statusCode});
 				}
 			},
 			onData(chunk) {
--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -15,7 +15,7 @@
 	getNow(): number;
 	recordCheck(upstream: Upstream, result: CheckResult['kind'], milliseconds: number): void;
 	/** Records what an upstream stated about itself in its response. */
-	recordStatements(upstream: Upstream, metadata: ResponseMetadata, exchange: statementRecorder.ExchangeKind): void;
+	recordStatements(upstream: Upstream, metadata: ResponseMetadata, exchange: statementRecorder.Exchange): void;
 };
 
 /** Result of a check. The receiver must use or release the connection of a healthy result. */
@@ -84,7 +84,7 @@
 		}
 
 		if (metadata.upstreamId !== undefined) {
-			host.recordStatements(upstream, metadata, 'check');
+			host.recordStatements(upstream, metadata, {kind: 'check', statusCode: responseHead!.statusCode});
 		}
 
 		if (metadata.load) {
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -33,7 +33,7 @@
 		headers: {
 			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined}),
 			readResponse: () => ({
-				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, rateLimit: {kind: 'none'},
+				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, acceptance: {requestsPerSecond: {kind: 'absent'}, leaving: {kind: 'absent'}, retryAfterMilliseconds: {kind: 'absent'}},
 			}),
 			createUpstreamHeaders: () => [],
 			isReplacedHeader: () => false,
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -6,9 +6,12 @@
 as soon as a response or a load check shows capacity, in the order of `held-requests.ts`, or is given up at its time limit.
 
 Upstreams with a rate limit are not queried. A request goes to one of them if this entry has a permit, before any other
-upstream is considered. If a service has no other upstreams, requests without a permit are not held.
+upstream is considered. If all upstreams of a service have a limit or have asked for a pause, requests that can't be sent
+soon are rejected instead of being held.
 */
+import {assertNever} from '../decisions/assert-never.ts';
 import {findNextRequest, type HeldRequest} from '../decisions/admission/held-requests.ts';
+import * as closedService from '../decisions/backpressure/closed-service.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as prequalSelection from '../decisions/routing/prequal-selection.ts';
 import * as warmCandidates from '../decisions/routing/warm-candidates.ts';
@@ -36,8 +39,8 @@
 	= | SelectedUpstream
 	/** No upstream had capacity in time. */
 		| {readonly kind: 'no-room'; readonly checks: number}
-	/** All upstreams of the service have a rate limit, and this entry has no permit. */
-		| {readonly kind: 'rate-limited'; readonly checks: number; readonly retryAfterMilliseconds: number};
+	/** All upstreams of the service have a rate limit, for which this entry has no permit, or have asked for a pause. */
+		| {readonly kind: 'not-accepting'; readonly checks: number; readonly retryAfterMilliseconds: number};
 
 /** Properties of a request that determine its upstream. */
 export type SelectionRequest = {
@@ -204,8 +207,7 @@
 	function hold(pending: PendingSelection): void {
 		const {service} = pending.request;
 		pending.cancelQuery = undefined;
-		if (isOnlyByPermit(service)) {
-			rejectWithoutPermit(pending);
+		if (rejectIfClosed(pending)) {
 			return;
 		}
 
@@ -219,10 +221,31 @@
 		heldRoundTimer ??= setTimeout(runHeldRound, heldRoundIntervalMilliseconds);
 	}
 
-	const isOnlyByPermit = (service: string) => host.upstreams.listUsable(service).length === 0 && host.permits.areNeeded(service);
+	/** Rejects a request if no upstream of its service will accept it in time. Returns whether it was rejected. */
+	function rejectIfClosed(pending: PendingSelection): boolean {
+		const {service} = pending.request;
+		const pauseEndsAt = host.upstreams.getPauseEnd(service);
+		const needsPermit = host.permits.areNeeded(service);
+		if (host.upstreams.listUsable(service).length > 0 || (pauseEndsAt === undefined && !needsPermit)) {
+			return false;
+		}
 
-	function rejectWithoutPermit(pending: PendingSelection): void {
-		finish(pending, {kind: 'rate-limited', checks: pending.checks, retryAfterMilliseconds: host.permits.getWaitMilliseconds(pending.request.service)});
+		const permitWaitMilliseconds = needsPermit ? host.permits.getWaitMilliseconds(service) : undefined;
+		const decision = closedService.decideForClosedService({permitWaitMilliseconds, pauseEndsAt}, pending.expiresAt, host.random, host.getNow());
+		switch (decision.kind) {
+			case 'hold': {
+				return false;
+			}
+
+			case 'reject': {
+				finish(pending, {kind: 'not-accepting', checks: pending.checks, retryAfterMilliseconds: decision.retryAfterMilliseconds});
+				return true;
+			}
+
+			default: {
+				return assertNever(decision);
+			}
+		}
 	}
 
 	/** Sends a request to an upstream with a rate limit if there is a permit. Returns whether it was sent. */
@@ -259,10 +282,8 @@
 			}
 
 			sendHeldByPermit(service);
-			if (isOnlyByPermit(service)) {
-				for (const pending of held) {
-					rejectWithoutPermit(pending);
-				}
+			for (const pending of held) {
+				rejectIfClosed(pending);
 			}
 
 			if (findHeld(service)) {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -51,13 +51,23 @@
 	readonly deadlineMilliseconds: number | undefined;
 };
 
-/** Rate limit that an upstream's response states, or doesn't. */
-export type StatedRateLimit
-	= | {readonly kind: 'none'}
-		| {readonly kind: 'limited'; readonly requestsPerSecond: number}
-	/** The response states a limit that can't be used. */
+/** A value that an upstream's response states, or doesn't. */
+export type Stated<Value>
+	= | {readonly kind: 'absent'}
+		| {readonly kind: 'stated'; readonly value: Value}
+	/** The response states a value that can't be used. */
 		| {readonly kind: 'invalid'; readonly text: string};
 
+/** What an upstream's response states about the requests that the upstream accepts. */
+export type StatedAcceptance = {
+	/** Requests per second that the upstream accepts from all entries together. */
+	readonly requestsPerSecond: Stated<number>;
+	/** The upstream is about to stop. */
+	readonly leaving: Stated<true>;
+	/** Time for which the upstream accepts no requests from this entry, if it rejects one, in milliseconds. */
+	readonly retryAfterMilliseconds: Stated<number>;
+};
+
 /** Data from the headers of an upstream's response. */
 export type ResponseMetadata = {
 	/** Identifier of the request to which the upstream responds. */
@@ -69,8 +79,7 @@
 	/** Identifier of the upstream. */
 	readonly upstreamId: string | undefined;
 	readonly load: Omit<prequalSelection.LoadReading, 'readAt'> | undefined;
-	/** Requests per second that the upstream accepts from all entries together. */
-	readonly rateLimit: StatedRateLimit;
+	readonly acceptance: StatedAcceptance;
 };
 
 /** Reads and creates the platform's headers in messages with callers and upstreams. */
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -39,6 +39,8 @@
 	listByLocality(service: string, isLocal: boolean): readonly Upstream[];
 	/** Lists the upstreams of a service that need a permit for each request. */
 	listByPermit(service: string): readonly Upstream[];
+	/** Gets the time at which the first of the paused upstreams of a service accepts requests again; undefined if none is paused. */
+	getPauseEnd(service: string): number | undefined;
 	/** Whether an upstream may still receive new requests without a permit. */
 	isUsable(upstream: Upstream): boolean;
 	/** Gets the share of the selections that may consider an upstream, from 0 to 1. */
@@ -58,9 +60,9 @@
 const idleMilliseconds = 8000;
 
 /** Usable upstreams of a service. */
-type ServiceUpstreams = {readonly all: Upstream[]; readonly local: Upstream[]; readonly remote: Upstream[]; readonly byPermit: Upstream[]};
+type ServiceUpstreams = {readonly all: Upstream[]; readonly local: Upstream[]; readonly remote: Upstream[]; readonly byPermit: Upstream[]; readonly pauseEnds: number[]};
 const createServiceUpstreams = (): ServiceUpstreams => ({
-	all: [], local: [], remote: [], byPermit: [],
+	all: [], local: [], remote: [], byPermit: [], pauseEnds: [],
 });
 const noUpstreams = createServiceUpstreams();
 
@@ -133,6 +135,16 @@
 				break;
 			}
 
+			case 'paused': {
+				usable.pauseEnds.push(access.endsAt);
+				break;
+			}
+
+			case 'leaving': {
+				upstream.pool.close();
+				break;
+			}
+
 			default: {
 				assertNever(access);
 			}
@@ -160,6 +172,10 @@
 		listUsable: service => (usableByService.get(service) ?? noUpstreams).all,
 		listByLocality: (service, isLocalRequested) => (usableByService.get(service) ?? noUpstreams)[isLocalRequested ? 'local' : 'remote'],
 		listByPermit: service => (usableByService.get(service) ?? noUpstreams).byPermit,
+		getPauseEnd(service) {
+			const {pauseEnds} = usableByService.get(service) ?? noUpstreams;
+			return pauseEnds.length === 0 ? undefined : Math.min(...pauseEnds);
+		},
 		isUsable({registration}) {
 			const {id, service, incarnation} = registration;
 			const existing = upstreams.get(id)?.registration;
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -10,7 +10,7 @@
 import * as generated from '../generated/sharing_pb.ts';
 
 /** A statement of an upstream, with its age in place of a time, since the clocks of two entries differ. */
-export type SharedStatement = Omit<upstreamStatements.UpstreamStatement, 'heardAt'> & {readonly ageMilliseconds: number};
+export type SharedStatement = Omit<upstreamStatements.UpstreamStatement<upstreamStatements.SharedContent>, 'heardAt'> & {readonly ageMilliseconds: number};
 
 /** Request of an entry that follows another entry: the follower, and the versions of its data. */
 export type SharingRequest = {
@@ -77,7 +77,7 @@
 	});
 }
 
-function toContentMessage(content: upstreamStatements.StatementContent): generated.UpstreamStatement['content'] {
+function toContentMessage(content: upstreamStatements.SharedContent): generated.UpstreamStatement['content'] {
 	switch (content.kind) {
 		case 'rate-limit': {
 			return {case: 'requestsPerSecond', value: content.requestsPerSecond};
@@ -87,6 +87,10 @@
 			return {case: 'isUnlimited', value: true};
 		}
 
+		case 'leaving': {
+			return {case: 'isLeaving', value: true};
+		}
+
 		default: {
 			return assertNever(content);
 		}
@@ -105,7 +109,7 @@
 	});
 }
 
-function toContent(content: generated.UpstreamStatement['content']): upstreamStatements.StatementContent | undefined {
+function toContent(content: generated.UpstreamStatement['content']): upstreamStatements.SharedContent | undefined {
 	switch (content.case) {
 		case 'requestsPerSecond': {
 			return content.value > 0 ? {kind: 'rate-limit', requestsPerSecond: content.value} : undefined;
@@ -115,6 +119,10 @@
 			return {kind: 'no-rate-limit'};
 		}
 
+		case 'isLeaving': {
+			return content.value ? {kind: 'leaving'} : undefined;
+		}
+
 		case undefined: {
 			return undefined;
 		}
