Pass requests on through other entries while all upstreams are cut off

Callers of an entry that lost all upstreams for seconds were not served at all: 0 of their first tries, while all were elsewhere.

Cause: an entry knows one way to an upstream, its own, and callers keep its address. Change: an entry finds out that it is cut off from what its checks and attempts show, tells the others, is left out of the directory's answers, and passes the requests that still come on to an entry that reaches upstreams. That entry is one more upstream for attempts, repeats, cancellation and whole answers; the mark in the request allows no second hop.

--- a/src/decisions/backpressure/permit-fleet.test.ts
+++ b/src/decisions/backpressure/permit-fleet.test.ts
@@ -69,7 +69,7 @@
 
 	function addEntry(index: number, startedAt: number): Entry {
 		const member: sharing.Member = {
-			name: `edge-${index}`, incarnation: '', startedAt: 0, failureDomain: '', region: '', callerAddress: '', peerAddress: '', isReady: true, canRead: true, linkMegabits: 1, cores: 1, requestsPerSecond: index < usedEntries ? 5 : 0,
+			name: `edge-${index}`, incarnation: '', startedAt: 0, failureDomain: '', region: '', callerAddress: '', peerAddress: '', isReady: true, canRead: true, isCutOff: false, linkMegabits: 1, cores: 1, requestsPerSecond: index < usedEntries ? 5 : 0,
 		};
 		return {
 			index, member, startedAt, knowsLimitAt: startedAt + (newsMilliseconds * random.nextFraction()), stoppedAt: Number.POSITIVE_INFINITY, pausedUntil: 0, issuer: permitIssuer.createPermitIssuer(random), wallet: permitWallet.createPermitWallet(), members: [], viewAt: Number.NEGATIVE_INFINITY,
--- a/src/decisions/sharing/entry-selection.test.ts
+++ b/src/decisions/sharing/entry-selection.test.ts
@@ -10,7 +10,7 @@
 function createMember(index: number, changes: Partial<types.Member> = {}): types.Member {
 	const name = `entry-${index}`;
 	return {
-		name, incarnation: name, startedAt: 0, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, linkMegabits: 14, cores: 0.27, requestsPerSecond: 0, ...changes,
+		name, incarnation: name, startedAt: 0, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, isCutOff: false, linkMegabits: 14, cores: 0.27, requestsPerSecond: 0, ...changes,
 	};
 }
 
@@ -22,6 +22,7 @@
 	cores: fastCheck.constantFrom(0.27, 0.54, 1.35),
 	requestsPerSecond: fastCheck.option(fastCheck.integer({min: 0, max: 300}), {nil: undefined}),
 	isReady: fastCheck.boolean(),
+	isCutOff: fastCheck.boolean(),
 }), {minLength: 1, maxLength: 40}).map(list => list.map((changes, index) => createMember(index, changes)));
 
 test('a quiet day of 312 entries uses two entries of a failure domain, and a crest as many as it needs', () => {
@@ -65,6 +66,8 @@
 		expect(addresses).toEqual(entrySelection.chooseCallerAddresses(members.toReversed(), location, 64).toReversed());
 		expect(addresses.length > 0).toBe(members.some(({isReady}) => isReady));
 		expect(addresses.every(address => members.some(({callerAddress, isReady}) => callerAddress === address && isReady))).toBe(true);
+		const hasConnected = members.some(({isReady, isCutOff}) => isReady && !isCutOff);
+		expect(addresses.every(address => members.some(({callerAddress, isCutOff}) => callerAddress === address && !(hasConnected && isCutOff)))).toBe(true);
 	}), {seed});
 });
 
--- a/src/decisions/sharing/entry-selection.ts
+++ b/src/decisions/sharing/entry-selection.ts
@@ -23,12 +23,14 @@
 
 /**
 Chooses the addresses for a caller: of the ready entries in its failure domain, else in its region, else of all, as many
-as the demand on these entries needs.
+as the demand on these entries needs. Entries that reach no upstream are chosen only if none does.
 
 Callers choose among the addresses at random. All entries choose the same addresses from the same member list.
 */
 export function chooseCallerAddresses(members: readonly types.Member[], location: CallerLocation, limit: number): readonly string[] {
-	const ready = members.filter(({isReady}) => isReady);
+	const allReady = members.filter(({isReady}) => isReady);
+	const connected = allReady.filter(({isCutOff}) => !isCutOff);
+	const ready = connected.length > 0 ? connected : allReady;
 	const inFailureDomain = ready.filter(({failureDomain}) => failureDomain === location.failureDomain);
 	const inRegion = ready.filter(({region}) => region === location.region);
 	const candidates = [inFailureDomain, inRegion, ready].find(entries => entries.length > 0) ?? [];
--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -204,5 +204,5 @@
 
 /** Whether two descriptions of a member differ at most in its demand. */
 function isSameState(current: types.Member, next: types.Member): boolean {
-	return current.incarnation === next.incarnation && current.isReady === next.isReady && current.canRead === next.canRead;
+	return current.incarnation === next.incarnation && current.isReady === next.isReady && current.canRead === next.canRead && current.isCutOff === next.isCutOff;
 }
--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -9,7 +9,7 @@
 
 function createMember(name: string, startedAt = 0, changes: Partial<Member> = {}): Member {
 	return {
-		name, incarnation: `${name}-${startedAt}`, startedAt, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, linkMegabits: 1000, cores: 1, requestsPerSecond: 10, ...changes,
+		name, incarnation: `${name}-${startedAt}`, startedAt, failureDomain: 'a', region: 'east', callerAddress: `${name}:1`, peerAddress: `${name}:2`, isReady: true, canRead: true, isCutOff: false, linkMegabits: 1000, cores: 1, requestsPerSecond: 10, ...changes,
 	};
 }
 
--- a/src/decisions/sharing/types.ts
+++ b/src/decisions/sharing/types.ts
@@ -17,6 +17,8 @@
 	readonly isReady: boolean;
 	/** Whether the entry's latest read of the store was answered. */
 	readonly canRead: boolean;
+	/** Whether the entry reaches no upstream, while others may. */
+	readonly isCutOff: boolean;
 	/** Bandwidth of the entry's network link, in megabits per second. */
 	readonly linkMegabits: number;
 	/** Processor capacity of the entry, in cores. */
--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -20,6 +20,8 @@
 	readonly trustMilliseconds: number;
 	/** Number of idle connections to keep open in advance. */
 	readonly spares: number;
+	/** Local address of the connections; the system chooses one if it is undefined. */
+	readonly localAddress?: string | undefined;
 	/** Maximum number of connections that this entry may have; it can change, and is read at each use. */
 	getLimit(): number;
 	/** Current time of a monotonic clock, in milliseconds. */
@@ -131,7 +133,7 @@
 	function openConnection(): void {
 		openingCount++;
 		connect({
-			hostname, host: options.address, protocol: 'http:', port: String(port),
+			hostname, host: options.address, protocol: 'http:', port: String(port), localAddress: options.localAddress ?? null,
 		}, (error, socket) => {
 			openingCount--;
 			if (error ?? isClosed) {
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -16,6 +16,7 @@
 	createGatewayAttempt, type AttemptRequest, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
 } from './gateway-attempt.ts';
 import {type GatewayResponse, type GatewayRequest} from './types.ts';
+import {type Upstream} from './upstreams.ts';
 
 /** Result of a request, for logs and metrics. */
 export type CallReport = {
@@ -47,6 +48,8 @@
 	readonly budget: FleetRetryBudget;
 	/** Returns the number of running entries. */
 	countEntries(): number;
+	/** Observes what the end of an attempt shows about the connection to upstreams. */
+	observeAttempt(upstream: Upstream, end: retryDecision.AttemptEnd): void;
 	onEnd(report: CallReport): void;
 };
 
@@ -106,6 +109,7 @@
 				mayExceedCapacity: route.priority === 0,
 			},
 			tried,
+			mayRelay: !request.isRelayed,
 			objectiveEndsAt,
 			expiresAt: Math.min(request.deadlineAt, Math.max(holdUntil, host.getNow() + minimumRetryHoldMilliseconds)),
 		}, selection => {
@@ -171,6 +175,7 @@
 				}
 
 				recordEnd(selected, end, now - sentAt, now);
+				host.observeAttempt(upstream, end);
 				handleEnd(end, response);
 				host.selector.onAttemptEnded(upstream);
 			},
@@ -243,7 +248,7 @@
 		}
 
 		if (end.kind === 'answered' && response) {
-			const gatewayResponse = {...response, headers: getForwardedAnswerHeaders(response.headers)};
+			const gatewayResponse = {...response, headers: getForwardedAnswerHeaders(response.headers), isOwn: false};
 			if (end.statusCode < 500) {
 				finish(gatewayResponse, 'answered', 'upstream');
 				return;
@@ -279,7 +284,7 @@
 		const statusCode = retryDecision.getFailureStatus(getHistory(), reason);
 		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(retryAfterMilliseconds) : [];
 		finish({
-			statusCode, headers, body: new Uint8Array(), hasOwnEnd: true,
+			statusCode, headers, body: new Uint8Array(), hasOwnEnd: true, isOwn: true,
 		}, statusCode === 503 ? 'refused' : 'failed', reason);
 	}
 
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -18,10 +18,14 @@
 import * as peerPermits from '../peers/permits.ts';
 import {createPeerServer} from '../peers/peer-server.ts';
 import {createSharingClient, createSharingRoutes} from '../peers/sharing.ts';
-import {type CallReport, startCall} from './call-runner.ts';
+import * as callLog from './call-log.ts';
+import {startCall} from './call-runner.ts';
 import {createDirectory, type Directory} from './directory.ts';
 import {createFrontServer, listen} from './front-server.ts';
+import {type LoadCheckHost} from './load-check.ts';
 import * as permitsModule from './permits.ts';
+import * as reachabilityMonitor from './reachability-monitor.ts';
+import * as relaysModule from './relays.ts';
 import {createPlatformState} from './platform-state.ts';
 import {createSelector} from './selection.ts';
 import {type GatewaySettings} from './settings.ts';
@@ -47,6 +51,8 @@
 	readonly metrics: GatewayMetrics;
 	/** Port on which the metrics are served; 0 selects a free one. */
 	readonly metricsPort: number;
+	/** Local address of the connections to upstreams; the system chooses one if it is undefined. */
+	readonly localAddress?: string | undefined;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Milliseconds since the epoch. */
@@ -100,6 +106,7 @@
 		peerAddress: settings.listen.peers,
 		isReady: lifeCycle.getState() === 'serving',
 		canRead: reader.canRead(),
+		isCutOff: reachability.isCutOff(),
 		linkMegabits: settings.linkMegabits,
 		cores: settings.cores,
 		requestsPerSecond: demand.getReportedRate(getNow()),
@@ -116,7 +123,28 @@
 		countEntries: () => sharing.members.count(),
 		getAccess: recorder.statements.getAccess,
 		getNow,
+		localAddress: host.localAddress,
 	}, settings.failureDomain);
+	const checks: LoadCheckHost = {
+		headers: platform.headers,
+		getNow,
+		getHealthPath: service => platformState.getActiveConfiguration()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
+		recordCheck(upstream, result, milliseconds) {
+			metrics.recordCheck(result, milliseconds);
+			reachability.recordCheck(upstream, result);
+		},
+		recordStatements: recorder.recordResponse,
+	};
+	const reachability = reachabilityMonitor.createReachabilityMonitor({
+		logger,
+		random,
+		checks,
+		upstreams,
+		getNow,
+		onChange() {
+			sharing.announce();
+		},
+	});
 	const platformState = createPlatformState({
 		logger,
 		getNow,
@@ -177,17 +205,20 @@
 
 	const checkBudget = createCheckBudget(settings.checksPerSecondPerUpstream);
 	const servicesWithoutLoad = new Set<string>();
+	const relays = relaysModule.createRelays({
+		name: settings.name,
+		failureDomain: settings.failureDomain,
+		random,
+		isCutOff: reachability.isCutOff,
+		listMembers: sharing.members.list,
+		getNow,
+	});
 	const selector = createSelector({
-		headers: platform.headers,
+		...checks,
 		upstreams,
 		permits,
+		relays,
 		random,
-		getNow,
-		getHealthPath: service => platformState.getActiveConfiguration()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
-		recordCheck(_upstream, result, milliseconds) {
-			metrics.recordCheck(result, milliseconds);
-		},
-		recordStatements: recorder.recordResponse,
 		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
@@ -225,8 +256,9 @@
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget(settings.retries, getNow()),
 		countEntries,
+		observeAttempt: reachability.recordAttempt,
 		getNow,
-		onEnd: recordCallEnd,
+		onEnd: callLog.createCallRecorder({logger, metrics, getKnowledgeAge: () => getRoundedAge()}),
 	};
 	const frontServer = createFrontServer({
 		headers: platform.headers,
@@ -256,34 +288,6 @@
 
 	const getRoundedAge = () => Math.round(Math.min(platformState.getAge(getNow()), Number.MAX_SAFE_INTEGER));
 
-	function recordCallEnd({request, statusCode, outcome, reason, attempts, heldMilliseconds, milliseconds, checks}: CallReport): void {
-		const fields = {
-			id: request.id,
-			route: request.route.name,
-			kind: request.route.kind,
-			service: request.service,
-			configuration: request.configurationVersion,
-			knowledgeAge: getRoundedAge(),
-			outcome,
-			status: statusCode,
-			reason,
-			milliseconds,
-			held: heldMilliseconds,
-			checks,
-			attempts: attempts.map(({upstream, end, expectedMilliseconds, milliseconds: attemptMilliseconds}) => `${upstream}/${end}/${expectedMilliseconds}/${attemptMilliseconds}`).join(','),
-		};
-		if (outcome === 'answered') {
-			logger.info('request-ended', fields);
-		} else {
-			logger.warn('request-ended', fields);
-		}
-
-		metrics.recordRequest(request.route.name, outcome, reason, milliseconds, heldMilliseconds);
-		for (const {upstream, end} of attempts) {
-			metrics.recordAttempt(upstream, end);
-		}
-	}
-
 	const directory = createDirectory({
 		listMembers: sharing.members.list,
 		isReady: () => lifeCycle.getState() === 'serving',
@@ -320,6 +324,7 @@
 	sharing.start();
 	const maintenanceTimer = setInterval(() => {
 		upstreams.closeIdle();
+		relays.closeIdle();
 		permits.observeEntries();
 	}, maintenanceIntervalMilliseconds);
 	logger.info('gateway-started', {
@@ -351,7 +356,9 @@
 		clearInterval(maintenanceTimer);
 		sharing.stop();
 		selector.close();
+		reachability.close();
 		upstreams.close();
+		relays.close();
 		permits.close();
 		recorder.close();
 		directoryServer.close();
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -12,7 +12,7 @@
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'memory-full' | 'stopping' | 'body-cut';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -51,12 +51,15 @@
 const maximumTotalBufferedBytes = 48 * 1024 * 1024;
 /** Assumed size of a body with a transfer encoding, whose length is not known in advance, in bytes. */
 const assumedBodyBytes = 65_536;
+/** Maximum number of requests in progress that other entries pass on, so that they leave room for the own callers. */
+const maximumRelayedRequests = 64;
 /** Time after which a refused caller should retry, in milliseconds. */
 const retryAfterMilliseconds = 300;
 /** Time after which a caller should retry that another entry can serve at once, in milliseconds. */
 const retryElsewhereMilliseconds = 20;
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
+const unavailableStatus = 503;
 const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut'>, number>> = {
 	'no-configuration': 503,
 	'news-stale': 503,
@@ -66,12 +69,14 @@
 	'body-too-large': 413,
 	'memory-full': 503,
 	stopping: 503,
+	'too-many-relayed': 503,
 };
 
 /** Creates the server; the caller starts and stops it. */
 export function createFrontServer(host: FrontServerHost): FrontServer {
 	let openRequests = 0;
 	let bufferedBytes = 0;
+	let relayedRequests = 0;
 	const server = http.createServer({
 		maxHeaderSize: maximumHeaderBytes,
 		connectionsCheckingInterval: connectionsCheckIntervalMilliseconds,
@@ -94,6 +99,17 @@
 			openRequests--;
 		});
 		const metadata = host.headers.readRequest(request.headers);
+		if (metadata.isRelayed) {
+			relayedRequests++;
+			response.once('close', () => {
+				relayedRequests--;
+			});
+			if (relayedRequests > maximumRelayedRequests) {
+				refuse(request, response, 'too-many-relayed', metadata.id);
+				return;
+			}
+		}
+
 		const activeConfiguration = host.getActiveConfiguration();
 		if (!activeConfiguration) {
 			refuse(request, response, 'no-configuration', metadata.id);
@@ -133,6 +149,7 @@
 				id,
 				route,
 				service: routeTable.chooseServiceByWeight(route, host.random),
+				isRelayed: metadata.isRelayed,
 				configurationVersion: version,
 				receivedAt,
 				deadlineAt: receivedAt + Math.min(route.timeoutMilliseconds, metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY),
@@ -196,6 +213,7 @@
 			headers: statusCode === 503 ? host.headers.createRetryHeaders(reason === 'stopping' ? retryElsewhereMilliseconds : retryAfterMilliseconds) : [],
 			body: new Uint8Array(),
 			hasOwnEnd: true,
+			isOwn: true,
 		});
 	}
 
@@ -205,7 +223,7 @@
 		}
 
 		const isHead = request.method === 'HEAD';
-		const headers = gatewayResponse.headers.filter(([name]) => isHead || name !== 'content-length').flat();
+		const headers = [...gatewayResponse.headers, ...createRelayedHeaders(request, gatewayResponse)].filter(([name]) => isHead || name !== 'content-length').flat();
 		const isClosing = host.isLeaving() || !request.complete || !gatewayResponse.hasOwnEnd;
 		response.useChunkedEncodingByDefault = false;
 		response.writeHead(gatewayResponse.statusCode, [
@@ -216,6 +234,12 @@
 		response.end(gatewayResponse.body);
 	}
 
+	/** Creates the additional headers of this entry's own response to a request that another entry passes on; upstreams' responses have them. */
+	function createRelayedHeaders(request: http.IncomingMessage, {statusCode, isOwn}: GatewayResponse): GatewayResponse['headers'] {
+		const {id, isRelayed} = host.headers.readRequest(request.headers);
+		return isRelayed && isOwn ? host.headers.createRelayedRefusalHeaders(id, statusCode === unavailableStatus) : [];
+	}
+
 	return {
 		server,
 		countOpen: () => openRequests,
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -97,12 +97,16 @@
 		});
 	}
 
+	function createAddedHeaders(milliseconds: number): readonly string[] {
+		return upstream.kind === 'relay' ? host.headers.createRelayHeaders(milliseconds) : host.headers.createUpstreamHeaders(registration.id, milliseconds);
+	}
+
 	function send(connection: Connection): void {
 		const milliseconds = Math.max(minimumDeadlineMilliseconds, Math.floor(request.deadlineAt - host.getNow()));
 		runningAttempt = attempt.startAttempt(connection.client, {
 			method: request.method,
 			path: request.path,
-			headers: [...request.headers.flat(), ...host.headers.createUpstreamHeaders(registration.id, milliseconds)],
+			headers: [...request.headers.flat(), ...createAddedHeaders(milliseconds)],
 			body: request.body,
 		}, {
 			onSent() {
@@ -112,7 +116,7 @@
 			onHead(statusCode, headers) {
 				const metadata = host.headers.readResponse(headers);
 				responseHead = {statusCode, headers, metadata};
-				if (metadata.requestId === request.id && statusCode !== misdirectedStatus) {
+				if (upstream.kind === 'upstream' && metadata.requestId === request.id && statusCode !== misdirectedStatus) {
 					host.recordStatements(upstream, metadata, {kind: 'request', statusCode});
 				}
 			},
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -31,16 +31,19 @@
 	upstreams.update(ids.map(id => createRegistration(id)));
 	const selector = createSelector({
 		headers: {
-			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined}),
+			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined, isRelayed: false}),
 			readResponse: () => ({
 				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, acceptance: {requestsPerSecond: {kind: 'absent'}, leaving: {kind: 'absent'}, retryAfterMilliseconds: {kind: 'absent'}},
 			}),
 			createUpstreamHeaders: () => [],
+			createRelayHeaders: () => [],
+			createRelayedRefusalHeaders: () => [],
 			isReplacedHeader: () => false,
 			createRetryHeaders: () => [],
 		},
 		upstreams,
 		permits: {take: () => undefined, areNeeded: () => false, getWaitMilliseconds: () => 0},
+		relays: {choose: () => undefined},
 		random: createRandomSource(20_266),
 		getNow,
 		getHealthPath: () => '/healthz',
@@ -68,6 +71,7 @@
 			workMilliseconds: 100, meanWorkMilliseconds: 100, objectiveMilliseconds: 400, mayExceedCapacity: false,
 		},
 		tried: new Set(),
+		mayRelay: true,
 		objectiveEndsAt: now + 400,
 		expiresAt: now + 400,
 	};
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -14,12 +14,13 @@
 import * as closedService from '../decisions/backpressure/closed-service.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as prequalSelection from '../decisions/routing/prequal-selection.ts';
-import * as warmCandidates from '../decisions/routing/warm-candidates.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {
 	queryUpstreams, type UpstreamQueryHost, type QueryResults, maximumReadingAgeMilliseconds,
 } from './query-upstreams.ts';
 import type * as permits from './permits.ts';
+import type * as relays from './relays.ts';
+import * as upstreamSampler from './upstream-sampler.ts';
 import {type Upstream, type Upstreams} from './upstreams.ts';
 
 /** A selected upstream. */
@@ -49,6 +50,8 @@
 	readonly work: prequalSelection.WorkEstimate;
 	/** Identifiers of the upstreams that earlier attempts were sent to. */
 	readonly tried: ReadonlySet<string>;
+	/** Whether the request may be passed on to another entry. */
+	readonly mayRelay: boolean;
 	/** Time at which the latency objective of the request ends. */
 	readonly objectiveEndsAt: number;
 	/** Time at which the request is given up if no upstream has capacity. */
@@ -59,6 +62,7 @@
 export type SelectionHost = UpstreamQueryHost & {
 	readonly upstreams: Upstreams;
 	readonly permits: Pick<permits.Permits, 'take' | 'areNeeded' | 'getWaitMilliseconds'>;
+	readonly relays: Pick<relays.Relays, 'choose'>;
 	readonly random: RandomSource;
 };
 
@@ -101,6 +105,7 @@
 	const roundsByService = new Map<string, number>();
 	let heldRoundTimer: NodeJS.Timeout | undefined;
 
+	const {sampleUpstreams, sampleWarmUpstreams} = upstreamSampler.createUpstreamSampler(host);
 	const findHeld = (service: string) => heldByService.get(service);
 
 	function finish(pending: PendingSelection, selection: Selection): void {
@@ -119,28 +124,6 @@
 		}
 	}
 
-	function sampleUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>, restrict = (candidates: readonly Upstream[]) => candidates): readonly Upstream[] {
-		const now = host.getNow();
-		const isUntried = ({registration}: Upstream) => !tried.has(registration.id);
-		const mayRepeat = tried.size > 0 && !host.upstreams.listUsable(service).some(upstream => isUntried(upstream));
-		const candidates = host.upstreams.listByLocality(service, isLocal).filter(upstream => isConsidered(upstream, now));
-		const allowed = tried.size === 0 || mayRepeat ? candidates : candidates.filter(upstream => isUntried(upstream));
-		return prequalSelection.sampleCandidates(restrict(allowed), count, ({record}) => record.getFailureShare(now), host.random);
-	}
-
-	/** Whether this selection considers an upstream; most don't shortly after the end of its rate limit. */
-	function isConsidered(upstream: Upstream, now: number): boolean {
-		const share = host.upstreams.getSelectionShare(upstream, now);
-		return share === 1 || host.random.nextFraction() < share;
-	}
-
-	/** Samples upstreams for a request that just arrived, mostly among those that this entry is connected to. */
-	function sampleWarmUpstreams(service: string, isLocal: boolean, count: number, tried: ReadonlySet<string>): readonly Upstream[] {
-		const now = host.getNow();
-		const isWarm = ({pool, record}: Upstream) => pool.count() > 0 && record.getFailureShare(now) <= prequalSelection.largestFailureShare;
-		return sampleUpstreams(service, isLocal, count, tried, candidates => warmCandidates.restrictToWarm(candidates, isWarm, host.random));
-	}
-
 	function queryLocal(pending: PendingSelection): void {
 		const {service, tried} = pending.request;
 		const local = sampleWarmUpstreams(service, true, localSampleSize, tried);
@@ -207,7 +190,7 @@
 	function hold(pending: PendingSelection): void {
 		const {service} = pending.request;
 		pending.cancelQuery = undefined;
-		if (rejectIfClosed(pending)) {
+		if (trySendByRelay(pending) || rejectIfClosed(pending)) {
 			return;
 		}
 
@@ -248,6 +231,19 @@
 		}
 	}
 
+	/** Passes a request on to another entry if this one is cut off from all upstreams. Returns whether it was sent. */
+	function trySendByRelay(pending: PendingSelection): boolean {
+		const {mayRelay, tried, work} = pending.request;
+		const relay = mayRelay ? host.relays.choose(tried) : undefined;
+		if (relay) {
+			finish(pending, {
+				kind: 'selected', upstream: relay, connection: undefined, expectedMilliseconds: prequalSelection.getMeanDurationMilliseconds(work.workMilliseconds), checks: pending.checks,
+			});
+		}
+
+		return relay !== undefined;
+	}
+
 	/** Sends a request to an upstream with a rate limit if there is a permit. Returns whether it was sent. */
 	function trySendByPermit(pending: PendingSelection): boolean {
 		const upstream = host.permits.take(pending.request.service, pending.request.tried);
@@ -283,7 +279,9 @@
 
 			sendHeldByPermit(service);
 			for (const pending of held) {
-				rejectIfClosed(pending);
+				if (!trySendByRelay(pending)) {
+					rejectIfClosed(pending);
+				}
 			}
 
 			if (findHeld(service)) {
@@ -347,6 +345,10 @@
 				cancelQuery: undefined,
 				isOver: false,
 			};
+			if (trySendByRelay(pending)) {
+				return () => undefined;
+			}
+
 			if (findHeld(request.service)) {
 				hold(pending);
 				sendHeldByPermit(request.service);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -49,6 +49,8 @@
 	readonly id: string | undefined;
 	/** Time for which the caller waits for the response. */
 	readonly deadlineMilliseconds: number | undefined;
+	/** Whether another entry passes the request on; it must not be passed on again. */
+	readonly isRelayed: boolean;
 };
 
 /** A value that an upstream's response states, or doesn't. */
@@ -88,6 +90,10 @@
 	readResponse(headers: http.IncomingHttpHeaders): ResponseMetadata;
 	/** Creates the headers with the target upstream and the remaining time, as alternating names and values. */
 	createUpstreamHeaders(upstreamId: string, milliseconds: number): readonly string[];
+	/** Creates the headers of a request that is passed on to another entry, as alternating names and values. */
+	createRelayHeaders(milliseconds: number): readonly string[];
+	/** Creates the headers that tell another entry which request this entry's own response belongs to, and whether it has surely not run. */
+	createRelayedRefusalHeaders(id: string | undefined, isNotRun: boolean): call.HeaderPairs;
 	/** Whether `createUpstreamHeaders` replaces a header of the caller's request; names are in lower case. */
 	isReplacedHeader(name: string): boolean;
 	/** Creates the headers that tell a caller after which time to retry. */
@@ -99,6 +105,8 @@
 	readonly id: string;
 	readonly route: configuration.Route;
 	readonly service: string;
+	/** Whether another entry passed the request on. */
+	readonly isRelayed: boolean;
 	/** Version of the configuration that the route comes from. */
 	readonly configurationVersion: number;
 	readonly method: string;
@@ -118,4 +126,6 @@
 	readonly body: Uint8Array;
 	/** Whether the response delimits its own end; otherwise its end is the close of the connection. */
 	readonly hasOwnEnd: boolean;
+	/** Whether the entry itself made the response; otherwise it is an upstream's. */
+	readonly isOwn: boolean;
 };
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -6,8 +6,9 @@
 import * as upstreamStatistics from '../decisions/routing/upstream-statistics.ts';
 import * as connectionPool from '../entry/connection-pool.ts';
 
-/** A registered upstream. */
+/** A registered upstream, or another entry that passes requests on to one. */
 export type Upstream = {
+	readonly kind: 'upstream' | 'relay';
 	readonly registration: registry.Registration;
 	readonly pool: connectionPool.ConnectionPool;
 	readonly record: upstreamStatistics.UpstreamStatistics;
@@ -17,6 +18,8 @@
 
 /** Dependencies of the set of upstreams. */
 export type UpstreamsHost = {
+	/** Local address of the connections to upstreams; the system chooses one if it is undefined. */
+	readonly localAddress?: string | undefined;
 	/** Maximum number of connections that one upstream of a service accepts from all entries together. */
 	getMaximumConnections(service: string): number;
 	/** Returns the number of running entries. */
@@ -33,6 +36,10 @@
 	update(registrations: readonly registry.Registration[]): void;
 	/** Assigns the upstreams anew to the lists, after a change of how they may be used. */
 	refresh(): void;
+	/** Lists the upstreams of all services that may receive new requests without a permit. */
+	listAll(): readonly Upstream[];
+	/** Counts the failure domains of these upstreams. */
+	countFailureDomains(): number;
 	/** Lists the upstreams of a service that may receive new requests without a permit. */
 	listUsable(service: string): readonly Upstream[];
 	/** Lists the usable upstreams of a service inside the failure domain of this entry, or outside of it. */
@@ -71,9 +78,12 @@
 	const upstreams = new Map<string, Upstream>();
 	const usableByService = new Map<string, ServiceUpstreams>();
 	const excludedIncarnations = new Map<string, number>();
+	let all: readonly Upstream[] = [];
+	let failureDomainCount = 0;
 
 	function create(registration: registry.Registration): Upstream {
 		return {
+			kind: 'upstream',
 			registration,
 			pool: connectionPool.createConnectionPool({
 				address: registration.address,
@@ -83,6 +93,7 @@
 				spares: 0,
 				getLimit: () => Math.max(2, Math.floor(usedConnectionShare * host.getMaximumConnections(registration.service) / Math.max(1, host.countEntries()))),
 				getNow: host.getNow,
+				localAddress: host.localAddress,
 			}),
 			record: upstreamStatistics.createUpstreamStatistics(),
 			warmUntil: host.getNow() + registration.warmUpMilliseconds,
@@ -119,6 +130,9 @@
 			usableByService.set(service, usable);
 			addUpstream(usable, upstream, now);
 		}
+
+		all = [...usableByService.values()].flatMap(usable => usable.all);
+		failureDomainCount = new Set(all.map(upstream => upstream.registration.failureDomain)).size;
 	}
 
 	function addUpstream(usable: ServiceUpstreams, upstream: Upstream, now: number): void {
@@ -169,6 +183,8 @@
 			rebuildIndex();
 		},
 		refresh: rebuildIndex,
+		listAll: () => all,
+		countFailureDomains: () => failureDomainCount,
 		listUsable: service => (usableByService.get(service) ?? noUpstreams).all,
 		listByLocality: (service, isLocalRequested) => (usableByService.get(service) ?? noUpstreams)[isLocalRequested ? 'local' : 'remote'],
 		listByPermit: service => (usableByService.get(service) ?? noUpstreams).byPermit,
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -61,10 +61,10 @@
 }
 
 function toMember({
-	name, incarnation, startedAt, failureDomain, region, callerAddress, peerAddress, isReady, canRead, linkMegabits, cores, requestsPerSecond,
+	name, incarnation, startedAt, failureDomain, region, callerAddress, peerAddress, isReady, canRead, isCutOff, linkMegabits, cores, requestsPerSecond,
 }: generated.Member): Member {
 	return {
-		name, incarnation, startedAt: Number(startedAt), failureDomain, region, callerAddress, peerAddress, isReady, canRead, linkMegabits, cores, requestsPerSecond,
+		name, incarnation, startedAt: Number(startedAt), failureDomain, region, callerAddress, peerAddress, isReady, canRead, isCutOff, linkMegabits, cores, requestsPerSecond,
 	};
 }
 
--- a/stand-ins/platform-upstream.ts
+++ b/stand-ins/platform-upstream.ts
@@ -37,11 +37,15 @@
 	/** IDs of the executed requests, in the order of their receipt. */
 	readonly executedRequestIds: readonly string[];
 	readonly receivedRequests: readonly ReceivedRequest[];
+	/** IDs of the requests whose connection closed before the response. */
+	readonly abortedRequestIds: readonly string[];
 	/** Times at which load checks were received, in milliseconds of the monotonic clock. */
 	readonly checkTimes: readonly number[];
 	setBehavior(behaviour: PlatformUpstreamBehavior): void;
 	/** Sets headers that are added to each response to a request, e.g. a rate limit. */
 	setStatements(headers: Readonly<Record<string, string>>): void;
+	/** Sets what happens to the connections and requests of some clients, by their address; a hanging one gets no answers. */
+	setPartition(getPartition: (clientAddress: string) => 'none' | 'hang' | 'reset'): void;
 	/** Sets whether health checks fail and responses close their connection, as for an upstream that is shutting down. */
 	setDraining(isLeaving: boolean): void;
 	close(): Promise<void>;
@@ -63,10 +67,27 @@
 	let isLeaving = false;
 	let statements: Readonly<Record<string, string>> = {};
 	const checkTimes: number[] = [];
+	const abortedRequestIds: string[] = [];
+
+	let getPartition: (clientAddress: string) => 'none' | 'hang' | 'reset' = () => 'none';
+
+	/** Returns whether the client of a request is cut off. */
+	function applyPartition(socket: net.Socket): boolean {
+		const partition = getPartition(socket.remoteAddress ?? '');
+		if (partition === 'reset') {
+			socket.resetAndDestroy();
+		}
+
+		return partition !== 'none';
+	}
 
 	const formatLoad = () => `${runningCount},0,${slots},100`;
 
 	function receiveRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+		if (applyPartition(request.socket)) {
+			return;
+		}
+
 		const hash = crypto.createHash('sha256');
 		request.on('data', (chunk: Uint8Array) => {
 			hash.update(chunk);
@@ -86,6 +107,11 @@
 		const requestId = String(request.headers['attempt-id'] ?? '');
 		const target = request.headers['target-instance'];
 		const isMisdirected = target !== undefined && target !== id;
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				abortedRequestIds.push(requestId);
+			}
+		});
 		const hasRun = !isMisdirected && behaviour.kind !== 'refuse' && runningCount < slots;
 		arrivals.push({
 			requestId, hasRun, method: request.method ?? '', path: request.url ?? '', digest, receivedAt: performance.now(),
@@ -152,6 +178,7 @@
 	const server = http.createServer(receiveRequest);
 	server.on('connection', socket => {
 		sockets.add(socket);
+		applyPartition(socket);
 		socket.on('error', () => undefined);
 		socket.once('close', () => {
 			sockets.delete(socket);
@@ -166,6 +193,7 @@
 		address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`,
 		receivedRequests: arrivals,
 		checkTimes,
+		abortedRequestIds,
 		get executedRequestIds() {
 			return arrivals.filter(({hasRun}) => hasRun).map(({requestId}) => requestId);
 		},
@@ -175,6 +203,9 @@
 		setStatements(headers) {
 			statements = headers;
 		},
+		setPartition(getNewPartition) {
+			getPartition = getNewPartition;
+		},
 		setDraining(isNowLeaving) {
 			isLeaving = isNowLeaving;
 		},
--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -197,6 +197,7 @@
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget({ratio: 0, windowMilliseconds: 1000, slack: 0}, 0),
 		countEntries: () => 1,
+		observeAttempt: () => undefined,
 		getNow,
 		onEnd: () => undefined,
 	}, {...request, route: {...request.route, kind: 'non-idempotent'}, deadlineAt: getNow() + 200}, {respond: () => undefined});
@@ -243,6 +244,7 @@
 			learner: createWorkEstimator(),
 			budget: createFleetRetryBudget({ratio: 1, windowMilliseconds: 1000, slack: 10}, 0),
 			countEntries: () => 1,
+			observeAttempt: () => undefined,
 			getNow,
 			onEnd: () => undefined,
 		}, {...createRequest('a'), route: {...createRequest('a').route, kind: 'non-idempotent'}}, {
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -11,6 +11,9 @@
 	readonly milliseconds: number;
 };
 
+/** Local address of a gateway's connections to upstreams, by which the upstreams tell the gateways apart. */
+export const getLocalAddress = (gateway: number) => `127.0.1.${gateway + 1}`;
+
 const failureDomains = ['riverside', 'hillside', 'lakeside'];
 
 /** A store, its upstreams and gateways, all in this process. */
@@ -42,7 +45,7 @@
 			const running: gateways.RunningGateway[] = [];
 			for (let index = 0; index < count; index++) {
 				const gateway = await gateways.startGateway({
-					name: `edge-${index + 1}`, storeAddress: store.address, seeds: running.slice(0, 1).map(({peers}) => peers), failureDomain: failureDomains[index % failureDomains.length],
+					name: `edge-${index + 1}`, storeAddress: store.address, seeds: running.slice(0, 1).map(({peers}) => peers), failureDomain: failureDomains[index % failureDomains.length], localAddress: getLocalAddress(index),
 				});
 				cleanups.push(gateway.gateway.leave);
 				running.push(gateway);
@@ -66,12 +69,12 @@
 }
 
 /** Sends requests at a steady rate to the gateways in turn; the returned function stops that and returns the answers. */
-export function startLoad(running: readonly gateways.RunningGateway[], requestsPerSecond: number): () => Promise<readonly FleetAnswer[]> {
+export function startLoad(running: readonly gateways.RunningGateway[], requestsPerSecond: number, method = 'GET'): () => Promise<readonly FleetAnswer[]> {
 	const answers: Array<Promise<FleetAnswer>> = [];
 	const timer = setInterval(() => {
 		const sentAt = performance.now();
 		const gateway = answers.length % running.length;
-		const answer = gateways.send(running[gateway]!.front, '/price/1');
+		const answer = gateways.send(running[gateway]!.front, method === 'GET' ? '/price/1' : '/credit/1', method);
 		answers.push(answer.then(result => ({...result, gateway, milliseconds: performance.now() - sentAt})));
 	}, 1000 / requestsPerSecond);
 	return async () => {
@@ -81,8 +84,8 @@
 }
 
 /** Sends requests at a steady rate for a time. */
-export async function startLoadFor(running: readonly gateways.RunningGateway[], requestsPerSecond: number, milliseconds: number): Promise<readonly FleetAnswer[]> {
-	const stopLoad = startLoad(running, requestsPerSecond);
+export async function startLoadFor(running: readonly gateways.RunningGateway[], requestsPerSecond: number, milliseconds: number, method = 'GET'): Promise<readonly FleetAnswer[]> {
+	const stopLoad = startLoad(running, requestsPerSecond, method);
 	await timers.setTimeout(milliseconds);
 	return stopLoad();
 }
--- a/test/support/gateways.ts
+++ b/test/support/gateways.ts
@@ -50,6 +50,8 @@
 	/** Address for the other gateways; a free port by default. */
 	readonly peers?: string | undefined;
 	readonly failureDomain?: string | undefined;
+	/** Local address of the connections to upstreams. */
+	readonly localAddress?: string | undefined;
 	/** Receives the log lines; none by default. */
 	readonly logger?: logger.Logger;
 };
@@ -84,6 +86,7 @@
 		metricsPort: 0,
 		getNow,
 		getWallTime: () => Date.now(),
+		localAddress: options.localAddress,
 	});
 	return {
 		gateway, front: front!, directory: directory!, ready: ready!, peers: control!,
--- a/test/support/hostile-upstream.ts
+++ b/test/support/hostile-upstream.ts
@@ -56,6 +56,7 @@
 			name: 'price', host: 'desk.example', pathPrefix: '/price/', kind: 'idempotent', destinations: [{service: 'desk', weight: 1}], timeoutMilliseconds: 1000, objectiveMilliseconds: 300, maximumAttempts: 2, priority: 0,
 		},
 		service: 'desk',
+		isRelayed: false,
 		configurationVersion: 1,
 		method: 'GET',
 		path: '/price/1',
