Bound the executions of a request that is passed on by its route

Cause: the entry that passes a request on counted one attempt, and the other entry made as many as the route allows, so an idempotent request could run on twice as many upstreams. Change: the mark in the request says how many upstreams may still run it, and the entry that passes it on counts all of them.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -80,7 +80,7 @@
 /** Starts to run a request. */
 export function startCall(host: CallRunnerHost, request: GatewayRequest, target: ResponseTarget): RunningCall {
 	const {route, service} = request;
-	const attemptRequest: AttemptRequest = {...request, refusedOn: new Set()};
+	const refusedOn: AttemptRequest['refusedOn'] = new Set();
 	const attempts: AttemptReport[] = [];
 	const tried = new Set<string>();
 	const running = new Set<GatewayAttempt>();
@@ -159,10 +159,11 @@
 		firstSentAt ??= sentAt;
 		tried.add(id);
 		let isCounted = false;
-		const attempt = createGatewayAttempt(host, attemptRequest, selected, {
+		const maximumExecutions = getMaximumExecutions(upstream);
+		const attempt = createGatewayAttempt(host, {...request, refusedOn, maximumExecutions}, selected, {
 			onSent() {
 				isCounted = true;
-				mayHaveRunOn++;
+				mayHaveRunOn += maximumExecutions;
 			},
 			onEnd(end, response) {
 				running.delete(attempt);
@@ -171,7 +172,7 @@
 					upstream: id, end: describeEnd(end), expectedMilliseconds: Math.round(expectedMilliseconds), milliseconds: Math.round(now - sentAt),
 				});
 				if (isCounted && (end.kind === 'not-run' || end.kind === 'not-sent')) {
-					mayHaveRunOn--;
+					mayHaveRunOn -= maximumExecutions;
 				}
 
 				recordEnd(selected, end, now - sentAt, now);
@@ -192,6 +193,11 @@
 		}
 	}
 
+	/** Another entry gets all executions that are left, since it retries by itself. */
+	function getMaximumExecutions(upstream: Upstream): number {
+		return upstream.kind === 'relay' ? Math.max(1, route.maximumAttempts - mayHaveRunOn) : 1;
+	}
+
 	/** Sends a hedged request: a second attempt in parallel to a late one. The first complete response is used. */
 	function startHedge(): void {
 		const now = host.getNow();
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -99,7 +99,7 @@
 			openRequests--;
 		});
 		const metadata = host.headers.readRequest(request.headers);
-		if (metadata.isRelayed) {
+		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
 			response.once('close', () => {
 				relayedRequests--;
@@ -147,9 +147,9 @@
 		receiveBody(request, {bodyBytes: limits.bodyBytes, bufferedBodyBytes: maximumBufferedBodyBytes}, received => {
 			handleBody(request, response, received, {
 				id,
-				route,
+				route: {...route, maximumAttempts: Math.min(route.maximumAttempts, metadata.relayedExecutions ?? route.maximumAttempts)},
 				service: routeTable.chooseServiceByWeight(route, host.random),
-				isRelayed: metadata.isRelayed,
+				isRelayed: metadata.relayedExecutions !== undefined,
 				configurationVersion: version,
 				receivedAt,
 				deadlineAt: receivedAt + Math.min(route.timeoutMilliseconds, metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY),
@@ -236,8 +236,8 @@
 
 	/** Creates the additional headers of this entry's own response to a request that another entry passes on; upstreams' responses have them. */
 	function createRelayedHeaders(request: http.IncomingMessage, {statusCode, isOwn}: GatewayResponse): GatewayResponse['headers'] {
-		const {id, isRelayed} = host.headers.readRequest(request.headers);
-		return isRelayed && isOwn ? host.headers.createRelayedRefusalHeaders(id, statusCode === unavailableStatus) : [];
+		const {id, relayedExecutions} = host.headers.readRequest(request.headers);
+		return relayedExecutions !== undefined && isOwn ? host.headers.createRelayedRefusalHeaders(id, statusCode === unavailableStatus) : [];
 	}
 
 	return {
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -31,6 +31,8 @@
 export type AttemptRequest = GatewayRequest & {
 	/** Connections on which an upstream refused the request; a late second copy of the refusal would be taken for the response. */
 	readonly refusedOn: Set<Connection>;
+	/** Number of upstreams that may run the request because of this attempt; more than one only if it goes to another entry. */
+	readonly maximumExecutions: number;
 };
 
 /** Receives the progress of an attempt. */
@@ -98,7 +100,7 @@
 	}
 
 	function createAddedHeaders(milliseconds: number): readonly string[] {
-		return upstream.kind === 'relay' ? host.headers.createRelayHeaders(milliseconds) : host.headers.createUpstreamHeaders(registration.id, milliseconds);
+		return upstream.kind === 'relay' ? host.headers.createRelayHeaders(milliseconds, request.maximumExecutions) : host.headers.createUpstreamHeaders(registration.id, milliseconds);
 	}
 
 	function send(connection: Connection): void {
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -31,7 +31,7 @@
 	upstreams.update(ids.map(id => createRegistration(id)));
 	const selector = createSelector({
 		headers: {
-			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined, isRelayed: false}),
+			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined, relayedExecutions: undefined}),
 			readResponse: () => ({
 				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, acceptance: {requestsPerSecond: {kind: 'absent'}, leaving: {kind: 'absent'}, retryAfterMilliseconds: {kind: 'absent'}},
 			}),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -49,8 +49,8 @@
 	readonly id: string | undefined;
 	/** Time for which the caller waits for the response. */
 	readonly deadlineMilliseconds: number | undefined;
-	/** Whether another entry passes the request on; it must not be passed on again. */
-	readonly isRelayed: boolean;
+	/** Set if another entry passes the request on: the number of upstreams that may run it. It must not be passed on again. */
+	readonly relayedExecutions: number | undefined;
 };
 
 /** A value that an upstream's response states, or doesn't. */
@@ -90,8 +90,8 @@
 	readResponse(headers: http.IncomingHttpHeaders): ResponseMetadata;
 	/** Creates the headers with the target upstream and the remaining time, as alternating names and values. */
 	createUpstreamHeaders(upstreamId: string, milliseconds: number): readonly string[];
-	/** Creates the headers of a request that is passed on to another entry, as alternating names and values. */
-	createRelayHeaders(milliseconds: number): readonly string[];
+	/** Creates the headers of a request that is passed on to another entry, which may let so many upstreams run it, as alternating names and values. */
+	createRelayHeaders(milliseconds: number, maximumExecutions: number): readonly string[];
 	/** Creates the headers that tell another entry which request this entry's own response belongs to, and whether it has surely not run. */
 	createRelayedRefusalHeaders(id: string | undefined, isNotRun: boolean): call.HeaderPairs;
 	/** Whether `createUpstreamHeaders` replaces a header of the caller's request; names are in lower case. */
--- a/test/partition.test.ts
+++ b/test/partition.test.ts
@@ -126,3 +126,21 @@
 	request.destroy();
 	await gateways.waitUntil(() => aborted() === received());
 });
+
+test('a request that is passed on runs on no more upstreams than its route allows', async () => {
+	const upstreams = await fleet.startUpstreams();
+	const running = await fleet.startGateways(3);
+	for (const upstream of upstreams) {
+		upstream.setPartition(address => address === fleetModule.getLocalAddress(0) ? 'reset' : 'none');
+	}
+
+	await fleetModule.startLoadFor(running, 40, 3000);
+	for (const upstream of upstreams) {
+		upstream.setBehavior({kind: 'lose'});
+	}
+
+	const answers = await fleetModule.startLoadFor(running.slice(0, 1), 10, 2000);
+	const executed = upstreams.flatMap(({executedRequestIds}) => executedRequestIds);
+	const counts = answers.map(({id}) => executed.filter(other => other === id).length);
+	expect(Math.max(...counts)).toBe(2);
+});
--- a/test/support/hostile-upstream.ts
+++ b/test/support/hostile-upstream.ts
@@ -72,7 +72,7 @@
 /** Makes an attempt; `afterSending` is called once the request has been written. */
 export async function attempt(upstream: upstreamsModule.Upstream, id: string, afterSending: () => Promise<void> = async () => undefined): Promise<AttemptResult> {
 	return new Promise(resolve => {
-		gatewayAttempt.createGatewayAttempt({headers: headerHost.createHeaderHost(), getNow, recordStatements: () => undefined}, {...createRequest(id), refusedOn: new Set()}, {
+		gatewayAttempt.createGatewayAttempt({headers: headerHost.createHeaderHost(), getNow, recordStatements: () => undefined}, {...createRequest(id), refusedOn: new Set(), maximumExecutions: 1}, {
 			kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
 		}, {
 			onSent() {
