--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -19,8 +19,8 @@
 /** A store, its upstreams and gateways, all in this process. */
 export type Fleet = {
 	readonly store: storeStandIn.StoreStandIn;
-	/** Starts one upstream in each failure domain. */
-	startUpstreams(): Promise<readonly platformUpstream.PlatformUpstream[]>;
+	/** Starts upstreams in each failure domain, one by default. */
+	startUpstreams(countInDomain?: number): Promise<readonly platformUpstream.PlatformUpstream[]>;
 	/** Starts gateways that are spread over the failure domains and know each other. */
 	startGateways(count: number): Promise<readonly gateways.RunningGateway[]>;
 	/** Registers a function that is called at the end. */
@@ -35,10 +35,10 @@
 	store.put('keyed.op', 'config', gateways.createConfiguration(4));
 	return {
 		store,
-		startUpstreams: async () => Promise.all(failureDomains.map(async (zone, index) => {
+		startUpstreams: async (countInDomain = 1) => Promise.all(Array.from({length: countInDomain * failureDomains.length}, async (_value, index) => {
 			const upstream = await platformUpstream.startPlatformUpstream(`i-${index + 1}`);
 			cleanups.push(upstream.close);
-			gateways.register(store, upstream, {zone});
+			gateways.register(store, upstream, {zone: failureDomains[index % failureDomains.length]});
 			return upstream;
 		})),
 		async startGateways(count) {
--- a/test/upstream-rate-limit.test.ts
+++ b/test/upstream-rate-limit.test.ts
@@ -70,6 +70,30 @@
 	expect(rejected.filter(({id}) => executed.has(id))).toEqual([]);
 });
 
+test('while a third of the upstreams have a rate limit, the others serve seven tenths of what they can', async () => {
+	const upstreams = await fleet.startUpstreams(4);
+	for (const upstream of upstreams) {
+		upstream.setBehavior({kind: 'answer', milliseconds: 200});
+	}
+
+	const running = await fleet.startGateways(6);
+	// All upstreams of one failure domain.
+	const limited = upstreams.filter((_upstream, index) => index % 3 === 0);
+	for (const upstream of limited) {
+		upstream.setStatements({'server-limit': '1.7'});
+	}
+
+	// Eight upstreams with four slots serve 160 requests per second.
+	await fleetModule.startLoadFor(running, 112, stabilizationMilliseconds);
+	const from = performance.now();
+	const answers = await fleetModule.startLoadFor(running, 112, 2 * windowMilliseconds);
+	for (const upstream of limited) {
+		expect(countInWorstWindow(upstream.receivedRequests.map(({receivedAt}) => receivedAt), from)).toBeLessThanOrEqual(getAllowedCount(1.7));
+	}
+
+	expect(answers.filter(({status}) => status === 200).length).toBeGreaterThanOrEqual(0.98 * answers.length);
+});
+
 test('an upstream whose rate limit has ended is used again', async () => {
 	const [limited] = await fleet.startUpstreams();
 	const running = await fleet.startGateways(3);
