--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -2,10 +2,10 @@
 import * as platformUpstream from '../../stand-ins/platform-upstream.ts';
 import {type ObservedRequest} from './callers.ts';
 import {type SoakGateway} from './gateways.ts';
-import {maximumAttempts, routeTimeoutMilliseconds, type SoakUpstream} from './soak-platform.ts';
-
-/** Time span in milliseconds of the monotonic clock; `to` is infinite until the span ends. */
-export type TimeSpan = {readonly from: number; to: number};
+import {judgeStatements} from './judge-statements.ts';
+import {
+	maximumAttempts, routeTimeoutMilliseconds, type SoakUpstream, type TimeSpan,
+} from './soak-platform.ts';
 
 export type SoakRecord = {
 	readonly requests: readonly ObservedRequest[];
@@ -136,6 +136,7 @@
 	const forwardedIds = new Set(record.upstreams.flatMap(({standIn}) => standIn.receivedRequests.map(({requestId}) => requestId)));
 	return [
 		...judgeDrains(record, isUndisturbed),
+		...judgeStatements(record.requests, record.upstreams, record.gateways),
 		...record.requests.flatMap(request => judgeConfiguration(request, isUndisturbed)),
 		...judgeLateAnswers(record, isUndisturbed),
 		...record.requests
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -9,10 +9,10 @@
 import type * as storeStandIn from '../../stand-ins/store.ts';
 import {type Callers, startCallers} from './callers.ts';
 import {type SoakGateway, startGateways} from './gateways.ts';
-import {judgeSoak, type SoakVerdict, type TimeSpan} from './judge.ts';
+import {judgeSoak, type SoakVerdict} from './judge.ts';
 import {createSoakPlan, type FaultKind, type PlannedFault} from './fault-plan.ts';
 import {
-	failureDomains, serviceNames, type SoakPlatform, type SoakUpstream, startSoakPlatform,
+	failureDomains, serviceNames, type SoakPlatform, type SoakStatement, type SoakUpstream, startSoakPlatform, type TimeSpan,
 } from './soak-platform.ts';
 
 export type SoakOptions = {
@@ -42,6 +42,10 @@
 const heartbeatTimeoutMilliseconds = 4500;
 /** Time for which a draining upstream continues to serve, in milliseconds. */
 const drainMilliseconds = 3000;
+/** Time for which an upstream states a rate limit in addition to the time of the fault, in milliseconds; a limit must hold after 3 s. */
+const limitMilliseconds = 7000;
+const limitedRequestsPerSecond = 2.2;
+const pauseMilliseconds = 2500;
 const slowStoreMilliseconds = 250;
 const proxyDelayMilliseconds = 100;
 /** Time within which requests must succeed again, in milliseconds, from the rules. */
@@ -298,12 +302,49 @@
 			return () => undefined;
 		}
 
+		case 'upstream-limits-rate': {
+			const endStatement = startStatement(upstream, {kind: 'rate-limit', requestsPerSecond: limitedRequestsPerSecond}, {'server-limit': String(limitedRequestsPerSecond)});
+			await timers.setTimeout(limitMilliseconds);
+			return endStatement;
+		}
+
+		case 'upstream-states-leaving': {
+			startStatement(upstream, {kind: 'leaving'}, {'server-leaving': '1'});
+			await platform.startUpstream(upstream.service);
+			await timers.setTimeout(2 * drainMilliseconds);
+			await platform.crashUpstream(upstream);
+			platform.removeUpstream(upstream);
+			return () => undefined;
+		}
+
+		case 'upstream-asks-for-pause': {
+			const endStatement = startStatement(upstream, {kind: 'pause', milliseconds: pauseMilliseconds}, {'retry-after': String(pauseMilliseconds / 1000)});
+			const endRefusal = setBehaviour({kind: 'refuse'});
+			return () => {
+				endRefusal();
+				endStatement();
+			};
+		}
+
 		default: {
 			return assertNever(kind);
 		}
 	}
 }
 
+type StatementWithoutSpan<Statement extends SoakStatement = SoakStatement> = Statement extends SoakStatement ? Omit<Statement, 'span'> : never;
+
+/** Lets an upstream state something in its answers; returns a function that ends it. */
+function startStatement(upstream: SoakUpstream, statement: StatementWithoutSpan, headers: Readonly<Record<string, string>>): () => void {
+	const span: TimeSpan = {from: performance.now(), to: Number.POSITIVE_INFINITY};
+	upstream.statements.push({...statement, span});
+	upstream.standIn.setStatements(headers);
+	return () => {
+		upstream.standIn.setStatements({});
+		span.to = performance.now();
+	};
+}
+
 /** Formats a verdict as one line. */
 export function formatSoakVerdict(seed: number, {violations, requests, served, statuses}: SoakVerdict): string {
 	const counts = Object.entries(statuses).map(([status, count]) => `${status}=${count}`).join(' ');
--- a/bench/soak/soak-platform.ts
+++ b/bench/soak/soak-platform.ts
@@ -11,10 +11,20 @@
 /** Maximum number of attempts of a request in the operator's configuration. */
 export const maximumAttempts = 2;
 
+/** Time span in milliseconds of the monotonic clock; `to` is infinite until the span ends. */
+export type TimeSpan = {readonly from: number; to: number};
+
+/** What an upstream states in its answers during a time span. */
+export type SoakStatement
+	= | {readonly kind: 'rate-limit'; readonly requestsPerSecond: number; readonly span: TimeSpan}
+		| {readonly kind: 'leaving'; readonly span: TimeSpan}
+		| {readonly kind: 'pause'; readonly milliseconds: number; readonly span: TimeSpan};
+
 export type SoakUpstream = {
 	readonly service: ServiceName;
 	readonly standIn: platformUpstream.PlatformUpstream;
 	readonly proxy: faultProxy.FaultProxy;
+	readonly statements: SoakStatement[];
 	/** Time at which the store recorded that the upstream drains or is removed, in milliseconds of the monotonic clock. */
 	retiredAt: number | undefined;
 	isClosed: boolean;
@@ -34,7 +44,7 @@
 	/** All upstreams, including those that were removed. */
 	readonly upstreams: readonly SoakUpstream[];
 	readonly routes: readonly PublishedRoute[];
-	/** Lists the upstreams that are neither draining, removed nor closed. */
+	/** Lists the upstreams that are neither draining, removed nor closed, and state nothing. */
 	listServingUpstreams(): readonly SoakUpstream[];
 	/** Starts an upstream behind a fault proxy and registers it with the store. */
 	startUpstream(service: ServiceName): Promise<SoakUpstream>;
@@ -101,7 +111,7 @@
 		const [targetHost, targetPort] = standIn.address.split(':');
 		const proxy = await faultProxy.createFaultProxy({targetHost: targetHost!, targetPort: Number(targetPort)});
 		const upstream: SoakUpstream = {
-			service, standIn, proxy, retiredAt: undefined, isClosed: false,
+			service, standIn, proxy, statements: [], retiredAt: undefined, isClosed: false,
 		};
 		upstreams.push(upstream);
 		register(upstream, 'ready');
@@ -132,7 +142,7 @@
 	return {
 		store,
 		upstreams,
-		listServingUpstreams: () => upstreams.filter(({retiredAt: leftAt, isClosed}) => leftAt === undefined && !isClosed),
+		listServingUpstreams: () => upstreams.filter(({retiredAt: leftAt, isClosed, statements}) => leftAt === undefined && !isClosed && !statements.some(({kind, span}) => kind === 'leaving' || performance.now() <= span.to)),
 		routes,
 		startUpstream,
 		drainUpstream(upstream) {
