--- a/stand-ins/platform-upstream.ts
+++ b/stand-ins/platform-upstream.ts
@@ -17,6 +17,9 @@
 	/** Executes the request and responds with status 500. */
 		| {readonly kind: 'fail'};
 
+/** What happens to the connections of a client: they hang or are reset, all of them or only those that are new. */
+export type Partition = 'none' | 'hang' | 'reset' | 'hang-new' | 'reset-new';
+
 /** Request that the upstream received. */
 export type ReceivedRequest = {
 	readonly requestId: string;
@@ -44,8 +47,8 @@
 	setBehavior(behaviour: PlatformUpstreamBehavior): void;
 	/** Sets headers that are added to each response to a request, e.g. a rate limit. */
 	setStatements(headers: Readonly<Record<string, string>>): void;
-	/** Sets what happens to the connections and requests of some clients, by their address; a hanging one gets no answers. */
-	setPartition(getPartition: (clientAddress: string) => 'none' | 'hang' | 'reset'): void;
+	/** Sets the partition between the upstream and its clients, by their address. */
+	setPartition(getPartition: (clientAddress: string) => Partition): void;
 	/** Sets whether health checks fail and responses close their connection, as for an upstream that is shutting down. */
 	setDraining(isLeaving: boolean): void;
 	close(): Promise<void>;
@@ -69,22 +72,27 @@
 	const checkTimes: number[] = [];
 	const abortedRequestIds: string[] = [];
 
-	let getPartition: (clientAddress: string) => 'none' | 'hang' | 'reset' = () => 'none';
+	let getPartition: (clientAddress: string) => Partition = () => 'none';
+	/** Sockets that hang for good. */
+	const hanging = new WeakSet<net.Socket>();
 
-	/** Returns whether the client of a request is cut off. */
-	function applyPartition(socket: net.Socket): boolean {
+	/** Returns whether the client of a connection or request is cut off. */
+	function applyPartition(socket: net.Socket, isNew: boolean): boolean {
 		const partition = getPartition(socket.remoteAddress ?? '');
-		if (partition === 'reset') {
+		const applies = partition === 'hang' || partition === 'reset' || (isNew && partition !== 'none');
+		if (applies && partition.startsWith('reset')) {
 			socket.resetAndDestroy();
+		} else if (applies) {
+			hanging.add(socket);
 		}
 
-		return partition !== 'none';
+		return applies || hanging.has(socket);
 	}
 
 	const formatLoad = () => `${runningCount},0,${slots},100`;
 
 	function receiveRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-		if (applyPartition(request.socket)) {
+		if (applyPartition(request.socket, false)) {
 			return;
 		}
 
@@ -178,7 +186,7 @@
 	const server = http.createServer(receiveRequest);
 	server.on('connection', socket => {
 		sockets.add(socket);
-		applyPartition(socket);
+		applyPartition(socket, true);
 		socket.on('error', () => undefined);
 		socket.once('close', () => {
 			sockets.delete(socket);
--- a/test/partition.test.ts
+++ b/test/partition.test.ts
@@ -27,6 +27,8 @@
 	// All gateways of a failure domain.
 	{cut: [1, 4], kind: 'hang', method: 'POST'},
 	{cut: [1, 4], kind: 'reset', method: 'GET'},
+	{cut: [1, 4], kind: 'hang-new', method: 'POST'},
+	{cut: [1], kind: 'reset-new', method: 'GET'},
 ] as const;
 
 test.each(cases)('requests ($method) to gateways $cut that lose all upstreams ($kind) are served, and none runs twice', async ({cut, kind, method}) => {
