Partition gateways of the soak from all upstreams

One gateway, or all of a failure domain, lose the paths to all upstreams for 4 s and more, silently or by resets, overlapping with kills, pauses, stops and faults of the store.

--- a/bench/soak/fault-plan.ts
+++ b/bench/soak/fault-plan.ts
@@ -8,6 +8,8 @@
 	'gateway-left',
 	'gateway-cut-from-store',
 	'gateway-reset',
+	'gateway-partitioned',
+	'gateway-domain-partitioned',
 	'all-gateways-killed',
 	'upstream-crashed',
 	'upstream-left',
--- a/bench/soak/gateways.ts
+++ b/bench/soak/gateways.ts
@@ -7,6 +7,9 @@
 
 export type SoakGateway = {
 	readonly name: string;
+	readonly failureDomain: string;
+	/** Host of all its connections. */
+	readonly host: string;
 	/** Host and port for callers. */
 	readonly callerAddress: string;
 	/** Host and port of the directory, which lists the gateways to connect to. */
@@ -15,6 +18,8 @@
 	readonly disturbances: Disturbance[];
 	/** Sets the faults of the connections to the store; an empty object clears them. */
 	setStoreConnectionFaults(faults: Partial<faultProxy.FaultProxyFaults>): void;
+	/** Records that a partition from all upstreams begins or ends. */
+	recordPartition(): void;
 	signal(name: 'SIGHUP' | 'SIGSTOP' | 'SIGCONT'): void;
 	/** Stops the process with a signal and starts a new one after a pause. */
 	restart(signal: 'SIGKILL' | 'SIGTERM', pauseMilliseconds: number): Promise<void>;
@@ -25,7 +30,7 @@
 };
 
 export type Disturbance = {
-	readonly kind: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP' | 'ended' | 'started' | 'cut-from-store';
+	readonly kind: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP' | 'ended' | 'started' | 'cut-from-store' | 'cut-from-upstreams';
 	/** Time in milliseconds of the monotonic clock. */
 	readonly at: number;
 };
@@ -66,13 +71,14 @@
 	const settingsFile = path.join(options.folder, `${name}.json`);
 	const logFile = path.join(options.folder, `${name}.log`);
 	const disturbances: Disturbance[] = [];
+	const failureDomain = options.failureDomains[index % options.failureDomains.length]!;
 	const recordDisturbance = (kind: Disturbance['kind']) => {
 		disturbances.push({kind, at: performance.now()});
 	};
 
 	fs.writeFileSync(settingsFile, JSON.stringify({
 		node: name,
-		zone: options.failureDomains[index % options.failureDomains.length],
+		zone: failureDomain,
 		region: 'east',
 		listen: Object.fromEntries(Object.entries(listenPorts).map(([key, port]) => [key, `${host}:${port}`])),
 		seeds: hosts.slice(0, seedGatewayCount).map(seed => `${seed}:${listenPorts.control}`),
@@ -86,7 +92,7 @@
 
 	async function startProcess(): Promise<void> {
 		child = await processes.startChild({
-			program: 'dist/fescuering-gateway.mjs', arguments: ['--settings', settingsFile], logFile, onLine(line) {
+			program: 'dist/fescuering-gateway.mjs', arguments: ['--settings', settingsFile, '--source-address', host], logFile, onLine(line) {
 				fs.appendFileSync(logFile, `${line}\n`);
 			},
 		});
@@ -120,6 +126,8 @@
 	await startProcess();
 	return {
 		name,
+		failureDomain,
+		host,
 		callerAddress: `${host}:${listenPorts.front}`,
 		directoryAddress: `${host}:${listenPorts.directory}`,
 		disturbances,
@@ -127,6 +135,9 @@
 			recordDisturbance('cut-from-store');
 			storeProxy.setFaults(faults);
 		},
+		recordPartition() {
+			recordDisturbance('cut-from-upstreams');
+		},
 		signal(signal) {
 			recordDisturbance(signal);
 			child.signal(signal);
--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -2,6 +2,7 @@
 import * as platformUpstream from '../../stand-ins/platform-upstream.ts';
 import {type ObservedRequest} from './callers.ts';
 import {type SoakGateway} from './gateways.ts';
+import {judgePartitions, type SoakPartition} from './judge-partitions.ts';
 import {judgeStatements} from './judge-statements.ts';
 import {
 	maximumAttempts, routeTimeoutMilliseconds, type SoakUpstream, type TimeSpan,
@@ -11,6 +12,7 @@
 	readonly requests: readonly ObservedRequest[];
 	readonly upstreams: readonly SoakUpstream[];
 	readonly gateways: readonly SoakGateway[];
+	readonly partitions: readonly SoakPartition[];
 	/** Time spans of the faults of the store. */
 	readonly storeFaults: readonly TimeSpan[];
 	/** Whether enough requests succeeded both at the start and soon enough after the last fault. */
@@ -136,6 +138,7 @@
 	const forwardedIds = new Set(record.upstreams.flatMap(({standIn}) => standIn.receivedRequests.map(({requestId}) => requestId)));
 	return [
 		...judgeDrains(record, isUndisturbed),
+		...judgePartitions(record.requests, record.gateways, record.partitions),
 		...judgeStatements(record.requests, record.upstreams, record.gateways),
 		...record.requests.flatMap(request => judgeConfiguration(request, isUndisturbed)),
 		...judgeLateAnswers(record, isUndisturbed),
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -9,6 +9,7 @@
 import type * as storeStandIn from '../../stand-ins/store.ts';
 import {type Callers, startCallers} from './callers.ts';
 import {type SoakGateway, startGateways} from './gateways.ts';
+import {type SoakPartition} from './judge-partitions.ts';
 import {judgeSoak, type SoakVerdict} from './judge.ts';
 import {createSoakPlan, type FaultKind, type PlannedFault} from './fault-plan.ts';
 import {
@@ -35,7 +36,7 @@
 type StoreFaultKind = Extract<FaultKind, `store-${string}`>;
 type GatewayFaultKind = Extract<FaultKind, `gateway-${string}`>;
 
-type SoakDeployment = {readonly platform: SoakPlatform; readonly gateways: readonly SoakGateway[]; readonly storeFaults: TimeSpan[]};
+type SoakDeployment = {readonly platform: SoakPlatform; readonly gateways: readonly SoakGateway[]; readonly storeFaults: TimeSpan[]; readonly partitions: SoakPartition[]};
 
 const restartMilliseconds = 300;
 /** Time after which the registration of a silent upstream is removed, in milliseconds: three heartbeats. */
@@ -46,6 +47,8 @@
 const limitMilliseconds = 7000;
 const limitedRequestsPerSecond = 2.2;
 const pauseMilliseconds = 2500;
+/** Time for which gateways are partitioned in addition to the time of the fault, in milliseconds. */
+const partitionMilliseconds = 4000;
 const slowStoreMilliseconds = 250;
 const proxyDelayMilliseconds = 100;
 /** Time within which requests must succeed again, in milliseconds, from the rules. */
@@ -67,7 +70,9 @@
 	const gateways = await startGateways({
 		count: options.gateways, failureDomains, storeAddress: platform.store.address, folder,
 	});
-	const deployment: SoakDeployment = {platform, gateways, storeFaults: []};
+	const deployment: SoakDeployment = {
+		platform, gateways, storeFaults: [], partitions: [],
+	};
 	try {
 		const callers = startCallers({
 			seed: options.seed,
@@ -81,7 +86,7 @@
 		const hasRecovered = await waitUntilServing(callers);
 		const requests = await callers.stop();
 		return judgeSoak({
-			requests, upstreams: platform.upstreams, gateways, storeFaults: deployment.storeFaults, hasRecovered: isServingAtStart && hasRecovered,
+			requests, upstreams: platform.upstreams, gateways, storeFaults: deployment.storeFaults, partitions: deployment.partitions, hasRecovered: isServingAtStart && hasRecovered,
 		}, options.hasTimeBounds);
 	} finally {
 		await Promise.all(gateways.map(async gateway => gateway.stop()));
@@ -135,13 +140,13 @@
 		return undefined;
 	}
 
-	return startGatewayFault(kind, gateways[target % gateways.length]!);
+	return startGatewayFault(kind, {target, gateway: gateways[target % gateways.length]!}, deployment);
 }
 
 const isUpstreamFault = (kind: FaultKind): kind is UpstreamFaultKind => kind.startsWith('upstream-');
 const isStoreFault = (kind: FaultKind): kind is StoreFaultKind => kind.startsWith('store-');
 
-async function startGatewayFault(kind: GatewayFaultKind, gateway: SoakGateway): Promise<(() => unknown) | undefined> {
+async function startGatewayFault(kind: GatewayFaultKind, {target, gateway}: {readonly target: number; readonly gateway: SoakGateway}, deployment: SoakDeployment): Promise<(() => unknown) | undefined> {
 	switch (kind) {
 		case 'gateway-killed': {
 			await gateway.restart('SIGKILL', restartMilliseconds);
@@ -168,6 +173,14 @@
 			return startStoreConnectionFault(gateway, {cut: true});
 		}
 
+		case 'gateway-partitioned': {
+			return startPartition([gateway], target, deployment);
+		}
+
+		case 'gateway-domain-partitioned': {
+			return startPartition(deployment.gateways.filter(({failureDomain}) => failureDomain === gateway.failureDomain), target, deployment);
+		}
+
 		case 'gateway-reread': {
 			gateway.signal('SIGHUP');
 			return undefined;
@@ -179,6 +192,25 @@
 	}
 }
 
+/** Cuts gateways off from all upstreams for some seconds more than the time of the fault; callers must be served after 3 s. */
+async function startPartition(gateways: readonly SoakGateway[], target: number, {platform, partitions}: SoakDeployment): Promise<() => void> {
+	const span: TimeSpan = {from: performance.now(), to: Number.POSITIVE_INFINITY};
+	const endPartition = platform.partition(gateways.map(({host}) => host), target % 2 === 0 ? 'silent' : 'reset');
+	partitions.push({gateways, span});
+	for (const gateway of gateways) {
+		gateway.recordPartition();
+	}
+
+	await timers.setTimeout(partitionMilliseconds);
+	return () => {
+		endPartition();
+		span.to = performance.now();
+		for (const gateway of gateways) {
+			gateway.recordPartition();
+		}
+	};
+}
+
 function startStoreConnectionFault(gateway: SoakGateway, faults: Partial<faultProxy.FaultProxyFaults>): () => void {
 	gateway.setStoreConnectionFaults(faults);
 	return () => {
--- a/bench/soak/soak-platform.ts
+++ b/bench/soak/soak-platform.ts
@@ -54,6 +54,8 @@
 	removeUpstream(upstream: SoakUpstream): void;
 	/** Closes the upstream and its proxy without a change to its registration. */
 	crashUpstream(upstream: SoakUpstream): Promise<void>;
+	/** Partitions clients from all upstreams, by their address; returns a function that ends it. */
+	partition(clientAddresses: readonly string[], partition: faultProxy.ClientPartition): () => void;
 	/** Publishes a configuration with one more route; beyond the maximum of added routes, the oldest one is withdrawn. */
 	changeConfiguration(): void;
 	close(): Promise<void>;
@@ -79,6 +81,8 @@
 			path: '/write/', isIdempotent: false, service: 'office', publishedAt: performance.now(), withdrawnAt: undefined,
 		},
 	];
+	const partitionsByClient = new Map<string, faultProxy.ClientPartition>();
+	const getPartition = (address: string) => partitionsByClient.get(address) ?? 'none';
 	let version = 0;
 	let lastSerialNumber = 0;
 
@@ -110,6 +114,7 @@
 		standIn.setBehavior({kind: 'answer', milliseconds: processingMilliseconds});
 		const [targetHost, targetPort] = standIn.address.split(':');
 		const proxy = await faultProxy.createFaultProxy({targetHost: targetHost!, targetPort: Number(targetPort)});
+		proxy.setPartition(getPartition);
 		const upstream: SoakUpstream = {
 			service, standIn, proxy, statements: [], retiredAt: undefined, isClosed: false,
 		};
@@ -160,6 +165,22 @@
 				await Promise.all([upstream.standIn.close(), upstream.proxy.close()]);
 			}
 		},
+		partition(clientAddresses, partition) {
+			const setAll = (value: faultProxy.ClientPartition) => {
+				for (const address of clientAddresses) {
+					partitionsByClient.set(address, value);
+				}
+
+				for (const {proxy} of upstreams) {
+					proxy.setPartition(getPartition);
+				}
+			};
+
+			setAll(partition);
+			return () => {
+				setAll('none');
+			};
+		},
 		changeConfiguration() {
 			const addedRoutes = routes.filter(({path, withdrawnAt}) => path.startsWith('/added-') && withdrawnAt === undefined);
 			if (addedRoutes.length >= maximumAddedRoutes) {
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -1,4 +1,5 @@
 /** `fescuering-gateway`: runs one entry on the users' platform. */
+import * as net from 'node:net';
 import process from 'node:process';
 import {createPlatform} from '../../platform/create-platform.ts';
 import {readPlatformSettings, settingsPathVariable} from '../../platform/settings.ts';
@@ -14,6 +15,7 @@
 type Flags = {
 	readonly settings?: string;
 	readonly check?: boolean;
+	readonly sourceAddress?: string;
 };
 
 /** Maximum log lines per second; warnings and errors have a separate limit of the same size. */
@@ -33,6 +35,7 @@
 commandLine
 	.command('', 'Run a gateway')
 	.option('--settings <file>', `Platform settings in JSON; default: the file named by ${settingsPathVariable}`)
+	.option('--source-address <address>', 'Local IP address of the connections to upstreams; default: chosen by the system')
 	.option('--check', 'Check the settings and exit')
 	.action(run);
 // The bundle for the platform is a CommonJS script, which doesn't support top-level await.
@@ -49,15 +52,19 @@
 		exitWithDiagnostic(settings.error);
 	}
 
+	if (flags.sourceAddress !== undefined && net.isIP(flags.sourceAddress) === 0) {
+		exitWithDiagnostic(createDiagnostic(diagnostics.commandLineInvalid, `The source address "${flags.sourceAddress}" is not an IP address`));
+	}
+
 	if (flags.check) {
 		process.stdout.write('settings ok\n');
 		return;
 	}
 
-	await start(path, settings.value);
+	await start(path, settings.value, flags.sourceAddress);
 }
 
-async function start(path: string, settings: GatewaySettings): Promise<void> {
+async function start(path: string, settings: GatewaySettings, localAddress: string | undefined): Promise<void> {
 	const logger = createLogger('info', {entry: settings.name}, writer);
 	handleUncaughtErrors(logger);
 	const metrics = createGatewayMetrics();
@@ -67,6 +74,7 @@
 		logger,
 		metrics,
 		metricsPort,
+		localAddress,
 		getNow,
 		getWallTime: () => Date.now(),
 	});
--- a/stand-ins/fault-proxy.ts
+++ b/stand-ins/fault-proxy.ts
@@ -19,6 +19,9 @@
 	readonly loseAnswers: boolean;
 };
 
+/** What happens to the connections of a client: they stay open and silent, or are reset. */
+export type ClientPartition = 'none' | 'silent' | 'reset';
+
 export const noFaults: FaultProxyFaults = {
 	delayMilliseconds: 0, cut: false, silent: 'none', loseAnswers: false,
 };
@@ -37,6 +40,8 @@
 	readonly port: number;
 	/** Sets the faults; faults that are not given are cleared. */
 	setFaults(faults: Partial<FaultProxyFaults>): void;
+	/** Sets which clients are partitioned from the server, by their address; silent connections stay silent. */
+	setPartition(getPartition: (clientAddress: string) => ClientPartition): void;
 	/** Number of open connections. */
 	countConnections(): number;
 	close(): Promise<void>;
@@ -52,15 +57,17 @@
 export async function createFaultProxy(options: FaultProxyOptions): Promise<FaultProxy> {
 	let faults: FaultProxyFaults = {...noFaults, ...options.faults};
 	const connections = new Set<ProxiedConnection>();
+	let getPartition: (clientAddress: string) => ClientPartition = () => 'none';
 
 	const server = net.createServer({noDelay: true}, client => {
-		if (faults.cut) {
+		const partition = getPartition(client.remoteAddress ?? '');
+		if (faults.cut || partition === 'reset') {
 			client.resetAndDestroy();
 			return;
 		}
 
 		const target = net.connect({host: options.targetHost, port: options.targetPort, noDelay: true});
-		const connection: ProxiedConnection = {client, target, isSilent: faults.silent === 'all'};
+		const connection: ProxiedConnection = {client, target, isSilent: faults.silent === 'all' || partition === 'silent'};
 		connections.add(connection);
 		forward(connection, client, target, 'request');
 		forward(connection, target, client, 'answer');
@@ -142,6 +149,17 @@
 				}
 			}
 		},
+		setPartition(getNewPartition) {
+			getPartition = getNewPartition;
+			for (const connection of connections) {
+				const partition = getPartition(connection.client.remoteAddress ?? '');
+				if (partition === 'reset') {
+					reset(connection);
+				} else if (partition === 'silent') {
+					connection.isSilent = true;
+				}
+			}
+		},
 		countConnections: () => connections.size,
 		async close() {
 			for (const connection of connections) {
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -25,10 +25,13 @@
 test('a connection that a stopping gateway closes before the response is a violation unless request and close crossed', () => {
 	const gateway: SoakGateway = {
 		name: 'gateway-1',
+		failureDomain: 'courthouse',
+		host: '127.0.0.1',
 		callerAddress: '127.0.0.1:1',
 		directoryAddress: '127.0.0.1:2',
 		disturbances: [{kind: 'SIGTERM', at: 100_000}],
 		setStoreConnectionFaults: () => undefined,
+		recordPartition: () => undefined,
 		signal: () => undefined,
 		restart: async () => undefined,
 		stop: async () => undefined,
@@ -52,7 +55,7 @@
 		body: '',
 	});
 	const {violations} = judgeSoak({
-		requests: [createSeen('crossed', 3), createSeen('read', 300)], upstreams: [], gateways: [gateway], storeFaults: [], hasRecovered: true,
+		requests: [createSeen('crossed', 3), createSeen('read', 300)], upstreams: [], gateways: [gateway], partitions: [], storeFaults: [], hasRecovered: true,
 	}, true);
 	expect(violations.map(violation => violation.split(' ').slice(0, 2).join(' '))).toEqual(['cut-by-stop read']);
 });
