Import the new modules as namespaces; share the call of two tests

No behavior changes. The two tests that start a call at one upstream share its set-up; the one that is given up at its deadline gets a budget of repeats that it can't use, since its request can't be repeated.

--- a/bench/soak/judge-statements.ts
+++ b/bench/soak/judge-statements.ts
@@ -1,11 +1,11 @@
 /** Verifies that gateways heed what upstreams stated about the requests that they accept. */
-import {assertNever} from '../../src/decisions/assert-never.ts';
-import {type ObservedRequest} from './callers.ts';
-import {type SoakGateway} from './gateways.ts';
+import * as exhaustiveness from '../../src/decisions/assert-never.ts';
+import type * as callers from './callers.ts';
+import type * as soakGateways from './gateways.ts';
 import type * as soakPlatform from './soak-platform.ts';
 
 /** Request at an upstream, with the gateway that its caller sent it to. */
-type Arrival = {readonly requestId: string; readonly receivedAt: number; readonly hasRun: boolean; readonly gateway: SoakGateway};
+type Arrival = {readonly requestId: string; readonly receivedAt: number; readonly hasRun: boolean; readonly gateway: soakGateways.SoakGateway};
 
 /** Time from the statement that it leaves, or from a retirement, in which an upstream may still get requests, in milliseconds, from the rules. */
 const drainMilliseconds = 2000;
@@ -21,7 +21,7 @@
 const maximumPausedRequests = 2;
 
 /** Lists the violations of what the upstreams stated. */
-export function judgeStatements(requests: readonly ObservedRequest[], upstreams: readonly soakPlatform.SoakUpstream[], gateways: readonly SoakGateway[]): readonly string[] {
+export function judgeStatements(requests: readonly callers.ObservedRequest[], upstreams: readonly soakPlatform.SoakUpstream[], gateways: readonly soakGateways.SoakGateway[]): readonly string[] {
 	const gatewaysByAddress = new Map(gateways.map(gateway => [gateway.callerAddress, gateway]));
 	const gatewaysByRequest = new Map(requests.map(({id, gateway}) => [id, gatewaysByAddress.get(gateway)]));
 	return upstreams.flatMap(upstream => {
@@ -52,19 +52,19 @@
 		}
 
 		default: {
-			return assertNever(statement);
+			return exhaustiveness.assertNever(statement);
 		}
 	}
 }
 
 /** Whether a gateway ran without a signal, an exit or a start in a time span; a lost connection to the store excuses nothing. */
-function isRunning({disturbances}: SoakGateway, from: number, to: number): boolean {
+function isRunning({disturbances}: soakGateways.SoakGateway, from: number, to: number): boolean {
 	return !disturbances.some(({kind, at}) => kind !== 'SIGHUP' && kind !== 'cut-from-store' && at >= from && at <= to);
 }
 
 /** Gets the time at which each gateway first had a request at the upstream after the start of a statement. */
-function getToldTimes(arrivals: readonly Arrival[], {from, to}: soakPlatform.TimeSpan): ReadonlyMap<SoakGateway, number> {
-	const toldAt = new Map<SoakGateway, number>();
+function getToldTimes(arrivals: readonly Arrival[], {from, to}: soakPlatform.TimeSpan): ReadonlyMap<soakGateways.SoakGateway, number> {
+	const toldAt = new Map<soakGateways.SoakGateway, number>();
 	for (const {gateway, receivedAt} of arrivals) {
 		if (receivedAt >= from && receivedAt <= to && !toldAt.has(gateway)) {
 			toldAt.set(gateway, receivedAt);
--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -2,8 +2,8 @@
 import * as platformUpstream from '../../stand-ins/platform-upstream.ts';
 import {type ObservedRequest} from './callers.ts';
 import {type SoakGateway} from './gateways.ts';
-import {judgePartitions, type SoakPartition} from './judge-partitions.ts';
-import {judgeStatements} from './judge-statements.ts';
+import * as judgePartitions from './judge-partitions.ts';
+import * as judgeStatements from './judge-statements.ts';
 import {
 	maximumAttempts, routeTimeoutMilliseconds, type SoakUpstream, type TimeSpan,
 } from './soak-platform.ts';
@@ -12,7 +12,7 @@
 	readonly requests: readonly ObservedRequest[];
 	readonly upstreams: readonly SoakUpstream[];
 	readonly gateways: readonly SoakGateway[];
-	readonly partitions: readonly SoakPartition[];
+	readonly partitions: readonly judgePartitions.SoakPartition[];
 	/** Time spans of the faults of the store. */
 	readonly storeFaults: readonly TimeSpan[];
 	/** Whether enough requests succeeded both at the start and soon enough after the last fault. */
@@ -138,8 +138,8 @@
 	const forwardedIds = new Set(record.upstreams.flatMap(({standIn}) => standIn.receivedRequests.map(({requestId}) => requestId)));
 	return [
 		...judgeDrains(record, isUndisturbed),
-		...judgePartitions(record.requests, record.gateways, record.partitions),
-		...judgeStatements(record.requests, record.upstreams, record.gateways),
+		...judgePartitions.judgePartitions(record.requests, record.gateways, record.partitions),
+		...judgeStatements.judgeStatements(record.requests, record.upstreams, record.gateways),
 		...record.requests.flatMap(request => judgeConfiguration(request, isUndisturbed)),
 		...judgeLateAnswers(record, isUndisturbed),
 		...record.requests
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -9,7 +9,7 @@
 import type * as storeStandIn from '../../stand-ins/store.ts';
 import {type Callers, startCallers} from './callers.ts';
 import {type SoakGateway, startGateways} from './gateways.ts';
-import {type SoakPartition} from './judge-partitions.ts';
+import type * as judgePartitions from './judge-partitions.ts';
 import {judgeSoak, type SoakVerdict} from './judge.ts';
 import {createSoakPlan, type FaultKind, type PlannedFault} from './fault-plan.ts';
 import {
@@ -36,7 +36,7 @@
 type StoreFaultKind = Extract<FaultKind, `store-${string}`>;
 type GatewayFaultKind = Extract<FaultKind, `gateway-${string}`>;
 
-type SoakDeployment = {readonly platform: SoakPlatform; readonly gateways: readonly SoakGateway[]; readonly storeFaults: TimeSpan[]; readonly partitions: SoakPartition[]};
+type SoakDeployment = {readonly platform: SoakPlatform; readonly gateways: readonly SoakGateway[]; readonly storeFaults: TimeSpan[]; readonly partitions: judgePartitions.SoakPartition[]};
 
 const restartMilliseconds = 300;
 /** Time after which the registration of a silent upstream is removed, in milliseconds: three heartbeats. */
--- a/src/decisions/admission/shutdown-admission.ts
+++ b/src/decisions/admission/shutdown-admission.ts
@@ -5,7 +5,7 @@
 the grace period. One that is sent to an upstream and cut off at the end may have run, so its caller can't repeat it. A
 request that is rejected at once is answered by another entry.
 */
-import {assertNever} from '../assert-never.ts';
+import * as exhaustiveness from '../assert-never.ts';
 
 /** How far the stop of an entry has come. */
 export type ShutdownPhase
@@ -43,7 +43,7 @@
 		}
 
 		default: {
-			return assertNever(phase);
+			return exhaustiveness.assertNever(phase);
 		}
 	}
 }
--- a/src/decisions/backpressure/permit-wallet.ts
+++ b/src/decisions/backpressure/permit-wallet.ts
@@ -5,7 +5,7 @@
 most one permit of each upstream; one that isn't used in time expires. The validity counts from the moment of asking, so
 that an entry that was delayed meanwhile doesn't use a permit that the coordinator regards as expired.
 */
-import {assertNever} from '../assert-never.ts';
+import * as exhaustiveness from '../assert-never.ts';
 import type * as permitIssuer from './permit-issuer.ts';
 import type * as upstreamStatements from './upstream-statements.ts';
 
@@ -90,7 +90,7 @@
 				}
 
 				default: {
-					assertNever(response);
+					exhaustiveness.assertNever(response);
 				}
 			}
 		},
--- a/src/decisions/backpressure/upstream-statements.ts
+++ b/src/decisions/backpressure/upstream-statements.ts
@@ -6,7 +6,7 @@
 returns. After a rate limit or a pause, the share of the selections that may consider the upstream grows from 0 to 1, so
 that the entries don't return to it at the same moment.
 */
-import {assertNever} from '../assert-never.ts';
+import * as exhaustiveness from '../assert-never.ts';
 
 /** Identity of one incarnation of an upstream. */
 export type UpstreamIncarnation = {readonly id: string; readonly incarnation: number};
@@ -164,7 +164,7 @@
 				}
 
 				default: {
-					return assertNever(content);
+					return exhaustiveness.assertNever(content);
 				}
 			}
 		},
--- a/src/decisions/routing/upstream-reachability.ts
+++ b/src/decisions/routing/upstream-reachability.ts
@@ -5,7 +5,7 @@
 hang, are refused or are reset, while callers and other entries still reach the entry. One upstream, service or failure
 domain that fails is no cut, and neither is a pause of this process, after which many time limits pass in one moment.
 */
-import {assertNever} from '../assert-never.ts';
+import * as exhaustiveness from '../assert-never.ts';
 
 /** Whether upstreams can be reached. While it is not `reachable`, the entry should check some upstreams by itself. */
 export type ReachabilityState
@@ -71,7 +71,7 @@
 				}
 
 				default: {
-					assertNever(state);
+					exhaustiveness.assertNever(state);
 				}
 			}
 		},
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -16,7 +16,7 @@
 	createGatewayAttempt, type AttemptRequest, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
 } from './gateway-attempt.ts';
 import {type GatewayResponse, type GatewayRequest} from './types.ts';
-import {type Upstream} from './upstreams.ts';
+import type * as upstreams from './upstreams.ts';
 
 /** Result of a request, for logs and metrics. */
 export type CallReport = {
@@ -49,7 +49,7 @@
 	/** Returns the number of running entries. */
 	countEntries(): number;
 	/** Observes what the end of an attempt shows about the connection to upstreams. */
-	observeAttempt(upstream: Upstream, end: retryDecision.AttemptEnd): void;
+	observeAttempt(upstream: upstreams.Upstream, end: retryDecision.AttemptEnd): void;
 	onEnd(report: CallReport): void;
 };
 
@@ -194,7 +194,7 @@
 	}
 
 	/** Another entry gets all executions that are left, since it retries by itself. */
-	function getMaximumExecutions(upstream: Upstream): number {
+	function getMaximumExecutions(upstream: upstreams.Upstream): number {
 		return upstream.kind === 'relay' ? Math.max(1, route.maximumAttempts - mayHaveRunOn) : 1;
 	}
 
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -22,7 +22,7 @@
 import {startCall} from './call-runner.ts';
 import {createDirectory, type Directory} from './directory.ts';
 import {createFrontServer, listen} from './front-server.ts';
-import {type LoadCheckHost} from './load-check.ts';
+import type * as loadCheck from './load-check.ts';
 import * as permitsModule from './permits.ts';
 import * as reachabilityMonitor from './reachability-monitor.ts';
 import * as relaysModule from './relays.ts';
@@ -125,7 +125,7 @@
 		getNow,
 		localAddress: host.localAddress,
 	}, settings.failureDomain);
-	const checks: LoadCheckHost = {
+	const checks: loadCheck.LoadCheckHost = {
 		headers: platform.headers,
 		getNow,
 		getHealthPath: service => platformState.getActiveConfiguration()?.routes.getService(service)?.healthPath ?? defaultHealthPath,
--- a/src/gateway/reachability-monitor.ts
+++ b/src/gateway/reachability-monitor.ts
@@ -1,5 +1,5 @@
 /** Observes whether this entry reaches upstreams, and checks some of them by itself while it seems to be cut off. */
-import {assertNever} from '../decisions/assert-never.ts';
+import * as exhaustiveness from '../decisions/assert-never.ts';
 import type * as retryDecision from '../decisions/outcomes/retry-decision.ts';
 import * as upstreamReachability from '../decisions/routing/upstream-reachability.ts';
 import * as prequalSelection from '../decisions/routing/prequal-selection.ts';
@@ -109,7 +109,7 @@
 				}
 
 				default: {
-					assertNever(result);
+					exhaustiveness.assertNever(result);
 				}
 			}
 		},
@@ -136,7 +136,7 @@
 				}
 
 				default: {
-					assertNever(end);
+					exhaustiveness.assertNever(end);
 				}
 			}
 		},
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -9,7 +9,7 @@
 upstream is considered. If all upstreams of a service have a limit or have asked for a pause, requests that can't be sent
 soon are rejected instead of being held.
 */
-import {assertNever} from '../decisions/assert-never.ts';
+import * as exhaustiveness from '../decisions/assert-never.ts';
 import {findNextRequest, type HeldRequest} from '../decisions/admission/held-requests.ts';
 import * as closedService from '../decisions/backpressure/closed-service.ts';
 import {type RandomSource} from '../decisions/random.ts';
@@ -226,7 +226,7 @@
 			}
 
 			default: {
-				return assertNever(decision);
+				return exhaustiveness.assertNever(decision);
 			}
 		}
 	}
--- a/src/gateway/statement-recorder.ts
+++ b/src/gateway/statement-recorder.ts
@@ -1,5 +1,5 @@
 /** Records what upstreams state about the requests that they accept, and logs each change. */
-import {assertNever} from '../decisions/assert-never.ts';
+import * as exhaustiveness from '../decisions/assert-never.ts';
 import * as upstreamStatements from '../decisions/backpressure/upstream-statements.ts';
 import type * as logger from '../observability/logger.ts';
 import type * as codec from '../peers/sharing-codec.ts';
@@ -98,7 +98,7 @@
 			}
 
 			default: {
-				return assertNever(stated);
+				return exhaustiveness.assertNever(stated);
 			}
 		}
 	}
@@ -168,7 +168,7 @@
 		}
 
 		default: {
-			return assertNever(content);
+			return exhaustiveness.assertNever(content);
 		}
 	}
 }
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,6 +1,6 @@
 /** The upstreams of all services, with their connection pools and their observed load and failures. */
 import type * as upstreamStatements from '../decisions/backpressure/upstream-statements.ts';
-import {assertNever} from '../decisions/assert-never.ts';
+import * as exhaustiveness from '../decisions/assert-never.ts';
 import type * as registry from '../decisions/registry/types.ts';
 import type * as prequalSelection from '../decisions/routing/prequal-selection.ts';
 import * as upstreamStatistics from '../decisions/routing/upstream-statistics.ts';
@@ -160,7 +160,7 @@
 			}
 
 			default: {
-				assertNever(access);
+				exhaustiveness.assertNever(access);
 			}
 		}
 	}
--- a/src/peers/permits.ts
+++ b/src/peers/permits.ts
@@ -2,7 +2,7 @@
 import * as protobuf from '@bufbuild/protobuf';
 import * as connect from '@connectrpc/connect';
 import * as neverthrow from 'neverthrow';
-import {assertNever} from '../decisions/assert-never.ts';
+import * as exhaustiveness from '../decisions/assert-never.ts';
 import type * as permitIssuer from '../decisions/backpressure/permit-issuer.ts';
 import * as generated from '../generated/permits_pb.ts';
 import type * as peerServer from './peer-server.ts';
@@ -89,7 +89,7 @@
 		}
 
 		default: {
-			return assertNever(response);
+			return exhaustiveness.assertNever(response);
 		}
 	}
 }
@@ -111,7 +111,7 @@
 		}
 
 		default: {
-			return assertNever(result);
+			return exhaustiveness.assertNever(result);
 		}
 	}
 }
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -1,7 +1,7 @@
 /** Converts requests and updates of the sharing service to and from their wire form. */
 import * as protobuf from '@bufbuild/protobuf';
 import * as z from 'zod';
-import {assertNever} from '../decisions/assert-never.ts';
+import * as exhaustiveness from '../decisions/assert-never.ts';
 import type * as upstreamStatements from '../decisions/backpressure/upstream-statements.ts';
 import * as configuration from '../decisions/configuration/types.ts';
 import * as registry from '../decisions/registry/types.ts';
@@ -92,7 +92,7 @@
 		}
 
 		default: {
-			return assertNever(content);
+			return exhaustiveness.assertNever(content);
 		}
 	}
 }
@@ -128,7 +128,7 @@
 		}
 
 		default: {
-			return assertNever(content);
+			return exhaustiveness.assertNever(content);
 		}
 	}
 }
--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -7,6 +7,7 @@
 import {createHeaderHost} from '../platform/headers.ts';
 import {startCall} from '../src/gateway/call-runner.ts';
 import {type CheckResult, startLoadCheck} from '../src/gateway/load-check.ts';
+import type * as gatewayTypes from '../src/gateway/types.ts';
 import {type Upstream} from '../src/gateway/upstreams.ts';
 import * as hostileUpstream from './support/hostile-upstream.ts';
 
@@ -170,17 +171,9 @@
 	expect(upstream.pool.count()).toBe(0);
 });
 
-test('an upstream that never answers is given up at the deadline, also after the caller of a non-idempotent request has left', async () => {
-	let closedConnections = 0;
-	let requests = 0;
-	const upstream = await startUpstream(socket => {
-		requests++;
-		socket.once('close', () => {
-			closedConnections++;
-		});
-	});
-	const request = createRequest('a');
-	const running = startCall({
+/** Starts a call of which each attempt goes to the same upstream. */
+function startCallAt(upstream: Upstream, request: gatewayTypes.GatewayRequest, respond: (response: gatewayTypes.GatewayResponse) => void) {
+	return startCall({
 		selector: {
 			select(_request, listener) {
 				listener({
@@ -195,12 +188,25 @@
 		headers: createHeaderHost(),
 		recordStatements: () => undefined,
 		learner: createWorkEstimator(),
-		budget: createFleetRetryBudget({ratio: 0, windowMilliseconds: 1000, slack: 0}, 0),
+		budget: createFleetRetryBudget({ratio: 1, windowMilliseconds: 1000, slack: 10}, 0),
 		countEntries: () => 1,
 		observeAttempt: () => undefined,
 		getNow,
 		onEnd: () => undefined,
-	}, {...request, route: {...request.route, kind: 'non-idempotent'}, deadlineAt: getNow() + 200}, {respond: () => undefined});
+	}, request, {respond});
+}
+
+test('an upstream that never answers is given up at the deadline, also after the caller of a non-idempotent request has left', async () => {
+	let closedConnections = 0;
+	let requests = 0;
+	const upstream = await startUpstream(socket => {
+		requests++;
+		socket.once('close', () => {
+			closedConnections++;
+		});
+	});
+	const request = createRequest('a');
+	const running = startCallAt(upstream, {...request, route: {...request.route, kind: 'non-idempotent'}, deadlineAt: getNow() + 200}, () => undefined);
 	await waitUntil(() => requests === 1);
 	running.cancel();
 	await timers.setTimeout(20);
@@ -226,31 +232,10 @@
 			seen.add(socket);
 		};
 	})());
+	const request = createRequest('a');
 	const statusCode = await new Promise<number>(resolve => {
-		startCall({
-			selector: {
-				select(_request, listener) {
-					listener({
-						kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
-					});
-					return () => undefined;
-				},
-				hasHeldRequests: () => false,
-				onAttemptEnded: () => undefined,
-				close: () => undefined,
-			},
-			headers: createHeaderHost(),
-			recordStatements: () => undefined,
-			learner: createWorkEstimator(),
-			budget: createFleetRetryBudget({ratio: 1, windowMilliseconds: 1000, slack: 10}, 0),
-			countEntries: () => 1,
-			observeAttempt: () => undefined,
-			getNow,
-			onEnd: () => undefined,
-		}, {...createRequest('a'), route: {...createRequest('a').route, kind: 'non-idempotent'}}, {
-			respond(response) {
-				resolve(response.statusCode);
-			},
+		startCallAt(upstream, {...request, route: {...request.route, kind: 'non-idempotent'}}, response => {
+			resolve(response.statusCode);
 		});
 	});
 	expect(executions).toBe(1);
