--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -305,6 +305,7 @@
 			knowledgeAgeMilliseconds: getRoundedAge(),
 			members: countEntries(),
 			openRequests: frontServer.countOpen(),
+			isCutOff: reachability.isCutOff(),
 		});
 		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
 	}
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -13,6 +13,8 @@
 	readonly knowledgeAgeMilliseconds: number;
 	readonly members: number;
 	readonly openRequests: number;
+	/** Whether this entry reaches no upstream. */
+	readonly isCutOff: boolean;
 };
 
 /** Records the metrics of a gateway. */
@@ -55,6 +57,7 @@
 		knowledgeAgeMilliseconds: 'fescuering_gateway_knowledge_age_seconds',
 		members: 'fescuering_gateway_members',
 		openRequests: 'fescuering_gateway_open_requests',
+		isCutOff: 'fescuering_gateway_cut_off',
 	};
 	const gaugeMetrics = new Map(Object.values(gaugeNames).map(name => [name, new prometheus.Gauge({name, help: 'State of this entry.', registers})]));
 
@@ -81,6 +84,7 @@
 			gaugeMetrics.get(gaugeNames.knowledgeAgeMilliseconds)!.set(Math.min(gauges.knowledgeAgeMilliseconds, Number.MAX_SAFE_INTEGER) * secondsPerMillisecond);
 			gaugeMetrics.get(gaugeNames.members)!.set(gauges.members);
 			gaugeMetrics.get(gaugeNames.openRequests)!.set(gauges.openRequests);
+			gaugeMetrics.get(gaugeNames.isCutOff)!.set(Number(gauges.isCutOff));
 			return registry.metrics();
 		},
 	};
--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -6,6 +6,7 @@
 import * as undici from 'undici';
 import * as vitest from 'vitest';
 import {rowSchema} from '../src/decisions/table/rows.ts';
+import * as gatewayMetrics from '../src/observability/gateway-metrics.ts';
 import {type Fleet, startFleet} from '../stand-ins/fleet.ts';
 
 const {
@@ -80,12 +81,29 @@
 	test('the documented metrics are those that an entry exports', async () => {
 		const response = await undici.request(`http://${fleet.entries[0]!.address}/metrics`);
 		const text = await response.body.text();
-		const names = [...text.matchAll(/^# TYPE (?<name>fescuering_\S+)/gmv)].map(match => match.groups!.name!);
-		const documentedMetrics = [...readDocument('docs/METRICS.md').matchAll(/^\| `(?<name>fescuering_[^`]+)`/gmv)].map(match => match.groups!.name!);
-		expect(documentedMetrics.toSorted()).toEqual(names.toSorted());
+		expect(listDocumentedMetrics('entry')).toEqual(listExportedMetrics(text));
 	});
 });
 
+test('the documented metrics of the gateway are those that a gateway exports', async () => {
+	const text = await gatewayMetrics.createGatewayMetrics().getText({
+		configurationVersion: 1, knowledgeAgeMilliseconds: 0, members: 1, openRequests: 0, isCutOff: false,
+	});
+	expect(listDocumentedMetrics('gateway')).toEqual(listExportedMetrics(text));
+});
+
+function listExportedMetrics(text: string): readonly string[] {
+	return [...text.matchAll(/^# TYPE (?<name>fescuering_\S+)/gmv)].map(match => match.groups!.name!).toSorted();
+}
+
+/** Lists the metrics in docs/METRICS.md of a program. Those of the gateway have a prefix of their own. */
+function listDocumentedMetrics(program: 'entry' | 'gateway'): readonly string[] {
+	return [...readDocument('docs/METRICS.md').matchAll(/^\| `(?<name>fescuering_[^`]+)`/gmv)]
+		.map(match => match.groups!.name!)
+		.filter(name => name.startsWith('fescuering_gateway_') === (program === 'gateway'))
+		.toSorted();
+}
+
 async function runShell(script: string, url: string): Promise<string> {
 	return new Promise((resolve, reject) => {
 		childProcess.execFile('sh', ['-c', script], {env: {...process.env, FESCUERING_URL: url}}, (error, output) => { // eslint-disable-line @typescript-eslint/naming-convention
