Review: answers without a length that were reset pass as whole

Looked for: answers of faulty upstreams that reach a client as a success though they are not whole, with a random mix of broken answers first and then with the one kind that got through.

--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -79,6 +79,7 @@
 			isIdempotent,
 			status: undefined,
 			headers: {},
+			body: '',
 			end: 'none',
 		};
 		requests.push(entry);
@@ -101,9 +102,12 @@
 				entry.status = response.statusCode;
 				entry.headers = response.headers;
 				entry.answeredAt = getNow();
-				response.resume();
+				response.setEncoding('utf8');
+				response.on('data', chunk => {
+					entry.body += chunk;
+				});
 				response.on('end', () => {
-					end('answered');
+					end(response.complete ? 'answered' : 'cut');
 				});
 				response.on('error', () => {
 					end('cut');
--- a/review/lib/upstreams.mjs
+++ b/review/lib/upstreams.mjs
@@ -17,12 +17,28 @@
 	let timer;
 	const getLoad = () => `${running},${waiting.length},${slots},100`;
 
-	function respond(response, requestId, {status, headers}) {
+	/** Sends an answer without a length, which ends with its connection; one that breaks off is reset in the middle of its body. */
+	function respondUnframed({socket}, requestId, body, doesBreakOff) {
+		const head = `HTTP/1.1 200 OK\r\nAttempt-Id: ${requestId}\r\nUpstream-Signature: s.${id}.${requestId}\r\nUpstream-Load: ${getLoad()}\r\nConnection: close\r\n\r\n`;
+		if (doesBreakOff) {
+			socket.write(head + body.slice(0, body.length / 2), () => {
+				socket.resetAndDestroy();
+			});
+		} else {
+			socket.end(head + body);
+		}
+	}
+
+	function respond(response, requestId, {status, headers, body = `${id} ${requestId}`, framing = 'length'}) {
 		if (response.destroyed) {
 			return;
 		}
 
-		const body = `${id} ${requestId}`;
+		if (framing !== 'length') {
+			respondUnframed(response, requestId, body, framing === 'none and broken off');
+			return;
+		}
+
 		response.writeHead(status, {
 			'attempt-id': requestId,
 			'upstream-signature': `s.${id}.${requestId}`,
