--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import type * as undici from 'undici';
 import {type CallBody} from './call.ts';
+import {type Connection} from './connection-pool.ts';
 
 /** Request that an attempt sends. */
 export type AttemptRequest = {
@@ -19,8 +20,8 @@
 	onHead(statusCode: number, headers: http.IncomingHttpHeaders): void;
 	/** Returns false to pause the answer until `resume` is called. */
 	onData(chunk: Uint8Array): boolean;
-	/** Called when the answer is complete. */
-	onEnd(): void;
+	/** Called at the end of the answer. It is incomplete if it ends with its connection and the connection was reset. */
+	onEnd(isComplete: boolean): void;
 	onFailed(error: Error): void;
 };
 
@@ -35,10 +36,14 @@
 /** Lower status codes belong to informational responses, which precede the final one and are ignored. */
 const firstFinalStatusCode = 200;
 
-/** Starts an attempt; the listener receives its events. */
-export function startAttempt(client: undici.Client, request: AttemptRequest, listener: AttemptListener): Attempt {
+const headMethod = 'HEAD';
+const statusCodesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
+/** Starts an attempt on a connection; the listener receives its events. */
+export function startAttempt(connection: Pick<Connection, 'client' | 'isBroken'>, request: AttemptRequest, listener: AttemptListener): Attempt {
 	let controller: undici.Dispatcher.DispatchController | undefined;
 	let isFinished = false;
+	let isDelimited = false;
 	const abortError = new Error('The attempt was aborted.');
 
 	const fail = (error: Error) => {
@@ -48,7 +53,7 @@
 		}
 	};
 
-	client.dispatch({
+	connection.client.dispatch({
 		method: request.method,
 		path: request.path,
 		headers: request.headers,
@@ -64,6 +69,7 @@
 		},
 		onResponseStart(_controller, statusCode, headers) {
 			if (!isFinished && statusCode >= firstFinalStatusCode) {
+				isDelimited = isAnswerDelimited(request.method, statusCode, headers);
 				listener.onHead(statusCode, headers);
 			}
 		},
@@ -75,7 +81,7 @@
 		onResponseEnd() {
 			if (!isFinished) {
 				isFinished = true;
-				listener.onEnd();
+				listener.onEnd(isDelimited || !connection.isBroken);
 			}
 		},
 		onResponseError(_controller, error) {
@@ -101,6 +107,16 @@
 	};
 }
 
+/** Whether an answer delimits its own end; otherwise it ends with its connection (RFC 9112, section 6.3). */
+export function isAnswerDelimited(method: string, statusCode: number, headers: http.IncomingHttpHeaders): boolean {
+	if (method === headMethod || statusCodesWithoutBody.has(statusCode)) {
+		return true;
+	}
+
+	const codings = headers['transfer-encoding'];
+	return codings === undefined ? headers['content-length'] !== undefined : /(?:^|[\s,])chunked\s*$/iv.test(String(codings));
+}
+
 function getDispatchBody(body: CallBody) {
 	switch (body.kind) {
 		case 'none': {
--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -180,6 +180,10 @@
 		socket.once('error', () => {
 			connection.isBroken = true;
 		});
+		// The client's listener must find the result, so this one runs first.
+		socket.prependOnceListener('end', () => {
+			connection.isBroken ||= !isPeerKnown(socket);
+		});
 		socket.once('close', () => {
 			closeConnection(connection);
 		});
@@ -253,3 +257,13 @@
 		},
 	};
 }
+
+/**
+Whether the system still knows the peer of a socket, which is not the case after a reset.
+
+libuv reports a reset that it finds together with the last bytes as a normal end. The address is cached once it has been
+read, so it must not be read earlier.
+*/
+function isPeerKnown(socket: net.Socket): boolean {
+	return socket.remoteAddress !== undefined;
+}
--- a/src/entry/service-runner.test.ts
+++ b/src/entry/service-runner.test.ts
@@ -141,6 +141,16 @@
 	expect(await execute([closingUpstream], createCall(true))).toMatchObject({body: 'good', isComplete: false});
 });
 
+// Guards against half of an answer being passed on as complete, when the runtime reports a reset as a normal end.
+test('does not complete an answer without a length when the upstream resets the connection in its middle', async () => {
+	const resettingUpstream = await startServer((_request, response) => {
+		const {socket} = response;
+		socket!.write('HTTP/1.1 200 OK\r\n\r\ngood');
+		socket!.resetAndDestroy();
+	});
+	expect(await execute([resettingUpstream], createCall(true))).toMatchObject({statusCode: 200, isComplete: false});
+});
+
 test('reports the outcome unknown, without a retry, when the connection closes after a non-idempotent call was sent', async () => {
 	let received = 0;
 	const failingUpstream = await startServer((request, response) => {
--- a/src/entry/service-runner.ts
+++ b/src/entry/service-runner.ts
@@ -159,7 +159,7 @@
 		}
 
 		const {call} = state;
-		state.attempt = startAttempt(connection.client, {
+		state.attempt = startAttempt(connection, {
 			method: call.method,
 			path: call.path,
 			headers: createRequestHeaders(state, host.getNow()),
@@ -171,6 +171,13 @@
 	function createAttemptListener(state: RunningCall, upstream: string, {pool, connection}: AttemptConnection): AttemptListener {
 		const attemptNumber = state.attempts;
 		const isCurrent = () => state.attempts === attemptNumber;
+		const fail = () => {
+			pool.discard(connection);
+			if (isCurrent()) {
+				handleAttemptError(state, upstream);
+			}
+		};
+
 		let statusCode = 0;
 		return {
 			onSent() {
@@ -185,18 +192,18 @@
 				}
 			},
 			onData: chunk => !isCurrent() || state.phase !== 'answering' || state.sink.write(chunk),
-			onEnd() {
+			onEnd(isComplete) {
+				if (!isComplete) {
+					fail();
+					return;
+				}
+
 				pool.release(connection);
 				if (isCurrent() && state.phase === 'answering') {
 					finishAnswer(state, upstream, statusCode);
 				}
 			},
-			onFailed() {
-				pool.discard(connection);
-				if (isCurrent()) {
-					handleAttemptError(state, upstream);
-				}
-			},
+			onFailed: fail,
 		};
 	}
 
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -105,7 +105,7 @@
 
 	function send(connection: Connection): void {
 		const milliseconds = Math.max(minimumDeadlineMilliseconds, Math.floor(request.deadlineAt - host.getNow()));
-		runningAttempt = attempt.startAttempt(connection.client, {
+		runningAttempt = attempt.startAttempt(connection, {
 			method: request.method,
 			path: request.path,
 			headers: [...request.headers.flat(), ...createAddedHeaders(milliseconds)],
@@ -131,9 +131,9 @@
 
 				return true;
 			},
-			onEnd() {
+			onEnd(isComplete) {
 				connection.lastActiveAt = host.getNow();
-				classifyResponse(connection);
+				classifyResponse(connection, isComplete);
 			},
 			onFailed(error) {
 				pool.discard(connection);
@@ -148,11 +148,12 @@
 	}
 
 	/**
-	Classifies a complete response. A response to another request shows nothing about this one.
+	Classifies a response that has ended. A response to another request shows nothing about this one.
 
-	A response without an identifier may be a late copy of the response to a load check, so it proves nothing either.
+	A response without an identifier may be a late copy of the response to a load check, so it proves nothing either. The
+	head alone states that the request was not run, so this holds even if the response is incomplete.
 	*/
-	function classifyResponse(connection: Connection): void {
+	function classifyResponse(connection: Connection, isComplete: boolean): void {
 		const {statusCode, headers, metadata} = responseHead!;
 		if (metadata.requestId !== undefined && metadata.requestId !== request.id) {
 			failAttempt(connection, 'foreign-answer');
@@ -180,14 +181,14 @@
 			return;
 		}
 
-		if (connection.isBroken && !hasOwnEnd(headers)) {
+		if (!isComplete) {
 			failAttempt(connection, 'reset-within-answer');
 			return;
 		}
 
 		pool.release(connection);
 		finish({kind: 'answered', statusCode}, {
-			statusCode, headers, body: chunks.length === 1 ? chunks[0]! : buffer.Buffer.concat(chunks), hasOwnEnd: hasOwnEnd(headers),
+			statusCode, headers, body: chunks.length === 1 ? chunks[0]! : buffer.Buffer.concat(chunks), hasOwnEnd: attempt.isAnswerDelimited(request.method, statusCode, headers),
 		});
 	}
 
@@ -212,11 +213,6 @@
 	};
 }
 
-/** Whether a response delimits its own end. If it doesn't, undici reports a connection reset as its end. */
-function hasOwnEnd(headers: http.IncomingHttpHeaders): boolean {
-	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 function describeError(error: Error): string {
 	return 'code' in error ? String(error.code) : error.message;
 }
--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -100,7 +100,7 @@
 	}
 
 	function sendCheck(connection: Connection): void {
-		runningAttempt = attempt.startAttempt(connection.client, {
+		runningAttempt = attempt.startAttempt(connection, {
 			method: 'GET',
 			path: host.getHealthPath(registration.service),
 			headers: ['host', registration.address],
@@ -119,9 +119,14 @@
 
 				return true;
 			},
-			onEnd() {
+			onEnd(isComplete) {
 				connection.lastActiveAt = host.getNow();
-				finish(evaluateResponse(connection));
+				if (isComplete) {
+					finish(evaluateResponse(connection));
+				} else {
+					pool.discard(connection);
+					finish({kind: 'silent'});
+				}
 			},
 			onFailed() {
 				pool.discard(connection);
