--- a/src/decisions/registry/upstream-registry.ts
+++ b/src/decisions/registry/upstream-registry.ts
@@ -3,6 +3,10 @@
 
 Within one incarnation the state `draining` is final, and heartbeats that arrive out of order are ignored. An unusable
 record leaves the previous registration of its upstream in place.
+
+A removal can be held back until a given time, because the store also removes upstreams that couldn't renew their
+registration during an outage. The hold is part of the registry, and passed on with it: an entry whose position is
+behind a removal has either applied it or holds it.
 */
 import type * as types from './types.ts';
 
@@ -11,12 +15,19 @@
 	readonly registration: types.Registration;
 	/** Position of the last record that changed more than the heartbeat. */
 	readonly changedAt: number;
+	/** Time at which the removal of the upstream takes effect; undefined if it was not removed. */
+	readonly removalDueAt: number | undefined;
 };
 
 /** Change of one upstream, sent to a reader at an earlier position. */
 export type RegistryChange
-	= | {readonly kind: 'registered'; readonly registration: types.Registration}
-		| {readonly kind: 'removed'; readonly id: string};
+	= | {
+		readonly kind: 'registered';
+		readonly registration: types.Registration;
+		/** Time until a removal that is held back takes effect. */
+		readonly removalDueInMilliseconds?: number | undefined;
+	}
+	| {readonly kind: 'removed'; readonly id: string};
 
 /** Changes between the position of a reader and the position of this registry. */
 export type RegistryUpdate = {
@@ -27,24 +38,37 @@
 	readonly changes: readonly RegistryChange[];
 };
 
-/** Material change of one upstream caused by applied records. */
+/** Material change of one upstream caused by applied records. `lapsed` means that its removal is held back, `renewed` that it has registered again in time. */
 export type RegistryEvent = {
-	readonly kind: 'joined' | 'restarted' | 'changed' | 'draining' | 'removed';
+	readonly kind: 'joined' | 'restarted' | 'changed' | 'draining' | 'lapsed' | 'renewed' | 'removed';
 	readonly id: string;
 	readonly registration: types.Registration;
 };
 
+/** Positions in the log, from the first record to the one after the last. */
+export type PositionRange = {readonly from: number; readonly to: number};
+
 export type UpstreamRegistry = {
 	/** Gets the position after the last applied record; -1 before the first. */
 	getPosition(): number;
-	/** Applies a snapshot of the latest record of each upstream and removes all other upstreams. Ignored if it is behind the current position. */
-	applySnapshot(position: number, records: readonly types.RegistryRecord[]): readonly RegistryEvent[];
-	/** Applies the records before `position`, in their order. */
-	applyRecords(position: number, records: readonly types.RegistryRecord[]): readonly RegistryEvent[];
+	/**
+	Applies the latest record of each upstream and removes all other upstreams. The records were read while the end of the
+	log moved through the range, and contain all changes up to its start. Ignored if the start is behind the current
+	position. Removals of ready upstreams are held back until `removalsDueAt`, if given.
+	*/
+	applySnapshot(range: PositionRange, records: readonly types.RegistryRecord[], removalsDueAt?: number): readonly RegistryEvent[];
+	/** Applies the records of a range in their order. Ignored unless the range starts at the current position. Removals are held back as by `applySnapshot`. */
+	applyRecords(range: PositionRange, records: readonly types.RegistryRecord[], removalsDueAt?: number): readonly RegistryEvent[];
 	/** Applies an update from another entry. Ignored unless its position is ahead of the current one. */
-	applyUpdate(update: RegistryUpdate): readonly RegistryEvent[];
+	applyUpdate(update: RegistryUpdate, now: number): readonly RegistryEvent[];
+	/** Applies the removals that were held back until `confirmedAt`, up to which all records were received. */
+	applyDueRemovals(confirmedAt: number): readonly RegistryEvent[];
+	/** Holds back the removals that are not applied yet at least until a time. */
+	extendHolds(dueAt: number): void;
+	/** Gets the earliest time at which a removal is due; undefined if none is held back. */
+	getNextRemovalAt(): number | undefined;
 	/** Gets the changes after the position of a reader. */
-	getUpdate(since: number): RegistryUpdate;
+	getUpdate(since: number, now: number): RegistryUpdate;
 	get(id: string): types.Registration | undefined;
 	list(): readonly types.Registration[];
 };
@@ -58,44 +82,54 @@
 	/** Positions of the latest removals by upstream ID, oldest first. */
 	const removals = new Map<string, number>();
 	let position = -1;
-	/** Oldest reader position for which an incremental update is possible. */
+	/** Oldest reader position for which an incremental update is possible: removals before a snapshot may be unknown. */
 	let oldestIncrementalPosition = -1;
 
 	function applyRegistration(registration: types.Registration, at: number): RegistryEvent | undefined {
-		const {id} = registration;
-		const current = upstreams.get(id)?.registration;
-		const event = classifyRegistration(current, registration);
-		if (event === 'outdated') {
-			return undefined;
-		}
+		const event = classifyRecord(upstreams.get(registration.id), registration);
+		return event === 'outdated' ? undefined : storeRegistration(registration, event, at);
+	}
 
-		const isMaterial = event !== 'heartbeat';
-		upstreams.set(id, {registration, changedAt: isMaterial ? at : upstreams.get(id)!.changedAt});
+	function storeRegistration(registration: types.Registration, event: RegistrationClass, at: number, removalDueAt?: number): RegistryEvent | undefined {
+		const {id} = registration;
+		const changedAt = event === 'heartbeat' ? upstreams.get(id)!.changedAt : at;
+		upstreams.set(id, {registration, changedAt, removalDueAt});
 		removals.delete(id);
-		return isMaterial ? {kind: event, id, registration} : undefined;
+		return event === 'heartbeat' ? undefined : {kind: event, id, registration};
 	}
 
-	function applyRemoval(id: string, at: number): RegistryEvent | undefined {
+	function applyRemoval(id: string, at: number, dueAt?: number): RegistryEvent | undefined {
 		const current = upstreams.get(id);
-		if (!current) {
-			return undefined;
+		if (current && dueAt !== undefined && current.registration.state === 'ready') {
+			return holdRemoval(current, at, dueAt);
 		}
 
 		upstreams.delete(id);
+		// An entry that follows this one may know an upstream that this one doesn't.
 		removals.delete(id);
 		removals.set(id, at);
 		discardOldRemovals();
-		return {kind: 'removed', id, registration: current.registration};
+		return current && {kind: 'removed', id, registration: current.registration};
 	}
 
-	function applyRecord(record: types.RegistryRecord, at: number): RegistryEvent | undefined {
+	function holdRemoval({registration, removalDueAt}: RegisteredUpstream, at: number, dueAt: number): RegistryEvent | undefined {
+		if (removalDueAt !== undefined) {
+			return undefined;
+		}
+
+		const {id} = registration;
+		upstreams.set(id, {registration, changedAt: at, removalDueAt: dueAt});
+		return {kind: 'lapsed', id, registration};
+	}
+
+	function applyRecord(record: types.RegistryRecord, at: number, removalsDueAt: number | undefined): RegistryEvent | undefined {
 		switch (record.kind) {
 			case 'registered': {
 				return applyRegistration(record.registration, at);
 			}
 
 			case 'removed': {
-				return applyRemoval(record.id, at);
+				return applyRemoval(record.id, at, removalsDueAt);
 			}
 
 			case 'unusable': {
@@ -104,6 +138,20 @@
 		}
 	}
 
+	function applyChange(change: RegistryChange, at: number, now: number): RegistryEvent | undefined {
+		switch (change.kind) {
+			case 'registered': {
+				const {registration, removalDueInMilliseconds} = change;
+				const removalDueAt = removalDueInMilliseconds === undefined ? undefined : now + removalDueInMilliseconds;
+				return storeRegistration(registration, classifyChange(upstreams.get(registration.id), registration, removalDueAt), at, removalDueAt);
+			}
+
+			case 'removed': {
+				return applyRemoval(change.id, at);
+			}
+		}
+	}
+
 	function discardOldRemovals(): void {
 		for (const [id, at] of removals) {
 			if (removals.size <= retainedRemovals) {
@@ -115,52 +163,75 @@
 		}
 	}
 
-	function replaceUpstreams(registrations: readonly types.Registration[], keptIds: ReadonlySet<string>, at: number): RegistryEvent[] {
-		const missing = [...upstreams.keys()].filter(id => !keptIds.has(id));
-		return [
-			...missing.map(id => applyRemoval(id, at)),
-			...registrations.map(registration => applyRegistration(registration, at)),
-		].filter(event => event !== undefined);
+	function removeOthers(keptIds: ReadonlySet<string>, at: number, dueAt?: number): ReadonlyArray<RegistryEvent | undefined> {
+		return [...upstreams.keys()].filter(id => !keptIds.has(id)).map(id => applyRemoval(id, at, dueAt));
 	}
 
 	return {
 		getPosition: () => position,
-		applySnapshot(at, records) {
-			if (at < position) {
+		applySnapshot({from, to}, records, removalsDueAt) {
+			if (from < position) {
 				return [];
 			}
 
-			const registrations = records.flatMap(record => record.kind === 'registered' ? [record.registration] : []);
+			position = from;
+			oldestIncrementalPosition = to;
 			const keptIds = new Set(records.flatMap(record => record.kind === 'removed' ? [] : [record.id]));
-			position = at;
-			return replaceUpstreams(registrations, keptIds, at);
+			return [
+				...removeOthers(keptIds, to, removalsDueAt),
+				...records.map(record => record.kind === 'registered' ? applyRegistration(record.registration, to) : undefined),
+			].filter(event => event !== undefined);
 		},
-		applyRecords(at, records) {
-			position = Math.max(position, at);
+		applyRecords({from, to}, records, removalsDueAt) {
+			if (from !== position) {
+				return [];
+			}
+
+			position = to;
 			return records
-				.map(record => applyRecord(record, at))
+				.map(record => applyRecord(record, to, removalsDueAt))
 				.filter(event => event !== undefined);
 		},
-		applyUpdate(update) {
+		applyUpdate(update, now) {
 			if (update.position <= position) {
 				return [];
 			}
 
-			const registrations = update.changes.flatMap(change => change.kind === 'registered' ? [change.registration] : []);
 			position = update.position;
 			if (update.isComplete) {
-				return replaceUpstreams(registrations, new Set(registrations.map(({id}) => id)), position);
+				oldestIncrementalPosition = position;
 			}
 
-			return update.changes
-				.map(change => change.kind === 'registered' ? applyRegistration(change.registration, position) : applyRemoval(change.id, position))
+			const registeredIds = new Set(update.changes.flatMap(change => change.kind === 'registered' ? [change.registration.id] : []));
+			return [
+				...(update.isComplete ? removeOthers(registeredIds, position) : []),
+				...update.changes.map(change => applyChange(change, position, now)),
+			].filter(event => event !== undefined);
+		},
+		applyDueRemovals(confirmedAt) {
+			return [...upstreams]
+				.filter(([, {removalDueAt}]) => removalDueAt !== undefined && removalDueAt <= confirmedAt)
+				.map(([id, {changedAt}]) => applyRemoval(id, changedAt))
 				.filter(event => event !== undefined);
 		},
-		getUpdate(since) {
+		extendHolds(dueAt) {
+			for (const [id, upstream] of upstreams) {
+				if (upstream.removalDueAt !== undefined && upstream.removalDueAt < dueAt) {
+					upstreams.set(id, {...upstream, removalDueAt: dueAt});
+				}
+			}
+		},
+		getNextRemovalAt() {
+			const dueTimes = [...upstreams.values()].flatMap(({removalDueAt}) => removalDueAt ?? []);
+			return dueTimes.length === 0 ? undefined : Math.min(...dueTimes);
+		},
+		getUpdate(since, now) {
 			const isComplete = since < oldestIncrementalPosition || since < 0;
 			const registered = [...upstreams.values()]
 				.filter(({changedAt}) => isComplete || changedAt > since)
-				.map(({registration}) => ({kind: 'registered' as const, registration}));
+				.map(({registration, removalDueAt}) => ({
+					kind: 'registered' as const, registration, removalDueInMilliseconds: removalDueAt === undefined ? undefined : Math.max(0, removalDueAt - now),
+				}));
 			const removed = isComplete
 				? []
 				: [...removals].filter(([, at]) => at > since).map(([id]) => ({kind: 'removed' as const, id}));
@@ -171,23 +242,40 @@
 	};
 }
 
-function classifyRegistration(current: types.Registration | undefined, next: types.Registration): 'outdated' | 'heartbeat' | 'joined' | 'restarted' | 'changed' | 'draining' {
+type RegistrationClass = RegistryEvent['kind'] | 'heartbeat';
+
+/** Classifies a record of the store, which may be older than the current registration unless that was removed. */
+function classifyRecord(current: RegisteredUpstream | undefined, next: types.Registration): RegistrationClass | 'outdated' {
+	if (!current || current.removalDueAt !== undefined) {
+		return classifyChange(current, next, undefined);
+	}
+
+	const {incarnation, sequence, state} = current.registration;
+	const isOutdated = next.incarnation === incarnation
+		? next.sequence < sequence || (state === 'draining' && next.state === 'ready')
+		: next.incarnation < incarnation;
+	return isOutdated ? 'outdated' : classifyChange(current, next, undefined);
+}
+
+/** Classifies a registration that is newer than the current one. */
+function classifyChange(current: RegisteredUpstream | undefined, next: types.Registration, removalDueAt: number | undefined): RegistrationClass {
 	if (!current) {
 		return 'joined';
 	}
 
-	if (next.incarnation !== current.incarnation) {
-		return next.incarnation > current.incarnation ? 'restarted' : 'outdated';
+	const {registration} = current;
+	if (next.incarnation !== registration.incarnation) {
+		return 'restarted';
 	}
 
-	if (next.sequence < current.sequence || (current.state === 'draining' && next.state === 'ready')) {
-		return 'outdated';
+	if (next.state !== registration.state) {
+		return next.state === 'draining' ? 'draining' : 'changed';
 	}
 
-	if (next.state !== current.state) {
-		return 'draining';
+	if ((removalDueAt === undefined) !== (current.removalDueAt === undefined)) {
+		return removalDueAt === undefined ? 'renewed' : 'lapsed';
 	}
 
-	const isSame = next.address === current.address && next.service === current.service && next.slots === current.slots && next.failureDomain === current.failureDomain;
+	const isSame = next.address === registration.address && next.service === registration.service && next.slots === registration.slots && next.failureDomain === registration.failureDomain;
 	return isSame ? 'heartbeat' : 'changed';
 }
--- a/src/gateway/platform-state.ts
+++ b/src/gateway/platform-state.ts
@@ -30,7 +30,7 @@
 	applyConfiguration(next: configuration.Configuration, origin: UpdateOrigin): void;
 	/** Logs changes that were already applied to the registry, and notifies the host and all waiters. */
 	handleRegistryEvents(events: readonly upstreamRegistry.RegistryEvent[], origin: UpdateOrigin): void;
-	/** Records that everything published up to a time has been received. */
+	/** Records that everything published up to a time has been received and applied. Lets removals that were held back until then take effect. */
 	confirmUpTo(part: 'configuration' | 'registry', upTo: number): void;
 	/** Age of the older of the two parts, in milliseconds; infinite until both were received. */
 	getAge(now: number): number;
@@ -40,12 +40,21 @@
 	wakeWaiters(): void;
 };
 
+/** Time after the recovery of the store within which upstreams renew the registrations that lapsed during the outage, in milliseconds. */
+export const recoveryMilliseconds = 2000;
+/** Time for which a removal that is due waits for the confirmation that its upstream has not registered again, in milliseconds. */
+const confirmationMilliseconds = 500;
+/** Time without confirmations after which the store may have been unreachable to all entries, in milliseconds; an entry whose data is stale reads the store itself within 1700 ms. */
+const outageMilliseconds = 1900;
+const heldRemovalOrigin = 'held-removal';
+
 /** Creates the empty state of an entry that has received nothing yet. */
 export function createPlatformState(host: PlatformStateHost): PlatformState {
 	const registry = upstreamRegistry.createUpstreamRegistry();
 	const confirmedAt = {configuration: Number.NEGATIVE_INFINITY, registry: Number.NEGATIVE_INFINITY};
 	const waiters = new Set<() => void>();
 	let activeConfiguration: ActiveConfiguration | undefined;
+	let removalTimer: NodeJS.Timeout | undefined;
 
 	function wakeWaiters(): void {
 		for (const resolve of waiters) {
@@ -55,6 +64,50 @@
 		waiters.clear();
 	}
 
+	function handleRegistryEvents(events: readonly upstreamRegistry.RegistryEvent[], origin: UpdateOrigin): void {
+		if (events.length === 0) {
+			return;
+		}
+
+		for (const {kind, id, registration} of events) {
+			host.logger.info('upstream-changed', {
+				change: kind, upstream: id, service: registration.service, address: registration.address, incarnation: registration.incarnation, position: registry.getPosition(), origin,
+			});
+		}
+
+		host.onUpstreams(events);
+		wakeWaiters();
+	}
+
+	/** Applies the removals that are due. After an outage, upstreams still need time to register again. */
+	function confirmRemovals(previous: number, confirmed: number): void {
+		if (Number.isFinite(previous) && confirmed - previous > outageMilliseconds) {
+			registry.extendHolds(confirmed + recoveryMilliseconds);
+		}
+
+		handleRegistryEvents(registry.applyDueRemovals(confirmed), heldRemovalOrigin);
+		scheduleRemovals();
+	}
+
+	/** Lets due removals take effect without a confirmation that is new enough, unless there may be an outage: requests to an upstream that has left are lost. */
+	function scheduleRemovals(): void {
+		const dueAt = registry.getNextRemovalAt();
+		const milliseconds = dueAt === undefined ? 0 : dueAt + confirmationMilliseconds - host.getNow();
+		if (milliseconds <= 0 || removalTimer) {
+			return;
+		}
+
+		removalTimer = setTimeout(() => {
+			removalTimer = undefined;
+			const now = host.getNow();
+			if (now - confirmedAt.registry <= outageMilliseconds) {
+				handleRegistryEvents(registry.applyDueRemovals(now - confirmationMilliseconds), heldRemovalOrigin);
+			}
+
+			scheduleRemovals();
+		}, Math.ceil(milliseconds));
+	}
+
 	return {
 		registry,
 		getActiveConfiguration: () => activeConfiguration,
@@ -71,22 +124,13 @@
 			host.onConfiguration(next);
 			wakeWaiters();
 		},
-		handleRegistryEvents(events, origin) {
-			if (events.length === 0) {
-				return;
-			}
-
-			for (const {kind, id, registration} of events) {
-				host.logger.info('upstream-changed', {
-					change: kind, upstream: id, service: registration.service, address: registration.address, incarnation: registration.incarnation, position: registry.getPosition(), origin,
-				});
-			}
-
-			host.onUpstreams(events);
-			wakeWaiters();
-		},
+		handleRegistryEvents,
 		confirmUpTo(part, upTo) {
-			confirmedAt[part] = Math.max(confirmedAt[part], upTo);
+			const previous = confirmedAt[part];
+			confirmedAt[part] = Math.max(previous, upTo);
+			if (part === 'registry') {
+				confirmRemovals(previous, confirmedAt.registry);
+			}
 		},
 		getAge: now => now - Math.min(confirmedAt.configuration, confirmedAt.registry),
 		async waitForChange(milliseconds) {
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -112,7 +112,7 @@
 		}
 
 		if (update.registryUpdate) {
-			platformState.handleRegistryEvents(platformState.registry.applyUpdate(update.registryUpdate), origin);
+			platformState.handleRegistryEvents(platformState.registry.applyUpdate(update.registryUpdate, host.getNow()), origin);
 		}
 
 		platformState.confirmUpTo('configuration', currentAt);
@@ -277,7 +277,7 @@
 	}
 
 	function getRegistryUpdate(position: number) {
-		const update = platformState.registry.getUpdate(position);
+		const update = platformState.registry.getUpdate(position, host.getNow());
 		return update.position > position ? update : undefined;
 	}
 
--- /dev/null
+++ b/src/gateway/store-reader.test.ts
@@ -0,0 +1,227 @@
+/** Replays of outages of the store, with the order of its answers and all times under control. */
+import * as neverthrow from 'neverthrow';
+import * as vitest from 'vitest';
+import type * as registry from '../decisions/registry/types.ts';
+import type * as logger from '../observability/logger.ts';
+import * as platformStates from './platform-state.ts';
+import * as storeReaders from './store-reader.ts';
+import type * as types from './types.ts';
+
+const {afterEach, beforeEach, expect, test, vi} = vitest;
+
+const readIntervalMilliseconds = 500;
+const silentLogger: logger.Logger = {
+	error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined,
+};
+const getNow = () => Date.now();
+
+beforeEach(() => {
+	vi.useFakeTimers({now: 1_000_000});
+});
+
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+function createRegistration(id: string, changes: Partial<registry.Registration> = {}): registry.Registration {
+	return {
+		id, service: 'desk', address: '127.0.0.1:1', failureDomain: 'here', slots: 4, state: 'ready', warmUpMilliseconds: 0, incarnation: 1, sequence: 1, ...changes,
+	};
+}
+
+type RegistryPage = types.StorePage<registry.RegistryRecord>;
+
+/** A store whose records and availability the test controls. While `delays` has entries, each read is answered after the next of them. */
+function createStore() {
+	const log: registry.RegistryRecord[] = [];
+	const newest = new Map<string, registry.Registration>();
+	const delays: number[] = [];
+	const state = {isDown: false, isCutShort: false};
+
+	async function answer(createPage: () => RegistryPage): Promise<neverthrow.Result<RegistryPage, types.StoreError>> {
+		if (state.isDown) {
+			return neverthrow.err({kind: 'lost', message: 'down'});
+		}
+
+		const page = createPage();
+		const delay = delays.shift();
+		if (delay !== undefined) {
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, delay);
+			});
+		}
+
+		return neverthrow.ok(page);
+	}
+
+	const host: types.StoreHost = {
+		configuration: {
+			readNewest: async () => state.isDown ? neverthrow.err({kind: 'lost', message: 'down'}) : neverthrow.ok({position: 0, records: [], endPosition: 0}),
+			read: async () => state.isDown ? neverthrow.err({kind: 'lost', message: 'down'}) : neverthrow.ok({position: 0, records: [], endPosition: 0}),
+		},
+		registry: {
+			readNewest: async () => answer(() => ({position: log.length, endPosition: log.length, records: [...newest.values()].map(registration => ({kind: 'registered', id: registration.id, registration}))})),
+			read: async position => answer(() => {
+				const records = log.slice(position, state.isCutShort ? position : undefined);
+				return {position: position + records.length, endPosition: log.length, records};
+			}),
+		},
+	};
+	return {
+		host, state, delays,
+		register(registration: registry.Registration) {
+			log.push({kind: 'registered', id: registration.id, registration});
+			newest.set(registration.id, registration);
+		},
+		remove(id: string) {
+			log.push({kind: 'removed', id});
+			newest.delete(id);
+		},
+	};
+}
+
+function createState(): platformStates.PlatformState {
+	return platformStates.createPlatformState({
+		logger: silentLogger, getNow, onConfiguration: () => undefined, onUpstreams: () => undefined,
+	});
+}
+
+function createReader(store: types.StoreHost, platformState: platformStates.PlatformState): storeReaders.StoreReader {
+	return storeReaders.createStoreReader({
+		store, platformState, logger: silentLogger, getNow, onReachabilityChange: () => undefined,
+	});
+}
+
+const listIds = ({registry: {list}}: platformStates.PlatformState) => list().map(({id}) => id).toSorted((left, right) => left.localeCompare(right));
+
+/** Gives a follower what its source has, as `sharing-loop.ts` does. */
+function follow(follower: platformStates.PlatformState, source: platformStates.PlatformState): void {
+	const update = source.registry.getUpdate(follower.registry.getPosition(), getNow());
+	follower.handleRegistryEvents(follower.registry.applyUpdate(update, getNow()), 'source');
+	source.confirmUpTo('configuration', getNow());
+	follower.confirmUpTo('registry', getNow() - source.getAge(getNow()));
+}
+
+/** Starts a reader and a follower that know the upstreams `a` and `b`, and lets an outage of the store end. */
+async function startAfterOutage() {
+	const store = createStore();
+	const reading = createState();
+	const following = createState();
+	const reader = createReader(store.host, reading);
+	store.register(createRegistration('a'));
+	store.register(createRegistration('b'));
+
+	async function read(milliseconds: number): Promise<void> {
+		for (let elapsed = 0; elapsed < milliseconds; elapsed += readIntervalMilliseconds) {
+			await vi.advanceTimersByTimeAsync(readIntervalMilliseconds);
+			await reader.readOnce();
+			follow(following, reading);
+		}
+	}
+
+	await read(1000);
+	store.state.isDown = true;
+	await read(3200);
+	store.state.isDown = false;
+	while (!await reader.readOnce()) {
+		await vi.advanceTimersByTimeAsync(readIntervalMilliseconds);
+	}
+
+	follow(following, reading);
+	return {
+		store, reading, following, reader, read,
+	};
+}
+
+// Guards against requests to an upstream that has left: its removal was held back after an outage, and the followers' positions had passed it when it was applied.
+test('a removal soon after an outage reaches the entries that follow the reader', async () => {
+	const {store, reading, following, read} = await startAfterOutage();
+	store.remove('a');
+	await read(3000);
+	expect(listIds(reading)).toEqual(['b']);
+	expect(listIds(following)).toEqual(['b']);
+});
+
+// Guards against the same if the reader ends before the removal takes effect, and an entry that followed it reads the store from then on.
+test('a removal that a reader held back when it ended takes effect at the entry that reads next', async () => {
+	const {store, following, read} = await startAfterOutage();
+	store.remove('a');
+	await read(500);
+	const nextReader = createReader(store.host, following);
+	for (let count = 0; count < 6; count++) {
+		await vi.advanceTimersByTimeAsync(readIntervalMilliseconds);
+		await nextReader.readOnce();
+	}
+
+	expect(listIds(following)).toEqual(['b']);
+});
+
+// Guards against requests to an upstream that has left at an entry whose confirmations are late, as they are while it waits for stale data.
+test('a removal that is due takes effect without a newer confirmation unless there may be an outage', async () => {
+	const {store, reading, following, read} = await startAfterOutage();
+	store.remove('a');
+	await read(1500);
+	await vi.advanceTimersByTimeAsync(999);
+	expect(listIds(following)).toEqual(['a', 'b']);
+	await vi.advanceTimersByTimeAsync(1);
+	expect(listIds(following)).toEqual(['b']);
+	expect(listIds(reading)).toEqual(['b']);
+});
+
+// Guards against giving up sound upstreams: after a second outage they need the same time to register again as after the first.
+test('an upstream that registers again within two seconds of a second outage stays', async () => {
+	const {store, reading, following, read} = await startAfterOutage();
+	store.remove('a');
+	await read(500);
+	store.state.isDown = true;
+	await read(3000);
+	store.state.isDown = false;
+	await read(2000);
+	expect(listIds(following)).toEqual(['a', 'b']);
+	store.register(createRegistration('a', {sequence: 2}));
+	await read(4000);
+	expect(listIds(reading)).toEqual(['a', 'b']);
+	expect(listIds(following)).toEqual(['a', 'b']);
+});
+
+test('an upstream whose removal is held back and that registers again stays at the entries that follow the reader', async () => {
+	const {store, following, read} = await startAfterOutage();
+	store.remove('a');
+	await read(500);
+	store.register(createRegistration('a', {sequence: 2}));
+	await read(4000);
+	expect(listIds(following)).toEqual(['a', 'b']);
+});
+
+// Guards against a removed upstream coming back: the answer to an earlier read arrives after that to a later one.
+test('two reads whose answers cross leave a removed upstream removed', async () => {
+	const store = createStore();
+	const reading = createState();
+	const reader = createReader(store.host, reading);
+	store.register(createRegistration('b'));
+	await reader.readOnce();
+	store.register(createRegistration('a'));
+	store.delays.push(300, 10);
+	const earlier = reader.readOnce();
+	store.remove('a');
+	const later = reader.readOnce();
+	await vi.advanceTimersByTimeAsync(400);
+	await Promise.all([earlier, later]);
+	store.delays.length = 0;
+	await reader.readOnce();
+	expect(listIds(reading)).toEqual(['b']);
+});
+
+// Guards against an entry being taken for current by others: the store's page ended before the end of the log.
+test('a page that ends before the end of the log confirms nothing', async () => {
+	const store = createStore();
+	const reading = createState();
+	const reader = createReader(store.host, reading);
+	store.register(createRegistration('a'));
+	await reader.readOnce();
+	store.state.isCutShort = true;
+	store.remove('a');
+	await vi.advanceTimersByTimeAsync(1000);
+	await reader.readOnce();
+	expect(reading.getAge(getNow())).toBeGreaterThanOrEqual(1000);
+});
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -1,9 +1,8 @@
 /** Reads the configuration and the registry from the platform's store. */
 import * as timers from 'node:timers/promises';
 import type * as neverthrow from 'neverthrow';
-import {type RegistryRecord} from '../decisions/registry/types.ts';
 import {type Logger} from '../observability/logger.ts';
-import {type PlatformState} from './platform-state.ts';
+import {type PlatformState, recoveryMilliseconds} from './platform-state.ts';
 import {
 	type ConfigurationRecord, type ReadOptions, type StoreError, type StoreHost, type StorePage, type StoreStream,
 } from './types.ts';
@@ -41,8 +40,6 @@
 /** Pause after the first failed read and its maximum while reads fail, in milliseconds; each entry retries on its own, so the maximum keeps the total number of calls small. */
 const initialPauseMilliseconds = 200;
 const maximumPauseMilliseconds = 2000;
-/** Time after the recovery of the store within which upstreams renew the registrations that lapsed during the outage, in milliseconds. */
-const recoveryMilliseconds = 2000;
 
 /** Creates a reader, which reads only when one of its functions is called. */
 export function createStoreReader(host: StoreReaderHost): StoreReader {
@@ -50,7 +47,7 @@
 	let configurationPosition = -1;
 	let isReachable: boolean | undefined;
 	let recoveredAt = Number.NEGATIVE_INFINITY;
-	let recheckTimer: NodeJS.Timeout | undefined;
+	let registryRead: Promise<boolean> | undefined;
 	let pauseMilliseconds = initialPauseMilliseconds;
 	let nextReadAt = Number.NEGATIVE_INFINITY;
 
@@ -107,7 +104,10 @@
 			applyConfigurationRecord(record);
 		}
 
-		platformState.confirmUpTo('configuration', host.getNow());
+		if (result.value.isComplete || result.value.position >= result.value.endPosition) {
+			platformState.confirmUpTo('configuration', host.getNow());
+		}
+
 		return true;
 	}
 
@@ -119,71 +119,52 @@
 		}
 	}
 
+	/** Reads the registry, or joins the read in progress, since the result of an earlier read must not be applied after that of a later one. */
 	async function readRegistry(): Promise<boolean> {
+		registryRead ??= startRegistryRead().finally(() => {
+			registryRead = undefined;
+		});
+		return registryRead;
+	}
+
+	async function startRegistryRead(): Promise<boolean> {
+		const {registry} = platformState;
 		const requestedAt = host.getNow();
-		const result = await read(store.registry, platformState.registry.getPosition(), {waitMilliseconds: 0, timeoutMilliseconds});
+		const from = registry.getPosition();
+		const result = await read(store.registry, from, {waitMilliseconds: 0, timeoutMilliseconds});
 		if (result.isErr()) {
 			return false;
 		}
 
-		const {position, records, isComplete} = result.value;
+		const {position, records, endPosition, isComplete} = result.value;
 		for (const record of records) {
 			if (record.kind === 'unusable') {
 				logger.warn('registration-unusable', {upstream: record.id, reason: record.reason, position});
 			}
 		}
 
-		const recordsToApply = deferLapsedRemovals(records, isComplete);
-		platformState.handleRegistryEvents(isComplete ? platformState.registry.applySnapshot(position, recordsToApply) : platformState.registry.applyRecords(position, recordsToApply), storeOrigin);
-		platformState.confirmUpTo('registry', requestedAt);
-		return true;
-	}
-
-	/**
-	Holds back the removals that the store made during an outage, because such an upstream may be healthy and register again.
-
-	A full read `recoveryMilliseconds` after the recovery removes the upstreams that are still missing.
-	*/
-	function deferLapsedRemovals(records: readonly RegistryRecord[], isComplete: boolean): readonly RegistryRecord[] {
-		const recheckAt = recoveredAt + recoveryMilliseconds;
-		if (host.getNow() >= recheckAt) {
-			return records;
+		const removalsDueAt = getRemovalsDueAt();
+		const events = isComplete
+			? registry.applySnapshot({from: position, to: endPosition}, records, removalsDueAt)
+			: registry.applyRecords({from, to: position}, records, removalsDueAt);
+		const lapses = events.filter(({kind}) => kind === 'lapsed');
+		if (removalsDueAt !== undefined && lapses.length > 0) {
+			logger.warn('registrations-lapsed', {upstreams: lapses.length, dueInMilliseconds: Math.round(removalsDueAt - host.getNow())});
 		}
 
-		const {registry} = platformState;
-		const mayRegisterAgain = (id: string) => registry.get(id)?.state === 'ready';
-		const present = new Set(records.flatMap(record => record.kind === 'removed' ? [] : [record.id]));
-		const lapsed = isComplete
-			? registry.list().map(({id}) => id).filter(id => !present.has(id) && mayRegisterAgain(id))
-			: records.filter(({kind, id}) => kind === 'removed' && mayRegisterAgain(id)).map(({id}) => id);
-		if (lapsed.length === 0) {
-			return records;
+		platformState.handleRegistryEvents(events, storeOrigin);
+		const isCurrent = isComplete || position >= endPosition;
+		if (isCurrent && registry.getPosition() >= position) {
+			platformState.confirmUpTo('registry', requestedAt);
 		}
 
-		logger.warn('registrations-lapsed', {upstreams: lapsed.length, recheckMilliseconds: Math.round(recheckAt - host.getNow())});
-		scheduleRecheck(recheckAt);
-		const lapsedIds = new Set(lapsed);
-		return [
-			...records.filter(record => record.kind !== 'removed' || !lapsedIds.has(record.id)),
-			...lapsed.map(id => ({kind: 'unusable' as const, id, reason: 'lapsed'})),
-		];
-	}
-
-	function scheduleRecheck(at: number): void {
-		recheckTimer ??= setTimeout(() => {
-			recheckTimer = undefined;
-			void recheck();
-		}, at - host.getNow());
+		return true;
 	}
 
-	async function recheck(): Promise<void> {
-		const result = await store.registry.readNewest(timeoutMilliseconds);
-		if (result.isErr()) {
-			scheduleRecheck(host.getNow() + registryIntervalMilliseconds);
-			return;
-		}
-
-		platformState.handleRegistryEvents(platformState.registry.applySnapshot(result.value.position, result.value.records), storeOrigin);
+	/** Gets the time until which removals are held back, because the store may have made them for an outage and the upstreams may register again. */
+	function getRemovalsDueAt(): number | undefined {
+		const dueAt = recoveredAt + recoveryMilliseconds;
+		return host.getNow() < dueAt ? dueAt : undefined;
 	}
 
 	async function readRepeatedly(read: () => Promise<boolean>, pauseMilliseconds: number, shouldContinue: () => boolean): Promise<void> {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -15,6 +15,8 @@
 	/** Position of the next read. */
 	readonly position: number;
 	readonly records: readonly StoreRecord[];
+	/** End of the stream when the last record was read; a read of the newest records in parts may contain records up to it. */
+	readonly endPosition: number;
 };
 
 /** A published configuration, or the reason why the record can't be used. */
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -48,7 +48,7 @@
 	position: z.number(),
 	isComplete: z.boolean(),
 	changes: z.array(z.discriminatedUnion('kind', [
-		z.object({kind: z.literal('registered'), registration: registry.registrationSchema}),
+		z.object({kind: z.literal('registered'), registration: registry.registrationSchema, removalDueInMilliseconds: z.number().nonnegative().optional()}),
 		z.object({kind: z.literal('removed'), id: z.string()}),
 	])),
 });
