--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -18,6 +18,8 @@
 }
 
 if (require.main === module) {
+	// The program handles the signal once it runs; until then it reads the settings anew anyway, and must not end.
+	process.on('SIGHUP', () => undefined);
 	const filename = path.join(__dirname, 'gateway-bundle.cjs');
 	const cachedData = fs.existsSync(`${filename}.cache`) ? fs.readFileSync(`${filename}.cache`) : undefined;
 	const script = new vm.Script(wrap(fs.readFileSync(filename, 'utf8')), {filename, cachedData});
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -21,8 +21,9 @@
 import * as callLog from './call-log.ts';
 import {startCall} from './call-runner.ts';
 import {createDirectory, type Directory} from './directory.ts';
-import {createFrontServer, listen} from './front-server.ts';
+import {createFrontServer} from './front-server.ts';
 import type * as loadCheck from './load-check.ts';
+import * as openPorts from './open-port.ts';
 import * as permitsModule from './permits.ts';
 import * as reachabilityMonitor from './reachability-monitor.ts';
 import * as relaysModule from './relays.ts';
@@ -311,17 +312,23 @@
 	}
 
 	const peers = splitAddress(settings.listen.peers);
-	const peerServer = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest})]});
-	if (peerServer.isErr()) {
-		throw new Error(peerServer.error.message);
-	}
+	const peerServer = await openPorts.openPort(host, 'peers', async () => {
+		const result = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest})]});
+		if (result.isErr()) {
+			throw result.error.cause;
+		}
 
+		return result.value;
+	});
+	openPorts.listen(host, 'metrics', metricsServer, {host: peers.host, port: host.metricsPort}).catch((error: unknown) => {
+		logger.error('metrics-unavailable', {reason: String(error)});
+	});
 	await Promise.all([
-		listen(frontServer.server, splitAddress(settings.listen.callers)),
-		listen(directoryServer, splitAddress(settings.listen.directory)),
-		listen(readinessServer, splitAddress(settings.listen.readiness)),
-		listen(metricsServer, {host: peers.host, port: host.metricsPort}),
+		openPorts.listen(host, 'directory', directoryServer, splitAddress(settings.listen.directory)),
+		openPorts.listen(host, 'readiness', readinessServer, splitAddress(settings.listen.readiness)),
 	]);
+	// The last one, so that nothing is accepted before the gateway can be stopped in order.
+	await openPorts.listen(host, 'callers', frontServer.server, splitAddress(settings.listen.callers));
 	sharing.start();
 	const maintenanceTimer = setInterval(() => {
 		upstreams.closeIdle();
@@ -365,7 +372,7 @@
 		directoryServer.close();
 		readinessServer.close();
 		metricsServer.close();
-		await Promise.all([peerServer._unsafeUnwrap().close(peerGraceMilliseconds), platform.close()]);
+		await Promise.all([peerServer.close(peerGraceMilliseconds), platform.close()]);
 	}
 
 	return {
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -1,6 +1,5 @@
 /** The HTTP server for callers: finds the route, receives the request, and writes the response. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
@@ -264,14 +263,3 @@
 
 	return request.headers['transfer-encoding'] === undefined ? 0 : assumedBodyBytes;
 }
-
-/** Starts to listen on an address; resolves when the port is open. */
-export async function listen(server: net.Server, address: {readonly host: string; readonly port: number}): Promise<void> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.host, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
-}
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -20,6 +20,7 @@
 export type PeerServerError = {
 	readonly kind: 'address-unavailable';
 	readonly message: string;
+	readonly cause: unknown;
 };
 
 export type PeerServer = {
@@ -36,6 +37,7 @@
 	return ResultAsync.fromPromise(listen(options), error => ({
 		kind: 'address-unavailable' as const,
 		message: error instanceof Error ? error.message : String(error),
+		cause: error,
 	}));
 }
 
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -67,6 +67,7 @@
 async function start(path: string, settings: GatewaySettings, localAddress: string | undefined): Promise<void> {
 	const logger = createLogger('info', {entry: settings.name}, writer);
 	handleUncaughtErrors(logger);
+	const signals = watchSignals(path, logger);
 	const metrics = createGatewayMetrics();
 	const getNow = () => performance.now();
 	const gateway = await createGateway(settings, {
@@ -78,14 +79,40 @@
 		getNow,
 		getWallTime: () => Date.now(),
 	});
-	process.on('SIGHUP', () => {
-		reload(path, gateway, logger);
-	});
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(signal, () => {
+	signals.handOver(gateway);
+}
+
+/** Handles signals from now on; those that arrive before there is a gateway are handled as far as they concern one that is starting. */
+function watchSignals(path: string, logger: Logger): {handOver(gateway: Gateway): void} {
+	let gateway: Gateway | undefined;
+	let isReloadPending = false;
+	let isStopping = false;
+
+	function handleStop(): void {
+		// A second signal must neither end the process by default nor cut the stop short.
+		if (!isStopping) {
+			isStopping = true;
 			void leaveAndExit(gateway);
-		});
+		}
 	}
+
+	process.on('SIGTERM', handleStop);
+	process.on('SIGINT', handleStop);
+	process.on('SIGHUP', () => {
+		if (gateway) {
+			reload(path, gateway, logger);
+		} else {
+			isReloadPending = true;
+		}
+	});
+	return {
+		handOver(started) {
+			gateway = started;
+			if (isReloadPending) {
+				reload(path, gateway, logger);
+			}
+		},
+	};
 }
 
 function reload(path: string, gateway: Gateway, logger: Logger): void {
@@ -111,8 +138,9 @@
 	});
 }
 
-async function leaveAndExit(gateway: Gateway): Promise<void> {
-	await gateway.leave();
+/** Stops a gateway in order; one that is still starting has accepted nothing. */
+async function leaveAndExit(gateway: Gateway | undefined): Promise<void> {
+	await gateway?.leave();
 	await flushAndExit(0);
 }
 
--- a/test/support/gateways.ts
+++ b/test/support/gateways.ts
@@ -135,7 +135,7 @@
 }
 
 /** Whether a gateway serves callers. */
-export const isReady = async ({ready}: RunningGateway) => {
+export const isReady = async ({ready}: Pick<RunningGateway, 'ready'>) => {
 	const answer = await send(ready, '/api/ready');
 	return answer.status === 200;
 };
