--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -76,7 +76,9 @@
 const abortMarginMilliseconds = 150;
 const drainCheckIntervalMilliseconds = 20;
 const maintenanceIntervalMilliseconds = 1000;
-const peerGraceMilliseconds = 50;
+const peerGraceMilliseconds = 30;
+/** Time after which a stop no longer waits for connections to other entries and the store, in milliseconds. */
+const closeMilliseconds = 50;
 /** Time for which a computed share of a budget is used, in milliseconds; the demand that it depends on changes less often. */
 const shareLifetimeMilliseconds = 200;
 const maximumRandomSeed = 2 ** 31;
@@ -353,13 +355,13 @@
 			lifeCycle.send('notice-over');
 		}
 
-		frontServer.server.close();
-		frontServer.server.closeIdleConnections();
+		frontServer.stop();
 		while (frontServer.countOpen() > 0 && getNow() < stopsAt) {
 			await timers.setTimeout(drainCheckIntervalMilliseconds);
 		}
 
 		logger.info('gateway-stopped', {cutOff: frontServer.countOpen()});
+		frontServer.reset();
 		lifeCycle.send('calls-ended');
 		clearInterval(maintenanceTimer);
 		sharing.stop();
@@ -372,7 +374,8 @@
 		directoryServer.close();
 		readinessServer.close();
 		metricsServer.close();
-		await Promise.all([peerServer.close(peerGraceMilliseconds), platform.close()]);
+		const closed = Promise.all([peerServer.close(peerGraceMilliseconds), platform.close()]);
+		await Promise.race([closed, timers.setTimeout(closeMilliseconds)]);
 	}
 
 	return {
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -7,6 +7,7 @@
 import {getForwardedHeaders} from '../entry/headers.ts';
 import {type ReceivedBody, receiveBody} from '../entry/receive-body.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
+import * as callerConnections from './caller-connections.ts';
 import {type ActiveConfiguration} from './platform-state.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
@@ -38,6 +39,10 @@
 	readonly server: http.Server;
 	/** Counts the requests whose responses are not finished. */
 	countOpen(): number;
+	/** Accepts no more connections, and closes each connection once it has no request. */
+	stop(): void;
+	/** Resets the connections whose requests are not finished. */
+	reset(): void;
 	/** Applies the timeouts of a configuration to everything that callers send from now on. */
 	setLimits(limits: configuration.CallerLimits): void;
 };
@@ -73,7 +78,6 @@
 
 /** Creates the server; the caller starts and stops it. */
 export function createFrontServer(host: FrontServerHost): FrontServer {
-	let openRequests = 0;
 	let bufferedBytes = 0;
 	let relayedRequests = 0;
 	const server = http.createServer({
@@ -82,6 +86,7 @@
 		requestTimeout: 0,
 		noDelay: true,
 	}, receive);
+	const connections = callerConnections.trackConnections(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: stream.Duplex) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
@@ -93,10 +98,7 @@
 
 	function receive(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const receivedAt = host.getNow();
-		openRequests++;
-		response.once('close', () => {
-			openRequests--;
-		});
+		connections.trackRequest(request, response);
 		const metadata = host.headers.readRequest(request.headers);
 		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
@@ -241,7 +243,9 @@
 
 	return {
 		server,
-		countOpen: () => openRequests,
+		countOpen: connections.countRequests,
+		stop: connections.stop,
+		reset: connections.reset,
 		setLimits({headerTimeoutMilliseconds, idleTimeoutMilliseconds}) {
 			server.headersTimeout = headerTimeoutMilliseconds;
 			server.keepAliveTimeout = idleTimeoutMilliseconds;
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -1,5 +1,6 @@
 /** HTTP/2 server on the peer port, shared by all services between entries. */
 import * as http2 from 'node:http2';
+import type * as net from 'node:net';
 import {type ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {ResultAsync} from 'neverthrow';
@@ -51,6 +52,7 @@
 		},
 	}));
 	const sessions = trackSessions(server);
+	const sockets = trackSockets(server);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(options.port, options.host, resolve);
@@ -60,7 +62,7 @@
 	const address = server.address();
 	return {
 		port: typeof address === 'object' && address ? address.port : options.port,
-		close: async graceMilliseconds => closeServer(server, sessions, graceMilliseconds),
+		close: async graceMilliseconds => closeServer(server, sessions, sockets, graceMilliseconds),
 	};
 }
 
@@ -76,7 +78,18 @@
 	return sessions;
 }
 
-async function closeServer(server: http2.Http2Server, sessions: ReadonlySet<http2.ServerHttp2Session>, graceMilliseconds: number): Promise<void> {
+function trackSockets(server: http2.Http2Server): ReadonlySet<net.Socket> {
+	const sockets = new Set<net.Socket>();
+	server.on('connection', (socket: net.Socket) => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+	});
+	return sockets;
+}
+
+async function closeServer(server: http2.Http2Server, sessions: ReadonlySet<http2.ServerHttp2Session>, sockets: ReadonlySet<net.Socket>, graceMilliseconds: number): Promise<void> {
 	const closed = new Promise<void>(resolve => {
 		server.close(() => {
 			resolve();
@@ -90,6 +103,11 @@
 		for (const session of sessions) {
 			session.destroy();
 		}
+
+		// A session that is destroyed still waits until its peer has read what was sent, which a stopped process never does.
+		for (const socket of sockets) {
+			socket.destroy();
+		}
 	}, graceMilliseconds);
 	await closed;
 	clearTimeout(timer);
