--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -132,19 +132,33 @@
 
 	function openConnection(): void {
 		openingCount++;
-		connect({
-			hostname, host: options.address, protocol: 'http:', port: String(port), localAddress: options.localAddress ?? null,
-		}, (error, socket) => {
-			openingCount--;
-			if (error ?? isClosed) {
-				socket?.destroy();
-				failUnservedWaiter();
-				return;
-			}
+		try {
+			connect({
+				hostname, host: options.address, protocol: 'http:', port: String(port), localAddress: options.localAddress ?? null,
+			}, handleConnect);
+		} catch (error) {
+			// The connector throws for an address that can't be one.
+			queueMicrotask(() => {
+				handleConnect(error instanceof Error ? error : new Error(String(error)), null);
+			});
+		}
+	}
 
-			openCount++;
-			assignConnection(createConnection(socket));
-		});
+	function handleConnect(...[error, socket]: undici.buildConnector.CallbackArgs): void {
+		openingCount--;
+		if (error) {
+			failUnservedWaiter();
+			return;
+		}
+
+		if (isClosed) {
+			socket.destroy();
+			failUnservedWaiter();
+			return;
+		}
+
+		openCount++;
+		assignConnection(createConnection(socket));
 	}
 
 	/** Fails the oldest request for a connection when there are more requests than connections being opened. */
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -54,15 +54,20 @@
 	return getForwardedHeaders(rawHeaders, excludedAnswerHeaders);
 }
 
-/** Returns the headers that are neither hop-by-hop nor among `excludedHeaders`, with names in lower case. */
-export function getForwardedHeaders(rawHeaders: readonly string[], excludedHeaders: {has(name: string): boolean}): HeaderPairs {
+/** Names of headers. */
+export type HeaderNames = {has(name: string): boolean};
+
+const noHeaders: HeaderNames = new Set();
+
+/** Returns the headers that are neither hop-by-hop nor among `excludedHeaders`, with names in lower case. The `Connection` header can't make one of `endToEndHeaders` hop-by-hop. */
+export function getForwardedHeaders(rawHeaders: readonly string[], excludedHeaders: HeaderNames, endToEndHeaders = noHeaders): HeaderPairs {
 	const pairs: Array<[string, string]> = [];
-	let connectionOptions: readonly string[] = [];
+	const connectionOptions: string[] = [];
 	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
 		const name = rawHeaders[index]!.toLowerCase();
 		const value = rawHeaders[index + 1]!;
 		if (name === 'connection') {
-			connectionOptions = value.toLowerCase().split(',').map(option => option.trim());
+			connectionOptions.push(...value.toLowerCase().split(',').map(option => option.trim()));
 		}
 
 		if (!hopByHopHeaders.has(name) && !excludedHeaders.has(name)) {
@@ -70,6 +75,6 @@
 		}
 	}
 
-	const connectionSpecificNames = connectionOptions.filter(option => option !== 'close' && option !== 'keep-alive');
+	const connectionSpecificNames = connectionOptions.filter(option => option !== 'close' && option !== 'keep-alive' && !endToEndHeaders.has(option));
 	return connectionSpecificNames.length === 0 ? pairs : pairs.filter(([name]) => !connectionSpecificNames.includes(name));
 }
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -199,7 +199,7 @@
 	}
 
 	function createForwardedHeaders(request: http.IncomingMessage, received: ReceivedBody): GatewayRequest['headers'] {
-		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isReplacedHeader(name)});
+		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isReplacedHeader(name)}, {has: host.headers.isIdentityHeader});
 		const isStreamed = received.kind === 'body' && received.body.kind === 'streamed';
 		const length = isStreamed ? request.headers['content-length'] : undefined;
 		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -39,7 +39,7 @@
 			createRelayHeaders: () => [],
 			createRelayedRefusalHeaders: () => [],
 			isReplacedHeader: () => false,
-			createRetryHeaders: () => [],
+			isIdentityHeader: () => false, createRetryHeaders: () => [],
 		},
 		upstreams,
 		permits: {take: () => undefined, areNeeded: () => false, getWaitMilliseconds: () => 0},
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -98,6 +98,8 @@
 	createRelayedRefusalHeaders(id: string | undefined, isNotRun: boolean): call.HeaderPairs;
 	/** Whether `createUpstreamHeaders` replaces a header of the caller's request; names are in lower case. */
 	isReplacedHeader(name: string): boolean;
+	/** Whether a header identifies a request to its upstream; names are in lower case. */
+	isIdentityHeader(name: string): boolean;
 	/** Creates the headers that tell a caller after which time to retry. */
 	createRetryHeaders(milliseconds: number): call.HeaderPairs;
 };
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -154,6 +154,61 @@
 	});
 });
 
+const oddRegistrations = [
+	{name: 'with a port out of range', value: {addr: '127.0.0.1:80800'}},
+	{name: 'with port 0', value: {addr: '127.0.0.1:0'}},
+	{name: 'without a version', value: {version: undefined}},
+	{name: 'with a number too large', value: {slots: 1e308}},
+];
+
+// Guards against processes that end, again after each start, because one registration of another writer can't be used.
+test.each(oddRegistrations)('a registration $name names no upstream, and the others are followed', async ({value}) => {
+	const upstream = await startUpstream('i-1');
+	const [, port] = upstream.address.split(':');
+	store.put('keyed.op', 'config', createConfiguration(4));
+	register(upstream);
+	store.put('keyed.servers', 'i-odd', {
+		service: 'desk', addr: `127.0.0.1:${port}`, zone: 'riverside', version: 'v1', slots: 4, state: 'ready', coldLeftMs: 0, seq: 1, born: 1000, ...value,
+	});
+	const gateway = await startGateway('edge-1');
+	await waitUntil(async () => isReady(gateway));
+	for (let index = 0; index < 20; index++) {
+		const {status} = await send(gateway.front, '/credit/1', 'POST');
+		expect(status).toBe(200);
+	}
+
+	const next = await startUpstream('i-2');
+	register(next);
+	register(upstream, 'draining', 2);
+	await waitUntil(async () => {
+		await send(gateway.front, '/price/1');
+		return next.executedRequestIds.length > 0;
+	});
+});
+
+test('a registration with deep nesting names no upstream, and the others are followed', async () => {
+	const depth = 100_000;
+	store.put('keyed.op', 'config', createConfiguration(4));
+	store.putBytes('keyed.servers', 'i-odd', buffer.Buffer.from(`{"service":"desk","zone":${'['.repeat(depth)}${']'.repeat(depth)}}`));
+	const gateway = await startGateway('edge-1');
+	register(await startUpstream('i-1'));
+	await waitUntil(async () => isReady(gateway));
+	const {status} = await send(gateway.front, '/price/1');
+	expect(status).toBe(200);
+});
+
+// Guards against a caller that takes away the header by which the upstream knows the request.
+test('a Connection header that names headers of the request leaves those that identify it', async () => {
+	const upstream = await startUpstream('i-1');
+	store.put('keyed.op', 'config', createConfiguration(4));
+	register(upstream);
+	const gateway = await startGateway('edge-1');
+	await waitUntil(async () => isReady(gateway));
+	const {status, id} = await send(gateway.front, '/price/1', 'GET', '', {connection: 'attempt-id, host'});
+	expect(status).toBe(200);
+	expect(upstream.executedRequestIds).toEqual([id]);
+});
+
 test('a gateway that starts while the store refuses requests receives the configuration and upstreams from its peer', async () => {
 	const {running} = await startGatewayWithUpstreams();
 	store.setFault({kind: 'refuse', statusCode: 503});
--- a/test/support/gateways.ts
+++ b/test/support/gateways.ts
@@ -97,12 +97,12 @@
 export type Answer = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: string; readonly id: string};
 
 /** Sends a request on a connection of its own. */
-export async function send(address: string, path: string, method = 'GET', body = ''): Promise<Answer> {
+export async function send(address: string, path: string, method = 'GET', body = '', headers: http.OutgoingHttpHeaders = {}): Promise<Answer> {
 	const id = crypto.randomBytes(8).toString('hex');
 	return new Promise((resolve, reject) => {
 		const request = http.request(`http://${address}${path}`, {
 			method, agent: false, headers: {
-				host, 'attempt-id': id, 'deadline-ms': '2000', ...(body === '' ? {} : {'content-length': String(body.length)}),
+				host, 'attempt-id': id, 'deadline-ms': '2000', ...(body === '' ? {} : {'content-length': String(body.length)}), ...headers,
 			},
 		}, response => {
 			let text = '';
