End attempts whose response has no end long before the deadline

Cause: only the size of a head and a body was limited; bytes that arrive slowly, and interim responses, stayed within any size until the deadline. Evidence: five endless forms in test/endless-responses.test.ts, a few bytes at a time, didn't end the attempt on within 4 s. Change: an attempt of an idempotent request fails if bytes arrive for a second without completing the head or a piece of the body, or after 16 interim responses; it counts as a failure of the upstream. Silence is no sign, and a request that can't be sent again waits on.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -17,6 +17,8 @@
 export type AttemptListener = {
 	/** Called before the request is written; from then on, bytes of it may have been sent. */
 	onSent(): void;
+	/** Called for each interim response, such as 103, if it is given. */
+	onInterim?(): void;
 	onHead(statusCode: number, headers: http.IncomingHttpHeaders): void;
 	/** Returns false to pause the answer until `resume` is called. */
 	onData(chunk: Uint8Array): boolean;
@@ -68,7 +70,13 @@
 			}
 		},
 		onResponseStart(_controller, statusCode, headers) {
-			if (!isFinished && statusCode >= firstFinalStatusCode) {
+			if (isFinished) {
+				return;
+			}
+
+			if (statusCode < firstFinalStatusCode) {
+				listener.onInterim?.();
+			} else {
 				isDelimited = isAnswerDelimited(request.method, statusCode, headers);
 				listener.onHead(statusCode, headers);
 			}
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to run a request at one upstream: sends it, buffers the response until it is complete, and classifies it. */
 import type * as http from 'node:http';
 import * as buffer from 'node:buffer';
+import * as responseProgress from '../decisions/outcomes/response-progress.ts';
 import {type AttemptEnd} from '../decisions/outcomes/retry-decision.ts';
 import * as attempt from '../entry/attempt.ts';
 import {type Connection} from '../entry/connection-pool.ts';
@@ -54,6 +55,8 @@
 const misdirectedStatus = 421;
 /** Maximum size of a response body, in bytes; the largest of the users' responses is below a tenth of it. */
 const maximumResponseBytes = 4 * 1024 * 1024;
+/** Interval at which the progress of a response is observed, in milliseconds. */
+const progressIntervalMilliseconds = 250;
 /** Minimum remaining time that is sent to the upstream, in milliseconds. */
 const minimumDeadlineMilliseconds = 1;
 
@@ -63,6 +66,9 @@
 	const {pool, registration, record} = upstream;
 	const chunks: Uint8Array[] = [];
 	let receivedBytes = 0;
+	let interimResponses = 0;
+	let finalParts = 0;
+	let progressTimer: NodeJS.Timeout | undefined;
 	let responseHead: {readonly statusCode: number; readonly headers: http.IncomingHttpHeaders; readonly metadata: ResponseMetadata} | undefined;
 	let runningAttempt: attempt.Attempt | undefined;
 	let cancelAcquire: (() => void) | undefined;
@@ -72,6 +78,7 @@
 	function finish(end: AttemptEnd, response?: AttemptResponse): void {
 		if (!isOver) {
 			isOver = true;
+			clearInterval(progressTimer);
 			listener.onEnd(end, response);
 		}
 	}
@@ -113,10 +120,15 @@
 		}, {
 			onSent() {
 				isSent = true;
+				watchProgress(connection);
 				listener.onSent();
 			},
+			onInterim() {
+				interimResponses++;
+			},
 			onHead(statusCode, headers) {
 				const metadata = host.headers.readResponse(headers);
+				finalParts++;
 				responseHead = {statusCode, headers, metadata};
 				if (upstream.kind === 'upstream' && metadata.requestId === request.id && statusCode !== misdirectedStatus) {
 					host.recordStatements(upstream, metadata, {kind: 'request', statusCode});
@@ -124,6 +136,7 @@
 			},
 			onData(chunk) {
 				chunks.push(chunk);
+				finalParts++;
 				receivedBytes += chunk.length;
 				if (receivedBytes > maximumResponseBytes) {
 					failAttempt(connection, 'answer-too-large');
@@ -142,6 +155,21 @@
 		});
 	}
 
+	/** Fails the attempt if the response has no end. A request that can't be sent again has nothing to gain by that before its deadline. */
+	function watchProgress({socket}: Connection): void {
+		if (request.route.kind !== 'idempotent') {
+			return;
+		}
+
+		const progress = responseProgress.createResponseProgress(socket.bytesRead);
+		progressTimer = setInterval(() => {
+			if (progress.observe({bytes: socket.bytesRead, interimResponses, finalParts}, host.getNow())) {
+				finish({kind: 'broken', reason: 'endless-answer'});
+				runningAttempt?.abort();
+			}
+		}, progressIntervalMilliseconds);
+	}
+
 	function failAttempt(connection: Connection, reason: string): void {
 		pool.discard(connection);
 		finish({kind: 'broken', reason});
