Limit the memory of all responses together

What another operator saw: bodies without end on many connections filled the memory of a process, which ended with the requests of others. Cause: each attempt could hold 4 MiB, with no limit over all attempts. Change: responses that are being received share 48 MiB; the largest gives way if they exceed it. A test lets eight bodies of 4 MB meet a limit of 20 MiB: three give way, five are answered, and the memory is free afterwards. The memory of a whole process was not measured.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
+import * as responseMemory from '../decisions/admission/response-memory.ts';
 import * as shutdownAdmission from '../decisions/admission/shutdown-admission.ts';
 import {createCheckBudget} from '../decisions/measurement/check-budget.ts';
 import {createRandomSource} from '../decisions/random.ts';
@@ -81,6 +82,8 @@
 const closeMilliseconds = 50;
 /** Time for which a computed share of a budget is used, in milliseconds; the demand that it depends on changes less often. */
 const shareLifetimeMilliseconds = 200;
+/** Memory for responses that are being received, in bytes; a fifth of the memory of the users' smallest instances. */
+const maximumResponseMemoryBytes = 48 * 1024 * 1024;
 const maximumRandomSeed = 2 ** 31;
 const defaultHealthPath = '/healthz';
 /** Connection limit of an upstream whose service has no configured limit: the lowest limit among the users' services. */
@@ -255,6 +258,7 @@
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
+		responseMemory: responseMemory.createResponseMemory(maximumResponseMemoryBytes),
 		recordStatements: recorder.recordResponse,
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget(settings.retries, getNow()),
--- a/test/endless-responses.test.ts
+++ b/test/endless-responses.test.ts
@@ -55,3 +55,21 @@
 	const {answer} = await hostileUpstream.attempt(upstream, 'a');
 	expect(new TextDecoder().decode(answer?.body)).toBe('body');
 });
+
+// Guards against a process that runs out of memory: each of many responses without end stays within the limit of one.
+test('many bodies at once stay within the memory for all responses, and it is free afterwards', async () => {
+	const bodyBytes = 4_000_000;
+	const upstream = await hostileUpstream.start((socket, requestText) => {
+		const id = /attempt-id: (?<id>\S+)/v.exec(requestText)!.groups!.id!;
+		socket.write(`${head.replace('Attempt-Id: a', `Attempt-Id: ${id}`)}Content-Length: ${bodyBytes + 1}\r\n\r\n`);
+		socket.write(new Uint8Array(bodyBytes));
+		setTimeout(() => {
+			socket.end('!');
+		}, 500);
+	});
+	const results = await Promise.all(Array.from({length: 8}, async (_value, index) => hostileUpstream.attempt(upstream, `a${index}`)));
+	const reasons = results.map(({end}) => end.kind === 'broken' ? end.reason : end.kind);
+	expect(reasons.filter(reason => reason === 'memory-full')).toHaveLength(3);
+	expect(reasons.filter(reason => reason === 'answered')).toHaveLength(5);
+	expect(hostileUpstream.memory.getUsed()).toBe(0);
+});
