--- a/bench/soak/gateways.ts
+++ b/bench/soak/gateways.ts
@@ -47,6 +47,12 @@
 
 /** Time between the stop signal and the kill of the process, in milliseconds, as on the platform. */
 export const stopGraceMilliseconds = 6000;
+/** Signals that follow a stop signal; none of them may have an effect. */
+const stopSignalSeries = [
+	{name: 'SIGHUP', afterMilliseconds: 20},
+	{name: 'SIGTERM', afterMilliseconds: 100},
+	{name: 'SIGTERM', afterMilliseconds: 1500},
+] as const;
 const listenPorts = {
 	front: 8144, ready: 8140, control: 8146, directory: 8143,
 } as const;
@@ -115,11 +121,18 @@
 		recordDisturbance(signal);
 		child.signal('SIGCONT');
 		child.signal(signal);
+		const laterSignals = signal === 'SIGTERM' ? stopSignalSeries : [];
+		const repeats = laterSignals.map(({name, afterMilliseconds}) => setTimeout(() => {
+			child.signal(name);
+		}, afterMilliseconds));
 		const timer = setTimeout(() => {
 			child.signal('SIGKILL');
 		}, stopGraceMilliseconds);
 		await child.exited;
-		clearTimeout(timer);
+		for (const repeat of [timer, ...repeats]) {
+			clearTimeout(repeat);
+		}
+
 		recordDisturbance('ended');
 	}
 
