Send no length with responses that have no body, and keep their connections

What callers saw: since responses without a body count as delimited, a 204 would have got `Content-Length: 0`, which RFC 9110 (section 8.6) forbids; before that, each closed the connection. Cause: the gateway set the length by the buffered body, and Node.js closes the connection after a response that has neither a length nor chunks. Change: 204, 304 and responses to HEAD keep the upstream's headers, and their connections. Result: the new test in test/gateway.test.ts failed without the change (`Connection: close`) and passes.

--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -18,7 +18,7 @@
 }
 
 if (require.main === module) {
-	// The program handles the signal once it runs; until then it reads the settings anew anyway, and must not end.
+	// The default effect would end the process. Nothing is lost, since the program reads the settings after this.
 	process.on('SIGHUP', () => undefined);
 	const filename = path.join(__dirname, 'gateway-bundle.cjs');
 	const cachedData = fs.existsSync(`${filename}.cache`) ? fs.readFileSync(`${filename}.cache`) : undefined;
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -115,9 +115,14 @@
 	};
 }
 
+/** Whether an answer has no body, whatever its headers say (RFC 9112, section 6.3). */
+export function isBodyless(method: string, statusCode: number): boolean {
+	return method === headMethod || statusCodesWithoutBody.has(statusCode);
+}
+
 /** Whether an answer delimits its own end; otherwise it ends with its connection (RFC 9112, section 6.3). */
 export function isAnswerDelimited(method: string, statusCode: number, headers: http.IncomingHttpHeaders): boolean {
-	if (method === headMethod || statusCodesWithoutBody.has(statusCode)) {
+	if (isBodyless(method, statusCode)) {
 		return true;
 	}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -4,6 +4,7 @@
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
 import {type RandomSource} from '../decisions/random.ts';
+import * as attempt from '../entry/attempt.ts';
 import {getForwardedHeaders} from '../entry/headers.ts';
 import {type ReceivedBody, receiveBody} from '../entry/receive-body.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
@@ -223,13 +224,15 @@
 			return;
 		}
 
-		const isHead = request.method === 'HEAD';
-		const headers = [...gatewayResponse.headers, ...createRelayedHeaders(request, gatewayResponse)].filter(([name]) => isHead || name !== 'content-length').flat();
+		// Only the upstream knows the length of the body that isn't sent.
+		const isBodyless = attempt.isBodyless(request.method ?? '', gatewayResponse.statusCode);
+		const headers = [...gatewayResponse.headers, ...createRelayedHeaders(request, gatewayResponse)].filter(([name]) => isBodyless || name !== 'content-length').flat();
 		const isClosing = host.isLeaving() || !request.complete || !gatewayResponse.hasOwnEnd;
-		response.useChunkedEncodingByDefault = false;
+		// Without it, Node.js closes the connection after a response that has neither a length nor chunks.
+		response.useChunkedEncodingByDefault = isBodyless;
 		response.writeHead(gatewayResponse.statusCode, [
 			...headers,
-			...(isHead || !gatewayResponse.hasOwnEnd ? [] : ['content-length', String(gatewayResponse.body.length)]),
+			...(isBodyless || !gatewayResponse.hasOwnEnd ? [] : ['content-length', String(gatewayResponse.body.length)]),
 			...(isClosing ? ['connection', 'close'] : []),
 		]);
 		response.end(gatewayResponse.body);
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,6 +1,7 @@
 /** Tests of gateways with the real platform adapter against stand-ins for the store and the upstreams. */
 import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
+import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import * as z from 'zod';
@@ -197,6 +198,30 @@
 	expect(status).toBe(200);
 });
 
+test('a response without a body keeps its connection and gets no length', async () => {
+	const server = http.createServer((request, response) => {
+		response.writeHead(request.url === '/healthz' ? 200 : 204, {'attempt-id': request.headers['attempt-id'] ?? '', 'upstream-signature': 's', 'instance-id': 'i-1'}).end();
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	cleanups.push(async () => {
+		server.closeAllConnections();
+		server.close();
+	});
+	const address = server.address();
+	store.put('keyed.op', 'config', createConfiguration(4));
+	store.put('keyed.servers', 'i-1', {
+		service: 'desk', addr: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`, zone: 'riverside', version: 'v1', slots: 4, state: 'ready', coldLeftMs: 0, seq: 1, born: 1000,
+	});
+	const gateway = await startGateway('edge-1');
+	await waitUntil(async () => isReady(gateway));
+	const {status, headers} = await send(gateway.front, '/price/1', 'GET', '', {connection: 'keep-alive'});
+	expect(status).toBe(204);
+	expect(headers['content-length']).toBeUndefined();
+	expect(headers.connection).not.toBe('close');
+});
+
 // Guards against a caller that takes away the header by which the upstream knows the request.
 test('a Connection header that names headers of the request leaves those that identify it', async () => {
 	const upstream = await startUpstream('i-1');
