Keep the property of a reader and one follower, and import by namespace

New files imported some types by name. Change: the former property is back beside the wider one, with the new signatures.

--- a/src/decisions/admission/response-memory.test.ts
+++ b/src/decisions/admission/response-memory.test.ts
@@ -1,6 +1,6 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
-import {createResponseMemory} from './response-memory.ts';
+import * as responseMemory from './response-memory.ts';
 
 const {expect, test} = vitest;
 const seed = 20_361;
@@ -8,7 +8,7 @@
 // Guards against a process that runs out of memory by bodies without end on many connections at once.
 test('the largest response gives way when the memory is full, and the others go on', () => {
 	const ended: string[] = [];
-	const memory = createResponseMemory(100);
+	const memory = responseMemory.createResponseMemory(100);
 	const small = memory.allocate(() => {
 		ended.push('small');
 	});
@@ -30,7 +30,7 @@
 test('the memory in use never exceeds its size, and is free once all responses are', () => {
 	const step = fastCheck.record({response: fastCheck.nat({max: 5}), bytes: fastCheck.nat({max: 150})});
 	fastCheck.assert(fastCheck.property(fastCheck.array(step, {maxLength: 100}), steps => {
-		const memory = createResponseMemory(200);
+		const memory = responseMemory.createResponseMemory(200);
 		const responses = Array.from({length: 6}, () => memory.allocate(() => undefined));
 		for (const {response, bytes} of steps) {
 			responses[response]!.add(bytes);
--- a/src/decisions/registry/upstream-registry.test.ts
+++ b/src/decisions/registry/upstream-registry.test.ts
@@ -87,6 +87,33 @@
 	expect(registry.list().map(({id}) => id)).toEqual(['b']);
 });
 
+const recordArbitrary: fastCheck.Arbitrary<types.RegistryRecord> = fastCheck.record({
+	id: fastCheck.constantFrom('a', 'b', 'c', 'd'),
+	kind: fastCheck.constantFrom('registered' as const, 'removed' as const, 'unusable' as const),
+	state: fastCheck.constantFrom('ready' as const, 'draining' as const),
+	incarnation: fastCheck.integer({min: 1, max: 3}),
+	sequence: fastCheck.integer({min: 1, max: 4}),
+}).map(({id, kind, state, incarnation, sequence}) => kind === 'registered' ? createRecord(id, {state, incarnation, sequence}) : {kind, id, reason: 'test'});
+
+test('a follower that applies updates at arbitrary positions has the same upstreams and states as the reader', () => {
+	fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.tuple(recordArbitrary, fastCheck.boolean()), {maxLength: 60}), steps => {
+		const reader = createUpstreamRegistry();
+		const follower = createUpstreamRegistry();
+		let position = 0;
+		for (const [record, isFollowed] of steps) {
+			position++;
+			reader.applyRecords(rangeTo(position), [record]);
+			if (isFollowed) {
+				follower.applyUpdate(reader.getUpdate(follower.getPosition(), 0), 0);
+			}
+		}
+
+		follower.applyUpdate(reader.getUpdate(follower.getPosition(), 0), 0);
+		const describe = (registry: typeof reader) => registry.list().map(({id, state, incarnation}) => `${id}/${state}/${incarnation}`).toSorted((left, right) => left.localeCompare(right));
+		expect(describe(follower)).toEqual(describe(reader));
+	}), {seed});
+});
+
 const ids = ['a', 'b', 'c', 'd'];
 const stepArbitrary = fastCheck.oneof(
 	fastCheck.record({kind: fastCheck.constant('register' as const), id: fastCheck.constantFrom(...ids), isRestart: fastCheck.boolean()}),
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -2,7 +2,7 @@
 import type * as http from 'node:http';
 import type * as undici from 'undici';
 import {type CallBody} from './call.ts';
-import {type Connection} from './connection-pool.ts';
+import type * as connectionPool from './connection-pool.ts';
 
 /** Request that an attempt sends. */
 export type AttemptRequest = {
@@ -42,7 +42,7 @@
 const statusCodesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 /** Starts an attempt on a connection; the listener receives its events. */
-export function startAttempt(connection: Pick<Connection, 'client' | 'isBroken'>, request: AttemptRequest, listener: AttemptListener): Attempt {
+export function startAttempt(connection: Pick<connectionPool.Connection, 'client' | 'isBroken'>, request: AttemptRequest, listener: AttemptListener): Attempt {
 	let controller: undici.Dispatcher.DispatchController | undefined;
 	let isFinished = false;
 	let isDelimited = false;
--- a/src/gateway/open-port.ts
+++ b/src/gateway/open-port.ts
@@ -1,11 +1,11 @@
 /** Opens the ports of a gateway. A port that another process still holds is tried again for a while. */
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
-import {type Logger} from '../observability/logger.ts';
+import type * as logger from '../observability/logger.ts';
 
 /** Dependencies of a port that is being opened. */
 export type PortHost = {
-	readonly logger: Logger;
+	readonly logger: logger.Logger;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 };
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -2,7 +2,7 @@
 import * as timers from 'node:timers/promises';
 import type * as neverthrow from 'neverthrow';
 import {type Logger} from '../observability/logger.ts';
-import {type PlatformState, recoveryMilliseconds} from './platform-state.ts';
+import * as platformStates from './platform-state.ts';
 import {
 	type ConfigurationRecord, type ReadOptions, type StoreError, type StoreHost, type StorePage, type StoreStream,
 } from './types.ts';
@@ -10,7 +10,7 @@
 /** Dependencies of a store reader. */
 export type StoreReaderHost = {
 	readonly store: StoreHost;
-	readonly platformState: PlatformState;
+	readonly platformState: platformStates.PlatformState;
 	readonly logger: Logger;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
@@ -163,7 +163,7 @@
 
 	/** Gets the time until which removals are held back, because the store may have made them for an outage and the upstreams may register again. */
 	function getRemovalsDueAt(): number | undefined {
-		const dueAt = recoveredAt + recoveryMilliseconds;
+		const dueAt = recoveredAt + platformStates.recoveryMilliseconds;
 		return host.getNow() < dueAt ? dueAt : undefined;
 	}
 
