Limit the memory and descriptors that callers can make an entry hold

A body in chunks was counted as 64 KiB and held up to 1 MiB, each chunk cost an object whatever its size, and complete bodies that were held, requests behind others, responses that were not taken, messages to the peer port and connections as such were hardly limited.

Change: one account for all of it (traffic-memory.ts), a fifth of the memory that the settings name; what holds most and has not moved for a second gives way first. Chunks are copied into blocks that are used again. Bodies have the deadline of their request, each port a share of the descriptors. Statuses for requests that can't be parsed are sent only where they can't be taken for the response to an earlier request.

--- a/scripts/reference.ts
+++ b/scripts/reference.ts
@@ -27,6 +27,25 @@
 
 type Node = z.infer<typeof nodeSchema>;
 
+/** Limits of a gateway that follow from its settings; they have no keys of their own. */
+const gatewayLimits = [
+	'',
+	'## Limits of the gateway',
+	'',
+	'A gateway derives these limits from the memory and the descriptors of its instance and from the configuration in force. No caller that stays within the limits of the configuration meets them in calm: whatever has stopped moving gives way first.',
+	'',
+	'| limit | value | what happens beyond it | why no caller inside the limits meets it |',
+	'| --- | --- | --- | --- |',
+	'| memory for connections, requests and responses together | a fifth of the memory of the instance; 202 MB if it is not stated | what holds most and has not moved for a second gives way, else the largest: a request that was not sent gets 503 and may be sent again, a connection is closed | alone, a body holds 1 MiB at most, a streamed one 5 MiB |',
+	'| memory of requests that are complete | three quarters of that | 503, not run | the same |',
+	'| connections of a port | of the descriptors less 200: callers 0.5, directory 0.125, other entries 0.125, readiness 0.03, metrics 0.02 | the connection that holds most and moves least is closed | callers use a few of many instances |',
+	'| time to receive a body | until the deadline of the request or the time limit of its route | 408, not run | the request could not be served any more |',
+	'| pause within a body | the idle timeout of the configuration | 408, not run | the configuration allows no longer pause between two requests |',
+	'| bodies in chunks of less than 64 bytes on average, after 4,096 chunks | one in any second | 503, not run | one alone is always received |',
+	'| requests on one connection that are not answered | 256 | the connection is closed | callers send a few ahead |',
+	'| message of another entry | 256 KiB | the message is rejected | other entries send less than a quarter |',
+];
+
 /** Creates the Markdown page that lists each settings key with its values, default and meaning. */
 export function createSettingsPage(): string {
 	const lines = [
@@ -37,6 +56,7 @@
 		'| key | values | default | meaning |',
 		'| --- | --- | --- | --- |',
 		...listSettings(nodeSchema.parse(createSettingsSchema()), ''),
+		...gatewayLimits,
 	];
 	return `${lines.join('\n')}\n`;
 }
--- /dev/null
+++ b/src/decisions/admission/traffic-memory.ts
@@ -0,0 +1,142 @@
+/**
+Limits the memory that callers and upstreams can make an entry hold, over everything that the entry receives or sends.
+
+Load pattern: many connections, each of which holds as much as one may and stops just short of the end of what it sends.
+No single limit is exceeded, but all of them together exceed the memory of the machine.
+
+Each connection, request and response claims what it can hold. When the claims exceed the memory, the largest one that
+hasn't moved for a while gives way; if all of them move, the largest. A request that is complete is kept until it ends,
+since an upstream may run it. Kept claims leave a part of the memory free, so that a request can always arrive.
+*/
+
+/** What a claim is for. A claim of a port closes its connection when it gives way. */
+export type ClaimGroup = 'callers' | 'directory' | 'readiness' | 'metrics' | 'peers' | 'peer-messages' | 'responses';
+
+/** Memory of one connection, request or response. */
+export type MemoryClaim = {
+	/** Changes the size because data has moved. Other claims, or this one, may give way. */
+	resize(bytes: number, now: number): void;
+	/** Records that data has moved without a change of the size. */
+	recordMove(now: number): void;
+	/** Keeps the claim from giving way from now on. Returns false, without an effect, if it gave way or too much is kept. */
+	keep(): boolean;
+	/** Frees the memory. */
+	free(): void;
+};
+
+/** Memory of all claims. */
+export type TrafficMemory = {
+	/** Creates a claim; `onGiveWay` is called at most once, and never after `free`. */
+	claim(group: ClaimGroup, now: number, onGiveWay: () => void): MemoryClaim;
+	/** Lets the claim of a group that holds most and moves least give way. Returns false if there is none. */
+	closeOne(group: ClaimGroup, now: number): boolean;
+	/** Number of bytes that are claimed. */
+	getUsed(): number;
+};
+
+type Entry = {readonly group: ClaimGroup; readonly onGiveWay: () => void; bytes: number; movedAt: number; isKept: boolean};
+
+/** Time without movement after which a claim gives way before those that move, in milliseconds. */
+const stallMilliseconds = 1000;
+/** Largest share of the memory that claims may keep. */
+const keptShare = 0.75;
+
+/** Creates an empty memory of the given size. */
+export function createTrafficMemory(maximumBytes: number): TrafficMemory {
+	const entries = new Set<Entry>();
+	let used = 0;
+	let kept = 0;
+
+	function free(entry: Entry): void {
+		if (entries.delete(entry)) {
+			used -= entry.bytes;
+			kept -= entry.isKept ? entry.bytes : 0;
+		}
+	}
+
+	function findFirstToGiveWay(now: number, group?: ClaimGroup): Entry | undefined {
+		let first: Entry | undefined;
+		for (const entry of entries) {
+			const isCandidate = !entry.isKept && (group === undefined || entry.group === group);
+			if (isCandidate && (!first || givesWayBefore(entry, first, now))) {
+				first = entry;
+			}
+		}
+
+		return first;
+	}
+
+	function giveWay(entry: Entry): void {
+		free(entry);
+		entry.onGiveWay();
+	}
+
+	function makeRoom(now: number): void {
+		const first = used > maximumBytes ? findFirstToGiveWay(now) : undefined;
+		if (first) {
+			giveWay(first);
+			makeRoom(now);
+		}
+	}
+
+	return {
+		claim(group, now, onGiveWay) {
+			const entry: Entry = {
+				group, onGiveWay, bytes: 0, movedAt: now, isKept: false,
+			};
+			entries.add(entry);
+			return {
+				resize(bytes, movedAt) {
+					if (!entries.has(entry)) {
+						return;
+					}
+
+					const change = bytes - entry.bytes;
+					entry.bytes = bytes;
+					entry.movedAt = movedAt;
+					used += change;
+					kept += entry.isKept ? change : 0;
+					makeRoom(movedAt);
+				},
+				recordMove(movedAt) {
+					entry.movedAt = movedAt;
+				},
+				keep() {
+					if (!entries.has(entry) || kept + entry.bytes > keptShare * maximumBytes) {
+						return false;
+					}
+
+					if (!entry.isKept) {
+						entry.isKept = true;
+						kept += entry.bytes;
+					}
+
+					return true;
+				},
+				free() {
+					free(entry);
+				},
+			};
+		},
+		closeOne(group, now) {
+			const first = findFirstToGiveWay(now, group);
+			if (first) {
+				giveWay(first);
+			}
+
+			return first !== undefined;
+		},
+		getUsed: () => used,
+	};
+}
+
+function givesWayBefore(left: Entry, right: Entry, now: number): boolean {
+	const isLeftStalled = isStalled(left, now);
+	if (isLeftStalled !== isStalled(right, now)) {
+		return isLeftStalled;
+	}
+
+	return left.bytes === right.bytes ? left.movedAt < right.movedAt : left.bytes > right.bytes;
+}
+
+const isStalled = ({movedAt}: Entry, now: number) => now - movedAt >= stallMilliseconds;
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers and operators. It limits the size of requests and hands valid calls to its host. */
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
+import * as smallChunks from '../decisions/admission/small-chunks.ts';
 import {type TableView} from '../decisions/table/service-view.ts';
 import {type KeyHistory, resolveOutcome} from '../decisions/outcomes/resolve-outcome.ts';
 import {type Tracing} from '../observability/tracing.ts';
@@ -11,6 +12,7 @@
 import {
 	createProblemAnswer, type Problem, type ProblemKind, writeProblem,
 } from './problem.ts';
+import * as bodyCollector from './body-collector.ts';
 import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive-body.ts';
 import {type CallExecution} from './service-runner.ts';
 
@@ -70,6 +72,7 @@
 	let nextCallId = 1;
 	let openRequests = 0;
 	let totalReservedBytes = 0;
+	const bodyReceiver = {blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), getNow: host.getNow};
 	const server = http.createServer({
 		maxHeaderSize: limits.headerBytes,
 		headersTimeout: limits.headersTimeoutMilliseconds,
@@ -138,23 +141,30 @@
 		response.once('close', () => {
 			totalReservedBytes -= reservedBytes;
 		});
-		receiveBody(request, limits, received => {
-			switch (received.kind) {
-				case 'too-large': {
-					refuse(request, sink, 'body-too-large');
-					break;
-				}
+		receiveBody(bodyReceiver, request, limits, {
+			onReceived(received) {
+				switch (received.kind) {
+					case 'too-large': {
+						refuse(request, sink, 'body-too-large');
+						break;
+					}
 
-				case 'cut': {
-					sink.abort();
-					break;
-				}
+					case 'small-chunks': {
+						refuse(request, sink, 'queue-full');
+						break;
+					}
 
-				case 'body': {
-					execution = host.handle(createCall(request, classification.value, received.body, receivedAt), sink);
-					break;
+					case 'cut': {
+						sink.abort();
+						break;
+					}
+
+					case 'body': {
+						execution = host.handle(createCall(request, classification.value, received.body, receivedAt), sink);
+						break;
+					}
 				}
-			}
+			},
 		});
 	}
 
--- a/src/entry/receive-body.ts
+++ b/src/entry/receive-body.ts
@@ -1,7 +1,8 @@
 /** Receives the body of a request. Small bodies are buffered, larger ones are passed on as a stream. */
 import type * as http from 'node:http';
-import * as buffer from 'node:buffer';
 import * as stream from 'node:stream';
+import type * as smallChunks from '../decisions/admission/small-chunks.ts';
+import * as bodyCollector from './body-collector.ts';
 import {type CallBody} from './call.ts';
 
 /** Limits on the body of a request, in bytes. */
@@ -12,13 +13,39 @@
 	readonly bufferedBodyBytes: number;
 };
 
+/** Dependencies of all bodies that a server receives. */
+export type BodyReceiverHost = {
+	readonly blocks: bodyCollector.BlockPool;
+	readonly smallChunks: smallChunks.SmallChunkWatch;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+};
+
+/** Receives the progress and the result of a body. */
+export type BodyListener = {
+	/** Called with the memory that the body holds, in bytes, after each chunk of a body that is not complete. */
+	onProgress?(heldBytes: number): void;
+	/** Called once, unless the body is abandoned first; a streamed body may still be incomplete then. */
+	onReceived(received: ReceivedBody): void;
+};
+
+/** A body that is being received. */
+export type BodyReception = {
+	/** Discards what was received and what follows. */
+	abandon(): void;
+};
+
 /** Result of receiving a body. */
 export type ReceivedBody
 	= | {readonly kind: 'body'; readonly body: CallBody}
 		| {readonly kind: 'too-large'}
+		/** The body arrives in chunks so small that it keeps the entry from serving others. */
+		| {readonly kind: 'small-chunks'}
 		/** The connection closed before the body was complete. */
 		| {readonly kind: 'cut'};
 
+const receivedAll: BodyReception = {abandon: () => undefined};
+
 /** Returns the maximum number of bytes that are buffered for the body of a request, according to its headers. */
 export function getReservedBytes(request: http.IncomingMessage, limits: ReceiveLimits): number {
 	if (request.headers['transfer-encoding'] !== undefined) {
@@ -28,51 +55,70 @@
 	return Math.min(getContentLength(request) ?? 0, limits.bufferedBodyBytes);
 }
 
-/** Receives the body of a request. The listener is called once; a streamed body may still be incomplete then. */
-export function receiveBody(request: http.IncomingMessage, limits: ReceiveLimits, listener: (received: ReceivedBody) => void): void {
+/** Whether a body follows the head of a request. */
+export function hasBody(request: http.IncomingMessage): boolean {
+	const length = getContentLength(request);
+	return length === undefined ? request.headers['transfer-encoding'] !== undefined : length > 0;
+}
+
+/** Receives the body of a request. */
+export function receiveBody(host: BodyReceiverHost, request: http.IncomingMessage, limits: ReceiveLimits, listener: BodyListener): BodyReception {
 	const length = getContentLength(request);
 	if (length !== undefined && length > limits.bodyBytes) {
-		listener({kind: 'too-large'});
-		return;
+		listener.onReceived({kind: 'too-large'});
+		return receivedAll;
 	}
 
-	if (length === 0 || (length === undefined && request.headers['transfer-encoding'] === undefined)) {
+	if (!hasBody(request)) {
 		request.resume();
-		listener({kind: 'body', body: {kind: 'none'}});
-		return;
+		listener.onReceived({kind: 'body', body: {kind: 'none'}});
+		return receivedAll;
 	}
 
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const collector = bodyCollector.createBodyCollector(host.blocks);
+	const chunkedBody = host.smallChunks.startBody();
 	const removeListeners = () => {
 		request.off('data', onData);
 		request.off('end', onEnd);
 		request.off('close', onClose);
 	};
 
+	const end = (received: ReceivedBody) => {
+		removeListeners();
+		collector.discard();
+		listener.onReceived(received);
+	};
+
 	const onData = (chunk: Uint8Array) => {
-		chunks.push(chunk);
-		size += chunk.length;
-		if (size > limits.bufferedBodyBytes) {
-			removeListeners();
+		collector.append(chunk);
+		if (collector.getSize() > limits.bufferedBodyBytes) {
 			request.pause();
-			listener({kind: 'body', body: {kind: 'streamed', stream: createBodyStream(request, chunks, limits.bodyBytes), length}});
+			end({kind: 'body', body: {kind: 'streamed', stream: createBodyStream(request, [collector.takeBytes()], limits.bodyBytes), length}});
+		} else if (chunkedBody.recordChunk(chunk.length, host.getNow())) {
+			end({kind: 'small-chunks'});
+		} else {
+			listener.onProgress?.(collector.getHeldBytes());
 		}
 	};
 
 	const onEnd = () => {
-		removeListeners();
-		listener({kind: 'body', body: {kind: 'buffered', bytes: chunks.length === 1 ? chunks[0]! : buffer.Buffer.concat(chunks)}});
+		end({kind: 'body', body: {kind: 'buffered', bytes: collector.takeBytes()}});
 	};
 
 	const onClose = () => {
-		removeListeners();
-		listener({kind: 'cut'});
+		end({kind: 'cut'});
 	};
 
 	request.on('data', onData);
 	request.on('end', onEnd);
 	request.on('close', onClose);
+	return {
+		abandon() {
+			removeListeners();
+			collector.discard();
+			request.resume();
+		},
+	};
 }
 
 function getContentLength(request: http.IncomingMessage): number | undefined {
@@ -80,11 +126,11 @@
 	return value === undefined ? undefined : Number(value);
 }
 
-/** Creates a stream of the chunks that were already read and the rest of the body; it fails when the body exceeds `maximumBytes`. */
-function createBodyStream(request: http.IncomingMessage, chunks: readonly Uint8Array[], maximumBytes: number): stream.Readable {
+/** Creates a stream of the chunks that were already read, which it removes as it sends them, and the rest of the body; it fails when the body exceeds `maximumBytes`. */
+function createBodyStream(request: http.IncomingMessage, unread: Uint8Array[], maximumBytes: number): stream.Readable {
 	async function * generate() {
 		let size = 0;
-		for (const chunk of chunks) {
+		for (let chunk = unread.shift(); chunk; chunk = unread.shift()) {
 			size += chunk.length;
 			yield chunk;
 		}
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -1,6 +1,7 @@
 /** Tracks the connections of callers, so that a stop closes those that are idle and no others. */
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import type * as portLimits from './port-limits.ts';
 
 /** Connections of callers to one server. */
 export type CallerConnections = {
@@ -8,6 +9,8 @@
 	trackRequest(request: http.IncomingMessage, response: http.ServerResponse): void;
 	/** Number of tracked requests. */
 	countRequests(): number;
+	/** Number of tracked requests on one connection. */
+	countRequestsOn(socket: net.Socket): number;
 	/** Accepts no more connections, and closes each connection once it has no request. */
 	stop(): void;
 	/** Resets the connections that still have requests, so that a response that ends with its connection isn't taken for complete. */
@@ -20,8 +23,8 @@
 	receivedBytes: number;
 };
 
-/** Tracks the connections of a server from now on. */
-export function trackConnections(server: http.Server): CallerConnections {
+/** Tracks the connections of a server from now on, and limits those without a request. */
+export function trackConnections(server: http.Server, port: portLimits.LimitedPort): CallerConnections {
 	const connections = new Map<net.Socket, ConnectionState>();
 	let openRequests = 0;
 	let isStopping = false;
@@ -46,6 +49,7 @@
 			openRequests++;
 			if (state) {
 				state.openRequests++;
+				port.beginUse(socket);
 			}
 
 			response.once('close', () => {
@@ -54,10 +58,14 @@
 					state.openRequests--;
 					state.receivedBytes = socket.bytesRead;
 					closeIfIdle(socket, state);
+					if (state.openRequests === 0) {
+						port.endUse(socket);
+					}
 				}
 			});
 		},
 		countRequests: () => openRequests,
+		countRequestsOn: socket => connections.get(socket)?.openRequests ?? 0,
 		stop() {
 			isStopping = true;
 			// `http.Server.close` also closes connections whose responses were written, but not yet taken by the system.
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -2,8 +2,9 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
-import * as responseMemory from '../decisions/admission/response-memory.ts';
 import * as shutdownAdmission from '../decisions/admission/shutdown-admission.ts';
+import * as smallChunks from '../decisions/admission/small-chunks.ts';
+import * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import {createCheckBudget} from '../decisions/measurement/check-budget.ts';
 import {createRandomSource} from '../decisions/random.ts';
 import {createFleetRetryBudget} from '../decisions/retries/fleet-retry-budget.ts';
@@ -24,8 +25,10 @@
 import {createDirectory, type Directory} from './directory.ts';
 import {createFrontServer} from './front-server.ts';
 import type * as loadCheck from './load-check.ts';
+import * as messageLimits from './message-limits.ts';
 import * as openPorts from './open-port.ts';
 import * as permitsModule from './permits.ts';
+import * as portLimits from './port-limits.ts';
 import * as reachabilityMonitor from './reachability-monitor.ts';
 import * as relaysModule from './relays.ts';
 import {createPlatformState} from './platform-state.ts';
@@ -82,8 +85,12 @@
 const closeMilliseconds = 50;
 /** Time for which a computed share of a budget is used, in milliseconds; the demand that it depends on changes less often. */
 const shareLifetimeMilliseconds = 200;
-/** Memory for responses that are being received, in bytes; a fifth of the memory of the users' smallest instances. */
-const maximumResponseMemoryBytes = 48 * 1024 * 1024;
+/** Share of the memory of the instance for what callers and upstreams send; the rest is for the program, its state and garbage. */
+const trafficMemoryShare = 0.2;
+const bytesPerMegabyte = 1_000_000;
+/** Descriptors that are kept for files and for the runtime. */
+const reservedDescriptors = 200;
+const minimumSockets = 64;
 const maximumRandomSeed = 2 ** 31;
 const defaultHealthPath = '/healthz';
 /** Connection limit of an upstream whose service has no configured limit: the lowest limit among the users' services. */
@@ -255,10 +262,20 @@
 		}
 	}
 
+	const memory = trafficMemory.createTrafficMemory(trafficMemoryShare * settings.memoryMegabytes * bytesPerMegabyte);
+	const ports = portLimits.createPortLimits({
+		memory,
+		maximumSockets: Math.max(minimumSockets, settings.descriptors - reservedDescriptors),
+		getNow,
+		onClosed(port) {
+			logger.warn('connection-closed-for-room', {port, claimedBytes: memory.getUsed()});
+			metrics.recordClosedConnection(port);
+		},
+	});
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
-		responseMemory: responseMemory.createResponseMemory(maximumResponseMemoryBytes),
+		memory,
 		recordStatements: recorder.recordResponse,
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget(settings.retries, getNow()),
@@ -270,6 +287,9 @@
 	const frontServer = createFrontServer({
 		headers: platform.headers,
 		random,
+		memory,
+		ports,
+		smallChunks: smallChunks.createSmallChunkWatch(),
 		getActiveConfiguration: platformState.getActiveConfiguration,
 		isStale: () => platformState.getAge(getNow()) > staleRouteMilliseconds,
 		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
@@ -306,6 +326,10 @@
 		void writeMetrics(response);
 	});
 
+	ports.limitBodylessPort(directoryServer, 'directory');
+	ports.limitBodylessPort(readinessServer, 'readiness');
+	ports.limitBodylessPort(metricsServer, 'metrics');
+
 	async function writeMetrics(response: http.ServerResponse): Promise<void> {
 		const text = await metrics.getText({
 			configurationVersion: platformState.getActiveConfiguration()?.configuration.version ?? -1,
@@ -313,17 +337,19 @@
 			members: countEntries(),
 			openRequests: frontServer.countOpen(),
 			isCutOff: reachability.isCutOff(),
+			claimedBytes: memory.getUsed(),
 		});
 		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
 	}
 
 	const peers = splitAddress(settings.listen.peers);
 	const peerServer = await openPorts.openPort(host, 'peers', async () => {
-		const result = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest})]});
+		const result = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest})], ...messageLimits.createMessageLimits(memory, getNow)});
 		if (result.isErr()) {
 			throw result.error.cause;
 		}
 
+		ports.limitPort(result.value.server, 'peers');
 		return result.value;
 	});
 	openPorts.listen(host, 'metrics', metricsServer, {host: peers.host, port: host.metricsPort}).catch((error: unknown) => {
@@ -375,6 +401,7 @@
 		relays.close();
 		permits.close();
 		recorder.close();
+		ports.close();
 		directoryServer.close();
 		readinessServer.close();
 		metricsServer.close();
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -1,19 +1,23 @@
 /** The HTTP server for callers: finds the route, receives the request, and writes the response. */
 import * as http from 'node:http';
-import type * as stream from 'node:stream';
+import type * as net from 'node:net';
+import type * as smallChunks from '../decisions/admission/small-chunks.ts';
+import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as attempt from '../entry/attempt.ts';
+import {type CallBody} from '../entry/call.ts';
 import {getForwardedHeaders} from '../entry/headers.ts';
-import {type ReceivedBody, receiveBody} from '../entry/receive-body.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
 import * as callerConnections from './caller-connections.ts';
 import {type ActiveConfiguration} from './platform-state.ts';
+import type * as portLimits from './port-limits.ts';
+import * as requestReception from './request-reception.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -22,6 +26,9 @@
 export type FrontServerHost = {
 	readonly headers: HeaderHost;
 	readonly random: RandomSource;
+	readonly memory: trafficMemory.TrafficMemory;
+	readonly ports: portLimits.PortLimits;
+	readonly smallChunks: smallChunks.SmallChunkWatch;
 	getActiveConfiguration(): ActiveConfiguration | undefined;
 	/** Whether the platform state of this entry is too old to conclude that a route does not exist. */
 	isStale(): boolean;
@@ -50,12 +57,10 @@
 
 /** Largest header section that the HTTP parser accepts, in bytes; configurations set a lower limit. */
 const maximumHeaderBytes = 65_536;
-/** Largest body that is buffered, so that its request can be sent again, in bytes. */
-const maximumBufferedBodyBytes = 1_048_576;
-/** Maximum total size of all buffered bodies, in bytes; a fifth of the memory of the users' smallest instances. */
-const maximumTotalBufferedBytes = 48 * 1024 * 1024;
-/** Assumed size of a body with a transfer encoding, whose length is not known in advance, in bytes. */
-const assumedBodyBytes = 65_536;
+/** Size of a response from which on its memory is claimed until its caller has taken it, in bytes. */
+const claimedResponseBytes = 16_384;
+/** Maximum number of requests on one connection that are not answered; callers send a few ahead. */
+const maximumRequestsPerConnection = 256;
 /** Maximum number of requests in progress that other entries pass on, so that they leave room for the own callers. */
 const maximumRelayedRequests = 64;
 /** Time after which a refused caller should retry, in milliseconds. */
@@ -65,41 +70,58 @@
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
 const unavailableStatus = 503;
-const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut'>, number>> = {
+const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken'>, number>> = {
 	'no-configuration': 503,
 	'news-stale': 503,
 	'unknown-route': 404,
 	'no-identity': 400,
 	'headers-too-large': 431,
 	'body-too-large': 413,
+	'body-late': 408,
+	'small-chunks': 503,
 	'memory-full': 503,
 	stopping: 503,
 	'too-many-relayed': 503,
 };
 
+/** Status codes for requests that can't be parsed, by the error code of Node.js. */
+const clientErrorStatuses: Readonly<Record<string, number>> = {
+	HPE_HEADER_OVERFLOW: 431, // eslint-disable-line @typescript-eslint/naming-convention
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, // eslint-disable-line @typescript-eslint/naming-convention
+	ERR_HTTP_REQUEST_TIMEOUT: 408, // eslint-disable-line @typescript-eslint/naming-convention
+};
+const malformedStatus = 400;
+
 /** Creates the server; the caller starts and stops it. */
 export function createFrontServer(host: FrontServerHost): FrontServer {
-	let bufferedBytes = 0;
 	let relayedRequests = 0;
+	const reception = requestReception.createRequestReception(host);
 	const server = http.createServer({
 		maxHeaderSize: maximumHeaderBytes,
 		connectionsCheckingInterval: connectionsCheckIntervalMilliseconds,
 		requestTimeout: 0,
 		noDelay: true,
-	}, receive);
-	const connections = callerConnections.trackConnections(server);
-	server.on('clientError', (error: NodeJS.ErrnoException, socket: stream.Duplex) => {
-		if (error.code === 'ECONNRESET' || !socket.writable) {
+	}, handleRequest);
+	const connections = callerConnections.trackConnections(server, host.ports.limitPort(server, 'callers'));
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
+		// A status would be taken for the response to the first request that is not answered yet, which may have run.
+		if (error.code === 'ECONNRESET' || !socket.writable || connections.countRequestsOn(socket) > 0) {
 			socket.destroy();
 			return;
 		}
 
-		socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+		const statusCode = clientErrorStatuses[error.code ?? ''] ?? malformedStatus;
+		socket.end(`HTTP/1.1 ${statusCode} ${http.STATUS_CODES[statusCode] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	});
 
-	function receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const receivedAt = host.getNow();
 		connections.trackRequest(request, response);
+		if (connections.countRequestsOn(request.socket) > maximumRequestsPerConnection) {
+			closeConnection(request.socket, 'too-many-requests-on-connection');
+			return;
+		}
+
 		const metadata = host.headers.readRequest(request.headers);
 		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
@@ -130,39 +152,34 @@
 			return;
 		}
 
-		if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
+		const headerBytes = countHeaderBytes(request.rawHeaders);
+		if (headerBytes > limits.headerBytes) {
 			refuse(request, response, 'headers-too-large', metadata.id);
 			return;
 		}
 
-		const reserved = getReservedBytes(request);
-		if (bufferedBytes + reserved > maximumTotalBufferedBytes) {
-			refuse(request, response, 'memory-full', metadata.id);
-			return;
-		}
-
-		bufferedBytes += reserved;
-		response.once('close', () => {
-			bufferedBytes -= reserved;
-		});
 		const {id} = metadata;
-		receiveBody(request, {bodyBytes: limits.bodyBytes, bufferedBodyBytes: maximumBufferedBodyBytes}, received => {
-			handleBody(request, response, received, {
-				id,
-				route: {...route, maximumAttempts: Math.min(route.maximumAttempts, metadata.relayedExecutions ?? route.maximumAttempts)},
-				service: routeTable.chooseServiceByWeight(route, host.random),
-				isRelayed: metadata.relayedExecutions !== undefined,
-				configurationVersion: version,
-				receivedAt,
-				deadlineAt: receivedAt + Math.min(route.timeoutMilliseconds, metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY),
-			});
+		const context: RequestContext = {
+			id,
+			route: {...route, maximumAttempts: Math.min(route.maximumAttempts, metadata.relayedExecutions ?? route.maximumAttempts)},
+			service: routeTable.chooseServiceByWeight(route, host.random),
+			isRelayed: metadata.relayedExecutions !== undefined,
+			configurationVersion: version,
+			receivedAt,
+			deadlineAt: receivedAt + Math.min(route.timeoutMilliseconds, metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY),
+		};
+		const requestLimits = {
+			bodyBytes: limits.bodyBytes, headerBytes, isBehindOthers: connections.countRequestsOn(request.socket) > 1, receivedAt, deadlineAt: context.deadlineAt,
+		};
+		reception.receive(request, response, requestLimits, result => {
+			handleReceived(request, response, result, context);
 		});
 	}
 
-	function handleBody(request: http.IncomingMessage, response: http.ServerResponse, received: ReceivedBody, context: RequestContext): void {
-		switch (received.kind) {
-			case 'too-large': {
-				refuse(request, response, 'body-too-large', context.id);
+	function handleReceived(request: http.IncomingMessage, response: http.ServerResponse, result: requestReception.ReceptionResult, context: RequestContext): void {
+		switch (result.kind) {
+			case 'refused': {
+				refuse(request, response, result.reason, context.id);
 				break;
 			}
 
@@ -172,18 +189,24 @@
 				break;
 			}
 
-			case 'body': {
+			case 'complete': {
 				if (!host.canFinish(context)) {
 					refuse(request, response, 'stopping', context.id);
 					break;
 				}
 
+				if (!result.keepMemory()) {
+					refuse(request, response, 'memory-full', context.id);
+					break;
+				}
+
+				const {body} = result.received;
 				const running = host.startCall({
 					...context,
 					method: request.method ?? 'GET',
 					path: request.url ?? '/',
-					headers: createForwardedHeaders(request, received),
-					body: received.body,
+					headers: createForwardedHeaders(request, body),
+					body,
 				}, {
 					respond(gatewayResponse) {
 						writeResponse(request, response, gatewayResponse);
@@ -199,10 +222,14 @@
 		}
 	}
 
-	function createForwardedHeaders(request: http.IncomingMessage, received: ReceivedBody): GatewayRequest['headers'] {
+	function closeConnection(socket: net.Socket, reason: 'too-many-requests-on-connection' | 'response-not-taken'): void {
+		host.recordRefusal(reason, undefined, 0);
+		socket.resetAndDestroy();
+	}
+
+	function createForwardedHeaders(request: http.IncomingMessage, body: CallBody): GatewayRequest['headers'] {
 		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isReplacedHeader(name)}, {has: host.headers.isIdentityHeader});
-		const isStreamed = received.kind === 'body' && received.body.kind === 'streamed';
-		const length = isStreamed ? request.headers['content-length'] : undefined;
+		const length = body.kind === 'streamed' ? request.headers['content-length'] : undefined;
 		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
 	}
 
@@ -235,9 +262,24 @@
 			...(isBodyless || !gatewayResponse.hasOwnEnd ? [] : ['content-length', String(gatewayResponse.body.length)]),
 			...(isClosing ? ['connection', 'close'] : []),
 		]);
+		claimResponse(request.socket, response, gatewayResponse.body.length);
 		response.end(gatewayResponse.body);
 	}
 
+	/** Claims the memory of a large response until its caller has taken it. */
+	function claimResponse(socket: net.Socket, response: http.ServerResponse, bytes: number): void {
+		if (bytes < claimedResponseBytes) {
+			return;
+		}
+
+		const now = host.getNow();
+		const claim = host.memory.claim('responses', now, () => {
+			closeConnection(socket, 'response-not-taken');
+		});
+		response.once('close', claim.free);
+		claim.resize(bytes, now);
+	}
+
 	/** Creates the additional headers of this entry's own response to a request that another entry passes on; upstreams' responses have them. */
 	function createRelayedHeaders(request: http.IncomingMessage, {statusCode, isOwn}: GatewayResponse): GatewayResponse['headers'] {
 		const {id, relayedExecutions} = host.headers.readRequest(request.headers);
@@ -248,10 +290,14 @@
 		server,
 		countOpen: connections.countRequests,
 		stop: connections.stop,
-		reset: connections.reset,
-		setLimits({headerTimeoutMilliseconds, idleTimeoutMilliseconds}) {
-			server.headersTimeout = headerTimeoutMilliseconds;
-			server.keepAliveTimeout = idleTimeoutMilliseconds;
+		reset() {
+			reception.close();
+			connections.reset();
+		},
+		setLimits(limits) {
+			server.headersTimeout = limits.headerTimeoutMilliseconds;
+			server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
+			reception.setIdleTimeout(limits.idleTimeoutMilliseconds);
 		},
 	};
 }
@@ -261,12 +307,3 @@
 	const separatorBytes = 2;
 	return rawHeaders.reduce((sum, text) => sum + text.length + separatorBytes, 0);
 }
-
-function getReservedBytes(request: http.IncomingMessage): number {
-	const length = request.headers['content-length'];
-	if (length !== undefined) {
-		return Math.min(Number(length), maximumBufferedBodyBytes);
-	}
-
-	return request.headers['transfer-encoding'] === undefined ? 0 : assumedBodyBytes;
-}
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt to run a request at one upstream: sends it, buffers the response until it is complete, and classifies it. */
 import type * as http from 'node:http';
 import * as buffer from 'node:buffer';
-import type * as responseMemory from '../decisions/admission/response-memory.ts';
+import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as responseProgress from '../decisions/outcomes/response-progress.ts';
 import {type AttemptEnd} from '../decisions/outcomes/retry-decision.ts';
 import * as attempt from '../entry/attempt.ts';
@@ -23,8 +23,8 @@
 /** Dependencies of an attempt. */
 export type GatewayAttemptHost = {
 	readonly headers: HeaderHost;
-	/** Memory for the responses of all attempts. */
-	readonly responseMemory: responseMemory.ResponseMemory;
+	/** Memory for the responses of all attempts, among others. */
+	readonly memory: trafficMemory.TrafficMemory;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Records what an upstream stated about itself in its response. */
@@ -72,7 +72,7 @@
 	let interimResponses = 0;
 	let finalParts = 0;
 	let progressTimer: NodeJS.Timeout | undefined;
-	let allocation: responseMemory.ResponseAllocation | undefined;
+	let claim: trafficMemory.MemoryClaim | undefined;
 	let responseHead: {readonly statusCode: number; readonly headers: http.IncomingHttpHeaders; readonly metadata: ResponseMetadata} | undefined;
 	let runningAttempt: attempt.Attempt | undefined;
 	let cancelAcquire: (() => void) | undefined;
@@ -83,7 +83,7 @@
 		if (!isOver) {
 			isOver = true;
 			clearInterval(progressTimer);
-			allocation?.free();
+			claim?.free();
 			listener.onEnd(end, response);
 		}
 	}
@@ -125,7 +125,7 @@
 		}, {
 			onSent() {
 				isSent = true;
-				allocation = host.responseMemory.allocate(() => {
+				claim = host.memory.claim('responses', host.getNow(), () => {
 					chunks.length = 0;
 					failAttempt(connection, 'memory-full');
 				});
@@ -150,7 +150,7 @@
 				if (receivedBytes > maximumResponseBytes) {
 					failAttempt(connection, 'answer-too-large');
 				} else {
-					allocation?.add(chunk.length);
+					claim?.resize(receivedBytes, host.getNow());
 				}
 
 				return true;
--- /dev/null
+++ b/src/gateway/port-limits.ts
@@ -0,0 +1,150 @@
+/**
+Limits the connections of the ports of an entry, in number and in memory.
+
+When a port has too many connections, or the entry has too little memory, the connection that holds most and moves least
+is closed.
+*/
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
+import {hasBody} from '../entry/receive-body.ts';
+
+/** Dependencies of the limits. */
+export type PortLimitsHost = {
+	readonly memory: trafficMemory.TrafficMemory;
+	/** Maximum number of sockets of the process. */
+	readonly maximumSockets: number;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+	/** Called when a connection is closed to make room. */
+	onClosed(group: trafficMemory.ClaimGroup): void;
+};
+
+/** The connections of one port. */
+export type LimitedPort = {
+	/** Keeps a connection open, whatever it holds, until `endUse`; its owner claims memory for what it holds meanwhile. */
+	beginUse(socket: net.Socket): void;
+	/** Limits a connection again; what it receives from now on belongs to its next request. */
+	endUse(socket: net.Socket): void;
+	close(): void;
+};
+
+/** Ports of an entry. */
+export type PortName = Exclude<trafficMemory.ClaimGroup, 'peer-messages' | 'responses'>;
+
+/** Limited ports of an entry. */
+export type PortLimits = {
+	limitPort(server: net.Server, name: PortName): LimitedPort;
+	/** Limits a port that answers requests without reading their bodies: it closes connections on which a body follows. */
+	limitBodylessPort(server: http.Server, name: PortName): LimitedPort;
+	close(): void;
+};
+
+/** Memory that a connection holds between two requests, in bytes: the socket, the parser and the start of a head. */
+export const connectionBytes = 16_384;
+/** Memory for each byte of a head that is being received, in bytes: it is kept as short strings. */
+const bytesPerHeadByte = 4;
+/** Interval at which the movement on connections is observed, in milliseconds. */
+const observationMilliseconds = 500;
+/** Share of the sockets of the process that each port may use; the rest is for upstreams, other entries and the store. */
+const socketShares: Readonly<Record<PortName, number>> = {
+	callers: 0.5, directory: 0.125, peers: 0.125, readiness: 0.03, metrics: 0.02,
+};
+const minimumConnections = 4;
+
+type Connection = {
+	claim: trafficMemory.MemoryClaim | undefined;
+	/** Number of bytes that were received at the last observation. */
+	observedBytes: number;
+	/** Number of bytes that belong to earlier requests. */
+	earlierBytes: number;
+};
+
+/** Creates the limits of an entry. */
+export function createPortLimits(host: PortLimitsHost): PortLimits {
+	const ports: LimitedPort[] = [];
+
+	function limitPort(server: net.Server, name: PortName): LimitedPort {
+		const maximumConnections = Math.max(minimumConnections, Math.floor(socketShares[name] * host.maximumSockets));
+		const connections = new Map<net.Socket, Connection>();
+
+		function claim(socket: net.Socket): trafficMemory.MemoryClaim {
+			const now = host.getNow();
+			const created = host.memory.claim(name, now, () => {
+				socket.destroy();
+				host.onClosed(name);
+			});
+			created.resize(connectionBytes, now);
+			return created;
+		}
+
+		function observe(): void {
+			const now = host.getNow();
+			for (const [socket, connection] of connections) {
+				if (socket.bytesRead !== connection.observedBytes) {
+					connection.observedBytes = socket.bytesRead;
+					connection.claim?.resize(connectionBytes + (bytesPerHeadByte * getHeadBytes(socket, connection)), now);
+				}
+			}
+		}
+
+		function getHeadBytes(socket: net.Socket, {earlierBytes}: Connection): number {
+			return name === 'callers' ? socket.bytesRead - earlierBytes : 0;
+		}
+
+		server.on('connection', (socket: net.Socket) => {
+			if (connections.size >= maximumConnections && !host.memory.closeOne(name, host.getNow())) {
+				socket.destroy();
+				host.onClosed(name);
+				return;
+			}
+
+			const connection: Connection = {claim: undefined, observedBytes: 0, earlierBytes: 0};
+			connections.set(socket, connection);
+			socket.once('close', () => {
+				connections.delete(socket);
+				connection.claim?.free();
+			});
+			connection.claim = claim(socket);
+		});
+		const timer = setInterval(observe, observationMilliseconds);
+		const port: LimitedPort = {
+			beginUse(socket) {
+				const connection = connections.get(socket);
+				connection?.claim?.free();
+				if (connection) {
+					connection.claim = undefined;
+				}
+			},
+			endUse(socket) {
+				const connection = connections.get(socket);
+				if (connection && !connection.claim && !socket.destroyed) {
+					connection.earlierBytes = socket.bytesRead;
+					connection.claim = claim(socket);
+				}
+			},
+			close() {
+				clearInterval(timer);
+			},
+		};
+		ports.push(port);
+		return port;
+	}
+
+	return {
+		limitPort,
+		limitBodylessPort(server, name) {
+			server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
+				if (hasBody(request)) {
+					response.setHeader('connection', 'close');
+				}
+			});
+			return limitPort(server, name);
+		},
+		close() {
+			for (const port of ports) {
+				port.close();
+			}
+		},
+	};
+}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -19,6 +19,8 @@
 	}),
 	linkMegabits: z.number().positive().describe('Bandwidth of the link of this instance, in megabits a second'),
 	cores: z.number().positive().describe('Processor capacity of this instance, in cores'),
+	memoryMegabytes: z.number().positive().describe('Memory of this instance, in megabytes'),
+	descriptors: z.number().positive().describe('Descriptors that the process may open'),
 	isFirstStart: z.boolean().describe('Whether all entries start for the first time, so that none of them knows anything'),
 	seeds: z.array(z.string()).describe('Peer addresses of a few entries, which may be old'),
 	storeAddress: address.describe('Store of the platform'),
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -15,6 +15,8 @@
 	readonly openRequests: number;
 	/** Whether this entry reaches no upstream. */
 	readonly isCutOff: boolean;
+	/** Memory that connections, requests and responses claim. */
+	readonly claimedBytes: number;
 };
 
 /** Records the metrics of a gateway. */
@@ -24,6 +26,8 @@
 	recordCheck(result: string, milliseconds: number): void;
 	recordStoreCall(call: string, result: string, milliseconds: number): void;
 	recordPermit(side: string, result: string): void;
+	/** Records a connection that was closed to make room for others. */
+	recordClosedConnection(port: string): void;
 	getText(gauges: GatewayGauges): Promise<string>;
 };
 
@@ -52,12 +56,16 @@
 	const permits = new prometheus.Counter({
 		name: 'fescuering_gateway_permits_total', help: 'Requests for permits to use an upstream with a rate limit, by side (asked or issued) and result.', labelNames: ['side', 'result'] as const, registers,
 	});
+	const closedConnections = new prometheus.Counter({
+		name: 'fescuering_gateway_closed_connections_total', help: 'Connections that were closed to make room for others, by port.', labelNames: ['port'] as const, registers,
+	});
 	const gaugeNames = {
 		configurationVersion: 'fescuering_gateway_configuration_version',
 		knowledgeAgeMilliseconds: 'fescuering_gateway_knowledge_age_seconds',
 		members: 'fescuering_gateway_members',
 		openRequests: 'fescuering_gateway_open_requests',
 		isCutOff: 'fescuering_gateway_cut_off',
+		claimedBytes: 'fescuering_gateway_claimed_bytes',
 	};
 	const gaugeMetrics = new Map(Object.values(gaugeNames).map(name => [name, new prometheus.Gauge({name, help: 'State of this entry.', registers})]));
 
@@ -79,12 +87,16 @@
 		recordPermit(side, result) {
 			permits.inc({side, result});
 		},
+		recordClosedConnection(port) {
+			closedConnections.inc({port});
+		},
 		async getText(gauges) {
 			gaugeMetrics.get(gaugeNames.configurationVersion)!.set(gauges.configurationVersion);
 			gaugeMetrics.get(gaugeNames.knowledgeAgeMilliseconds)!.set(Math.min(gauges.knowledgeAgeMilliseconds, Number.MAX_SAFE_INTEGER) * secondsPerMillisecond);
 			gaugeMetrics.get(gaugeNames.members)!.set(gauges.members);
 			gaugeMetrics.get(gaugeNames.openRequests)!.set(gauges.openRequests);
 			gaugeMetrics.get(gaugeNames.isCutOff)!.set(Number(gauges.isCutOff));
+			gaugeMetrics.get(gaugeNames.claimedBytes)!.set(gauges.claimedBytes);
 			return registry.metrics();
 		},
 	};
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -15,6 +15,8 @@
 	readonly routes: readonly PeerRoutes[];
 	/** Maximum size of a received message in bytes. */
 	readonly readMaxBytes?: number;
+	/** Called for each request before its message is read. */
+	onRequest?(request: http2.Http2ServerRequest): void;
 };
 
 /** The peer port couldn't be opened. */
@@ -25,6 +27,7 @@
 };
 
 export type PeerServer = {
+	readonly server: net.Server;
 	/** Port that the server listens on. */
 	readonly port: number;
 	/** Stops listening, waits for calls in flight, and aborts those still running after the grace period. */
@@ -51,6 +54,9 @@
 			}
 		},
 	}));
+	server.prependListener('request', (request: http2.Http2ServerRequest) => {
+		options.onRequest?.(request);
+	});
 	const sessions = trackSessions(server);
 	const sockets = trackSockets(server);
 	await new Promise<void>((resolve, reject) => {
@@ -61,6 +67,7 @@
 	server.on('error', () => undefined);
 	const address = server.address();
 	return {
+		server,
 		port: typeof address === 'object' && address ? address.port : options.port,
 		close: async graceMilliseconds => closeServer(server, sessions, sockets, graceMilliseconds),
 	};
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,7 +8,7 @@
 export default vitest.defineConfig({
 	test: {
 		include: isKnownRedRun ? knownRed.listKnownRed().map(({file}) => file) : allTests,
-		exclude: ['node_modules/**'],
+		exclude: ['node_modules/**', ...(isKnownRedRun ? [] : ['test/apart/**'])],
 		setupFiles: ['test/support/skip-known-red.ts'],
 		testTimeout: 60_000,
 		hookTimeout: 60_000,
