--- a/src/decisions/backpressure/permit-fleet.test.ts
+++ b/src/decisions/backpressure/permit-fleet.test.ts
@@ -53,9 +53,11 @@
 	readonly demand: number;
 	readonly milliseconds: number;
 	readonly faults: readonly Fault[];
+	/** Time at which the upstream first states its limit; 0 by default, when the entries start. */
+	readonly statedAt?: number;
 };
 
-function runFleet({seed, entries: count, requestsPerSecond, demand, milliseconds, faults}: FleetOptions): FleetRun {
+function runFleet({seed, entries: count, requestsPerSecond, demand, milliseconds, faults, statedAt = 0}: FleetOptions): FleetRun {
 	const random = randomness.createRandomSource(seed);
 	const usedEntries = Math.min(count, 40);
 	const entries: Entry[] = [];
@@ -72,7 +74,7 @@
 			name: `edge-${index}`, incarnation: '', startedAt: 0, failureDomain: '', region: '', callerAddress: '', peerAddress: '', isReady: true, canRead: true, isCutOff: false, linkMegabits: 1, cores: 1, requestsPerSecond: index < usedEntries ? 5 : 0,
 		};
 		return {
-			index, member, startedAt, knowsLimitAt: startedAt + (newsMilliseconds * random.nextFraction()), stoppedAt: Number.POSITIVE_INFINITY, pausedUntil: 0, issuer: permitIssuer.createPermitIssuer(random), wallet: permitWallet.createPermitWallet(), members: [], viewAt: Number.NEGATIVE_INFINITY,
+			index, member, startedAt, knowsLimitAt: Math.max(startedAt, statedAt) + (newsMilliseconds * random.nextFraction()), stoppedAt: Number.POSITIVE_INFINITY, pausedUntil: 0, issuer: permitIssuer.createPermitIssuer(random), wallet: permitWallet.createPermitWallet(), members: [], viewAt: Number.NEGATIVE_INFINITY,
 		};
 	}
 
@@ -131,6 +133,7 @@
 		}
 
 		const viewer = entries.find(entry => isRunning(entry))!;
+		refreshView(viewer);
 		const {coordinator} = permitRoles.getPermitRoles(`edge-${viewer.index}`, upstream.id, requestsPerSecond, viewer.members);
 		return entries.find(({index}) => `edge-${index}` === coordinator!.name)!;
 	}
@@ -211,9 +214,9 @@
 	return {sentAt, asks, busiestCoordinatorAsks: Math.max(0, ...answeredByEntry.values())};
 }
 
-function getWorstWindow(sentAt: readonly number[]): number {
-	const counted = sentAt.filter(at => at >= stabilizationMilliseconds);
-	return Math.max(0, ...counted.map((start, index) => counted.slice(index).filter(at => at < start + windowMilliseconds).length));
+function getWorstWindow(sentAt: readonly number[], from = stabilizationMilliseconds, milliseconds = windowMilliseconds): number {
+	const counted = sentAt.filter(at => at >= from);
+	return Math.max(0, ...counted.map((start, index) => counted.slice(index).filter(at => at < start + milliseconds).length));
 }
 
 const getAllowed = (requestsPerSecond: number) => (1.5 * requestsPerSecond * windowMilliseconds / 1000) + 5;
@@ -262,6 +265,39 @@
 	}
 });
 
+/** Rate of a cold upstream, and the largest number of requests in any second, from the rules. */
+const coldRates = [3.9, 6.1];
+const getColdAllowed = (requestsPerSecond: number) => (1.5 * requestsPerSecond) + 8;
+/** Time at which the upstream becomes cold; the entries know each other by then. */
+const coldFrom = 3000;
+const coldFaults: ReadonlyArray<readonly Fault[]> = [
+	[],
+	[{kind: 'kill', at: 4000, target: 'coordinator'}, {kind: 'leave', at: 5500, target: 'coordinator'}, {kind: 'grow', at: 6000, count: 14}],
+	[{kind: 'split', at: 2000, milliseconds: 6000}],
+	[{
+		kind: 'pause', at: 4200, milliseconds: 3000, target: 'coordinator',
+	}],
+];
+
+test.each([14, 133, 312, 1000].flatMap(entries => coldRates.map(requestsPerSecond => ({entries, requestsPerSecond}))))('$entries entries keep the rate of an upstream that is cold at $requestsPerSecond per second from the first one on', ({entries, requestsPerSecond}) => {
+	for (const [seed, faults] of coldFaults.entries()) {
+		const {sentAt} = runFleet({
+			seed, entries, requestsPerSecond, demand: 200, milliseconds: 11_000, faults, statedAt: coldFrom,
+		});
+		expect(getWorstWindow(sentAt, coldFrom, 1000), `seed ${seed}`).toBeLessThanOrEqual(getColdAllowed(requestsPerSecond));
+	}
+});
+
+test.each([14, 133, 312, 1000])('%d entries with enough demand use at least 0.8 of the rate of a cold upstream', entries => {
+	const requestsPerSecond = 6.1;
+	const milliseconds = 20_000;
+	const {sentAt} = runFleet({
+		seed: entries, entries, requestsPerSecond, demand: 400, milliseconds, faults: [],
+	});
+	const used = sentAt.filter(at => at >= stabilizationMilliseconds).length;
+	expect(used).toBeGreaterThanOrEqual(0.8 * requestsPerSecond * (milliseconds - stabilizationMilliseconds) / 1000);
+});
+
 test('a fleet that grows tenfold keeps the limit', () => {
 	const {sentAt} = runFleet({
 		seed: 7, entries: 14, requestsPerSecond: 12, demand: 200, milliseconds: 25_000, faults: [{kind: 'grow', at: 6000, count: 126}],
--- a/src/decisions/backpressure/upstream-statements.test.ts
+++ b/src/decisions/backpressure/upstream-statements.test.ts
@@ -52,6 +52,41 @@
 	expect(statements.getAccess({...upstream, incarnation: 1001}, 60_000)).toEqual({kind: 'open', selectionShare: 1});
 });
 
+test('a cold upstream needs permits for its time, and returns gradually', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	const createCold = (heardAt: number, milliseconds: number): upstreamStatements.UpstreamStatement => ({...upstream, heardAt, content: {kind: 'cold', milliseconds, requestsPerSecond: 6}});
+	expect(statements.record(createCold(1000, 0))).toBe(false);
+	expect(statements.record(createCold(1000, 3000))).toBe(true);
+	expect(statements.record(createCold(1500, 2450))).toBe(false);
+	expect(statements.record(createCold(900, 60_000))).toBe(false);
+	expect(statements.getAccess(upstream, 3999)).toEqual({
+		kind: 'by-permit', requestsPerSecond: 6, heardAt: 1500, coldUntil: 4000,
+	});
+	expect([4000, 4500, 5000].map(now => statements.getAccess(upstream, now))).toEqual([0, 0.5, 1].map(selectionShare => ({kind: 'open', selectionShare})));
+	expect(statements.getUpdate(-1).statements).toEqual([{
+		...upstream, content: {kind: 'cold', milliseconds: 2500, requestsPerSecond: 6}, heardAt: 1500,
+	}]);
+});
+
+test('an upstream that states that it is warm needs no permits, and becomes cold again at any time', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	const record = (heardAt: number, milliseconds: number) => statements.record({...upstream, heardAt, content: {kind: 'cold', milliseconds, requestsPerSecond: 6}});
+	record(1000, 3000);
+	expect(record(1200, 0)).toBe(true);
+	expect(statements.isCold(upstream, 1300)).toBe(false);
+	expect(record(9000, 3000)).toBe(true);
+	expect(statements.isCold(upstream, 9100)).toBe(true);
+	expect(statements.isCold({...upstream, incarnation: 2000}, 9100)).toBe(false);
+});
+
+test('a cold upstream with a rate limit keeps the lower of both', () => {
+	const statements = upstreamStatements.createUpstreamStatements();
+	statements.record(createLimit(2, 100));
+	statements.record({...upstream, heardAt: 100, content: {kind: 'cold', milliseconds: 3000, requestsPerSecond: 6}});
+	expect(statements.getAccess(upstream, 200)).toMatchObject({requestsPerSecond: 2, coldUntil: 3100});
+	expect(statements.getAccess(upstream, 3200)).toMatchObject({requestsPerSecond: 2, coldUntil: undefined});
+});
+
 test('a pause lasts until the latest of its ends, is told to no other entry, and the upstream returns gradually', () => {
 	const statements = upstreamStatements.createUpstreamStatements();
 	const createPause = (heardAt: number, milliseconds: number): upstreamStatements.UpstreamStatement => ({...upstream, heardAt, content: {kind: 'pause', milliseconds}});
--- a/src/decisions/backpressure/upstream-statements.ts
+++ b/src/decisions/backpressure/upstream-statements.ts
@@ -17,7 +17,9 @@
 	= | {readonly kind: 'rate-limit'; readonly requestsPerSecond: number}
 		| {readonly kind: 'no-rate-limit'}
 	/** The upstream is about to stop. */
-		| {readonly kind: 'leaving'};
+		| {readonly kind: 'leaving'}
+	/** The upstream has started recently, and accepts only so many requests per second from all entries together; not any more if no time is left. */
+		| {readonly kind: 'cold'; readonly milliseconds: number; readonly requestsPerSecond: number};
 
 /** What an upstream states. */
 export type StatementContent
@@ -42,8 +44,8 @@
 export type UpstreamAccess
 	/** The given share of the selections may consider the upstream. */
 	= | {readonly kind: 'open'; readonly selectionShare: number}
-	/** Each request needs a permit, because the upstream has a rate limit. */
-		| {readonly kind: 'by-permit'; readonly requestsPerSecond: number; readonly heardAt: number}
+	/** Each request needs a permit, because the upstream has a rate limit, or is cold until `coldUntil`. */
+		| {readonly kind: 'by-permit'; readonly requestsPerSecond: number; readonly heardAt: number; readonly coldUntil: number | undefined}
 	/** The upstream accepts no requests from this entry until `endsAt`. */
 		| {readonly kind: 'paused'; readonly endsAt: number}
 	/** The upstream receives no requests any more. */
@@ -56,6 +58,8 @@
 	getAccess(upstream: UpstreamIncarnation, now: number): UpstreamAccess;
 	/** Whether this incarnation of an upstream has stated a rate limit, or its end. */
 	hasStatedRate(upstream: UpstreamIncarnation): boolean;
+	/** Whether this incarnation of an upstream is cold. */
+	isCold(upstream: UpstreamIncarnation, now: number): boolean;
 	/** Gets the statements to all entries that changed after a revision of this table; all of them for -1. */
 	getUpdate(since: number): StatementUpdate;
 	/** Forgets the upstreams that have not been registered for a while. */
@@ -68,6 +72,12 @@
 const maximumPauseMilliseconds = 3_600_000;
 /** Time for which statements of an upstream without a registration are kept, in milliseconds; a registration that expired while the store was down returns with the same incarnation. */
 const retentionMilliseconds = 120_000;
+/** Longest time for which an upstream is treated as cold without another statement, in milliseconds. */
+const maximumColdMilliseconds = 60_000;
+/** Time after the end of the cold state until all selections consider an upstream, in milliseconds. */
+const warmReturnMilliseconds = 1000;
+/** Difference between two statements of the end of the cold state that isn't passed on, in milliseconds. */
+const coldEndToleranceMilliseconds = 250;
 const openAccess: UpstreamAccess = {kind: 'open', selectionShare: 1};
 
 type RateStatement = UpstreamStatement<Extract<SharedContent, {readonly kind: 'rate-limit' | 'no-rate-limit'}>> & {
@@ -75,6 +85,7 @@
 	readonly changedAt: number;
 };
 
+type Cold = {readonly heardAt: number; readonly endsAt: number; readonly requestsPerSecond: number; readonly revision: number};
 type Pause = {readonly startsAt: number; readonly endsAt: number};
 
 /** What is known of one incarnation of an upstream. */
@@ -83,6 +94,7 @@
 	readonly rate: (RateStatement & {readonly revision: number}) | undefined;
 	readonly leaving: {readonly heardAt: number; readonly revision: number} | undefined;
 	readonly pause: Pause | undefined;
+	readonly cold: Cold | undefined;
 	/** Time at which the upstream was first seen without a registration; undefined while it has one. */
 	readonly unregisteredSince: number | undefined;
 };
@@ -136,6 +148,26 @@
 		return true;
 	}
 
+	function recordCold(current: TrackedUpstream, {id, heardAt}: UpstreamStatement, {milliseconds, requestsPerSecond}: Extract<SharedContent, {readonly kind: 'cold'}>): boolean {
+		const {cold} = current;
+		const isKnown = cold !== undefined && heardAt < cold.endsAt;
+		const isOlder = cold !== undefined && heardAt < cold.heardAt;
+		if (isOlder || (milliseconds === 0 && !isKnown)) {
+			return false;
+		}
+
+		const endsAt = heardAt + Math.min(milliseconds, maximumColdMilliseconds);
+		const isSame = isKnown && cold.requestsPerSecond === requestsPerSecond && Math.abs(endsAt - cold.endsAt) < coldEndToleranceMilliseconds;
+		trackedById.set(id, {
+			...current, cold: isSame
+				? {...cold, heardAt}
+				: {
+					heardAt, endsAt, requestsPerSecond, revision: ++revision,
+				},
+		});
+		return !isSame;
+	}
+
 	return {
 		record(statement) {
 			const {id, incarnation, content} = statement;
@@ -147,7 +179,7 @@
 			const current: TrackedUpstream = known?.incarnation === incarnation
 				? known
 				: {
-					incarnation, rate: undefined, leaving: undefined, pause: undefined, unregisteredSince: undefined,
+					incarnation, rate: undefined, leaving: undefined, pause: undefined, cold: undefined, unregisteredSince: undefined,
 				};
 			switch (content.kind) {
 				case 'rate-limit':
@@ -163,6 +195,10 @@
 					return recordLeaving(current, statement);
 				}
 
+				case 'cold': {
+					return recordCold(current, statement, content);
+				}
+
 				default: {
 					return exhaustiveness.assertNever(content);
 				}
@@ -174,7 +210,7 @@
 				return openAccess;
 			}
 
-			const {leaving, pause, rate} = tracked;
+			const {leaving, pause, rate, cold} = tracked;
 			if (leaving) {
 				return {kind: 'leaving'};
 			}
@@ -183,16 +219,29 @@
 				return {kind: 'paused', endsAt: pause.endsAt};
 			}
 
-			if (rate?.content.kind === 'rate-limit') {
-				return {kind: 'by-permit', requestsPerSecond: rate.content.requestsPerSecond, heardAt: rate.heardAt};
+			const limit = rate?.content.kind === 'rate-limit' ? rate.content.requestsPerSecond : undefined;
+			if (cold && now < cold.endsAt) {
+				return {
+					kind: 'by-permit', requestsPerSecond: Math.min(cold.requestsPerSecond, limit ?? Number.POSITIVE_INFINITY), heardAt: cold.heardAt, coldUntil: cold.endsAt,
+				};
 			}
 
-			return {kind: 'open', selectionShare: Math.min(getShareAfterLimit(rate, now), getShareAfterPause(pause, now))};
+			if (limit !== undefined) {
+				return {
+					kind: 'by-permit', requestsPerSecond: limit, heardAt: rate!.heardAt, coldUntil: undefined,
+				};
+			}
+
+			return {kind: 'open', selectionShare: Math.min(getShareAfterLimit(rate, now), getShareAfterPause(pause, now), getShareAfterCold(cold, now))};
 		},
 		hasStatedRate: upstream => find(upstream)?.rate !== undefined,
+		isCold(upstream, now) {
+			const cold = find(upstream)?.cold;
+			return cold !== undefined && now < cold.endsAt;
+		},
 		getUpdate: since => ({
 			revision,
-			statements: [...trackedById].flatMap(([id, {incarnation, rate, leaving}]) => [
+			statements: [...trackedById].flatMap(([id, {incarnation, rate, leaving, cold}]) => [
 				...(rate && rate.revision > since
 					? [{
 						id, incarnation, content: rate.content, heardAt: rate.heardAt,
@@ -203,6 +252,11 @@
 						id, incarnation, content: {kind: 'leaving'} as const, heardAt: leaving.heardAt,
 					}]
 					: []),
+				...(cold && cold.revision > since
+					? [{
+						id, incarnation, content: {kind: 'cold', milliseconds: cold.endsAt - cold.heardAt, requestsPerSecond: cold.requestsPerSecond} as const, heardAt: cold.heardAt,
+					}]
+					: []),
 			]),
 		}),
 		retain(isRegistered, now) {
@@ -232,6 +286,10 @@
 	return pause ? getReturnShare(pause.endsAt, Math.min(returnMilliseconds, pause.endsAt - pause.startsAt), now) : 1;
 }
 
+function getShareAfterCold(cold: Cold | undefined, now: number): number {
+	return cold ? getReturnShare(cold.endsAt, warmReturnMilliseconds, now) : 1;
+}
+
 function getReturnShare(endedAt: number, milliseconds: number, now: number): number {
 	return Math.min(1, Math.max(0, (now - endedAt) / milliseconds));
 }
--- a/src/decisions/configuration/types.ts
+++ b/src/decisions/configuration/types.ts
@@ -35,6 +35,8 @@
 	healthPath: z.string(),
 	/** Maximum number of connections that one upstream accepts from all entries together. */
 	maximumConnections: z.int().positive(),
+	/** Requests per second that a cold upstream accepts from all entries together; absent if the service has no such limit. */
+	coldRequestsPerSecond: z.number().positive().optional(),
 });
 
 export const callerLimitsSchema = z.object({
--- a/src/decisions/registry/upstream-registry.ts
+++ b/src/decisions/registry/upstream-registry.ts
@@ -276,6 +276,7 @@
 		return removalDueAt === undefined ? 'renewed' : 'lapsed';
 	}
 
-	const isSame = next.address === registration.address && next.service === registration.service && next.slots === registration.slots && next.failureDomain === registration.failureDomain;
+	const isCooler = next.warmUpMilliseconds > registration.warmUpMilliseconds;
+	const isSame = !isCooler && next.address === registration.address && next.service === registration.service && next.slots === registration.slots && next.failureDomain === registration.failureDomain;
 	return isSame ? 'heartbeat' : 'changed';
 }
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -127,6 +127,7 @@
 	const recorder = statementRecorder.createStatementRecorder({
 		logger,
 		getNow,
+		getColdRate: service => platformState.getActiveConfiguration()?.routes.getService(service)?.coldRequestsPerSecond,
 		onChange() {
 			upstreams.refresh();
 		},
@@ -135,6 +136,7 @@
 		getMaximumConnections: service => platformState.getActiveConfiguration()?.routes.getService(service)?.maximumConnections ?? defaultMaximumConnections,
 		countEntries: () => sharing.members.count(),
 		getAccess: recorder.statements.getAccess,
+		isEvacuated: failureDomain => platformState.evacuations.isEvacuated(failureDomain),
 		getNow,
 		localAddress: host.localAddress,
 	}, settings.failureDomain);
@@ -165,7 +167,16 @@
 			frontServer.setLimits(configuration.limits);
 			updateReadiness();
 		},
-		onUpstreams() {
+		onEvacuations() {
+			upstreams.refresh();
+		},
+		onUpstreams(events) {
+			for (const {kind, registration} of events) {
+				if (kind === 'joined' || kind === 'restarted' || kind === 'changed') {
+					recorder.recordRegistration(registration);
+				}
+			}
+
 			const registrations = platformState.registry.list();
 			const ids = new Set(registrations.map(({id}) => id));
 			upstreams.update(registrations);
@@ -338,6 +349,8 @@
 			openRequests: frontServer.countOpen(),
 			isCutOff: reachability.isCutOff(),
 			claimedBytes: memory.getUsed(),
+			coldUpstreams: upstreams.countCold(),
+			evacuatedFailureDomains: platformState.evacuations.getSet().failureDomains.length,
 		});
 		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
 	}
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -35,8 +35,8 @@
 
 /** The permits of an entry. */
 export type Permits = {
-	/** Uses a permit for a request of a service, and returns its upstream; undefined if there is no permit. */
-	take(service: string, tried: ReadonlySet<string>): upstreams.Upstream | undefined;
+	/** Uses a permit for a request of a service, of a cold upstream only if that is allowed, and returns its upstream; undefined if there is no permit. */
+	take(service: string, tried: ReadonlySet<string>, mayUseCold: boolean): upstreams.Upstream | undefined;
 	/** Whether each request to some upstreams of a service needs a permit. */
 	areNeeded(service: string): boolean;
 	/** Estimates the time until this entry has a permit for a request of a service, in milliseconds. */
@@ -107,11 +107,11 @@
 		}
 
 		const {id, incarnation} = registration;
-		const {requestsPerSecond, heardAt} = limit;
+		const {requestsPerSecond, heardAt, coldUntil} = limit;
 		const {coordinator, mayAsk} = getRoles(id, requestsPerSecond, now);
 		if (mayAsk && wallet.tryStartRequest(registration, now)) {
 			void ask({
-				upstreamId: id, incarnation, requester: host.name, requestsPerSecond, ageMilliseconds: now - heardAt,
+				upstreamId: id, incarnation, requester: host.name, requestsPerSecond, ageMilliseconds: now - heardAt, coldMilliseconds: coldUntil === undefined ? 0 : coldUntil - now,
 			}, coordinator);
 		}
 	}
@@ -133,9 +133,9 @@
 	}
 
 	return {
-		take(service, tried) {
+		take(service, tried, mayUseCold) {
 			const now = host.getNow();
-			const candidates = host.listByPermit(service);
+			const candidates = host.listByPermit(service).filter(({registration}) => mayUseCold || getLimit(registration, now)?.coldUntil === undefined);
 			for (const upstream of candidates) {
 				askIfNeeded(upstream, now);
 			}
@@ -163,10 +163,14 @@
 			return Math.min(maximumWaitMilliseconds, Math.max(minimumWaitMilliseconds, expected) * (1 + random.nextFraction()));
 		},
 		handleRequest(request) {
-			const {upstreamId, incarnation, requestsPerSecond, ageMilliseconds} = request;
-			host.recorder.recordShared([{
-				id: upstreamId, incarnation, content: {kind: 'rate-limit', requestsPerSecond}, ageMilliseconds,
-			}], request.requester);
+			const {upstreamId, incarnation, requestsPerSecond, ageMilliseconds, coldMilliseconds} = request;
+			host.recorder.recordShared([coldMilliseconds > 0
+				? {
+					id: upstreamId, incarnation, content: {kind: 'cold', milliseconds: coldMilliseconds, requestsPerSecond}, ageMilliseconds: 0,
+				}
+				: {
+					id: upstreamId, incarnation, content: {kind: 'rate-limit', requestsPerSecond}, ageMilliseconds,
+				}], request.requester);
 			return issue(request);
 		},
 		observeEntries() {
--- a/src/gateway/platform-state.ts
+++ b/src/gateway/platform-state.ts
@@ -1,6 +1,7 @@
 /** The state of the platform as this entry last received it, its age, and the waits for its next change. */
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
+import * as evacuationsModule from '../decisions/registry/evacuations.ts';
 import * as upstreamRegistry from '../decisions/registry/upstream-registry.ts';
 import {type Logger} from '../observability/logger.ts';
 
@@ -13,7 +14,9 @@
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	onConfiguration(next: configuration.Configuration): void;
-	onUpstreams(events: readonly upstreamRegistry.RegistryEvent[]): void;
+	onUpstreams(events: readonly upstreamRegistry.RegistryEvent[], origin: UpdateOrigin): void;
+	/** The set of evacuated failure domains has changed. */
+	onEvacuations(): void;
 };
 
 /** The configuration that the entry applies to requests, and the index of its routes. */
@@ -25,11 +28,14 @@
 /** The configuration and the registry of upstreams, as this entry last received them. The metrics and logs call their age the knowledge age. */
 export type PlatformState = {
 	readonly registry: upstreamRegistry.UpstreamRegistry;
+	readonly evacuations: evacuationsModule.Evacuations;
 	getActiveConfiguration(): ActiveConfiguration | undefined;
 	/** Applies a configuration; ignores one that is not newer than the active one. */
 	applyConfiguration(next: configuration.Configuration, origin: UpdateOrigin): void;
 	/** Logs changes that were already applied to the registry, and notifies the host and all waiters. */
 	handleRegistryEvents(events: readonly upstreamRegistry.RegistryEvent[], origin: UpdateOrigin): void;
+	/** Logs a change of the evacuated failure domains, and notifies the host and all waiters. */
+	handleEvacuationChange(origin: UpdateOrigin): void;
 	/** Records that everything published up to a time has been received and applied. Lets removals that were held back until then take effect. */
 	confirmUpTo(part: 'configuration' | 'registry', upTo: number): void;
 	/** Age of the older of the two parts, in milliseconds; infinite until both were received. */
@@ -51,6 +57,7 @@
 /** Creates the empty state of an entry that has received nothing yet. */
 export function createPlatformState(host: PlatformStateHost): PlatformState {
 	const registry = upstreamRegistry.createUpstreamRegistry();
+	const evacuations = evacuationsModule.createEvacuations();
 	const confirmedAt = {configuration: Number.NEGATIVE_INFINITY, registry: Number.NEGATIVE_INFINITY};
 	const waiters = new Set<() => void>();
 	let activeConfiguration: ActiveConfiguration | undefined;
@@ -75,7 +82,7 @@
 			});
 		}
 
-		host.onUpstreams(events);
+		host.onUpstreams(events, origin);
 		wakeWaiters();
 	}
 
@@ -110,6 +117,7 @@
 
 	return {
 		registry,
+		evacuations,
 		getActiveConfiguration: () => activeConfiguration,
 		applyConfiguration(next, origin) {
 			const activeVersion = activeConfiguration?.configuration.version;
@@ -125,6 +133,12 @@
 			wakeWaiters();
 		},
 		handleRegistryEvents,
+		handleEvacuationChange(origin) {
+			const {version, failureDomains} = evacuations.getSet();
+			host.logger.info('evacuations-changed', {failureDomains: failureDomains.join(',') || 'none', version, origin});
+			host.onEvacuations();
+			wakeWaiters();
+		},
 		confirmUpTo(part, upTo) {
 			const previous = confirmedAt[part];
 			confirmedAt[part] = Math.max(previous, upTo);
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -26,14 +26,16 @@
 /** Creates a selector without a budget for load checks, so that it uses only the recorded load readings. */
 function createParts(ids: readonly string[]): {selector: Selector; upstreams: Upstreams} {
 	const upstreams = createUpstreams({
-		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), getNow,
+		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), isEvacuated: () => false, getNow,
 	}, 'here');
 	upstreams.update(ids.map(id => createRegistration(id)));
 	const selector = createSelector({
 		headers: {
 			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined, relayedExecutions: undefined}),
 			readResponse: () => ({
-				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, acceptance: {requestsPerSecond: {kind: 'absent'}, leaving: {kind: 'absent'}, retryAfterMilliseconds: {kind: 'absent'}},
+				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, acceptance: {
+					requestsPerSecond: {kind: 'absent'}, leaving: {kind: 'absent'}, retryAfterMilliseconds: {kind: 'absent'}, coldMilliseconds: {kind: 'absent'},
+				},
 			}),
 			createUpstreamHeaders: () => [],
 			createRelayHeaders: () => [],
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -5,9 +5,9 @@
 the local ones can't meet the latency objective. If no upstream has capacity, the request is held. A held request is sent
 as soon as a response or a load check shows capacity, in the order of `held-requests.ts`, or is given up at its time limit.
 
-Upstreams with a rate limit are not queried. A request goes to one of them if this entry has a permit, before any other
-upstream is considered. If all upstreams of a service have a limit or have asked for a pause, requests that can't be sent
-soon are rejected instead of being held.
+Upstreams with a rate limit and cold ones are not queried. A request goes to one with a rate limit if this entry has a
+permit, before any other upstream is considered, and to a cold one if no other has capacity. If all upstreams of a service
+have a limit, have asked for a pause or are evacuated, requests that can't be sent soon are rejected instead of being held.
 */
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import {findNextRequest, type HeldRequest} from '../decisions/admission/held-requests.ts';
@@ -190,7 +190,7 @@
 	function hold(pending: PendingSelection): void {
 		const {service} = pending.request;
 		pending.cancelQuery = undefined;
-		if (trySendByRelay(pending) || rejectIfClosed(pending)) {
+		if (trySendByRelay(pending) || (!findHeld(service) && trySendByPermit(pending, true)) || rejectIfClosed(pending)) {
 			return;
 		}
 
@@ -209,12 +209,13 @@
 		const {service} = pending.request;
 		const pauseEndsAt = host.upstreams.getPauseEnd(service);
 		const needsPermit = host.permits.areNeeded(service);
-		if (host.upstreams.listUsable(service).length > 0 || (pauseEndsAt === undefined && !needsPermit)) {
+		const isEvacuated = host.upstreams.isServiceEvacuated(service);
+		if (host.upstreams.listUsable(service).length > 0 || (pauseEndsAt === undefined && !needsPermit && !isEvacuated)) {
 			return false;
 		}
 
 		const permitWaitMilliseconds = needsPermit ? host.permits.getWaitMilliseconds(service) : undefined;
-		const decision = closedService.decideForClosedService({permitWaitMilliseconds, pauseEndsAt}, pending.expiresAt, host.random, host.getNow());
+		const decision = closedService.decideForClosedService({permitWaitMilliseconds, pauseEndsAt, isEvacuated}, pending.expiresAt, host.random, host.getNow());
 		switch (decision.kind) {
 			case 'hold': {
 				return false;
@@ -244,9 +245,9 @@
 		return relay !== undefined;
 	}
 
-	/** Sends a request to an upstream with a rate limit if there is a permit. Returns whether it was sent. */
-	function trySendByPermit(pending: PendingSelection): boolean {
-		const upstream = host.permits.take(pending.request.service, pending.request.tried);
+	/** Sends a request to an upstream with a rate limit, or to a cold one if that is allowed, if there is a permit. Returns whether it was sent. */
+	function trySendByPermit(pending: PendingSelection, mayUseCold: boolean): boolean {
+		const upstream = host.permits.take(pending.request.service, pending.request.tried, mayUseCold);
 		if (!upstream) {
 			return false;
 		}
@@ -261,7 +262,7 @@
 	/** Sends the next held requests of a service to upstreams with a rate limit while there are permits. */
 	function sendHeldByPermit(service: string): void {
 		let next = findNextRequest(findHeld(service) ?? [], host.getNow());
-		while (next && trySendByPermit(next)) {
+		while (next && trySendByPermit(next, true)) {
 			next = findNextRequest(findHeld(service) ?? [], host.getNow());
 		}
 	}
@@ -352,7 +353,7 @@
 			if (findHeld(request.service)) {
 				hold(pending);
 				sendHeldByPermit(request.service);
-			} else if (!trySendByPermit(pending)) {
+			} else if (!trySendByPermit(pending, false)) {
 				queryLocal(pending);
 			}
 
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -89,6 +89,7 @@
 			follower: host.getSelf(),
 			configurationVersion: platformState.getActiveConfiguration()?.configuration.version ?? -1,
 			registryPosition: platformState.registry.getPosition(),
+			evacuationsVersion: platformState.evacuations.getSet().version,
 			membersSource: receivedVersion.source,
 			membersRevision: receivedVersion.membersRevision,
 			statements: host.statements.getUpdate(sentStatementsRevision).statements,
@@ -115,6 +116,10 @@
 			platformState.handleRegistryEvents(platformState.registry.applyUpdate(update.registryUpdate, host.getNow()), origin);
 		}
 
+		if (update.evacuations && platformState.evacuations.applySet(update.evacuations)) {
+			platformState.handleEvacuationChange(origin);
+		}
+
 		platformState.confirmUpTo('configuration', currentAt);
 		platformState.confirmUpTo('registry', currentAt);
 	}
@@ -281,6 +286,11 @@
 		return update.position > position ? update : undefined;
 	}
 
+	function getEvacuations(version: number) {
+		const set = platformState.evacuations.getSet();
+		return set.version > version ? set : undefined;
+	}
+
 	function getStatementUpdate({membersSource, statementsRevision}: codec.SharingRequest) {
 		const {revision, statements} = host.statements.getUpdate(membersSource === self.incarnation ? statementsRevision : -1);
 		return {statementsRevision: revision, statements};
@@ -291,6 +301,7 @@
 		const update = getRegistryUpdate(request.registryPosition);
 		return version > request.configurationVersion
 			|| (update !== undefined && (update.changes.length > 0 || update.isComplete))
+			|| platformState.evacuations.getChangedVersion() > request.evacuationsVersion
 			|| request.membersSource !== self.incarnation
 			|| host.statements.getUpdate(request.statementsRevision).statements.length > 0
 			|| request.membersRevision < announcedRevision;
@@ -325,6 +336,7 @@
 				ageMilliseconds: Math.max(0, platformState.getAge(host.getNow())),
 				configuration: activeConfiguration && activeConfiguration.configuration.version > request.configurationVersion ? activeConfiguration.configuration : undefined,
 				registryUpdate: getRegistryUpdate(request.registryPosition),
+				evacuations: getEvacuations(request.evacuationsVersion),
 				membersSource: self.incarnation,
 				memberUpdate: members.getUpdate(request.membersSource === self.incarnation ? request.membersRevision : -1),
 				...getStatementUpdate(request),
--- a/src/gateway/statement-recorder.ts
+++ b/src/gateway/statement-recorder.ts
@@ -1,6 +1,7 @@
 /** Records what upstreams state about the requests that they accept, and logs each change. */
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import * as upstreamStatements from '../decisions/backpressure/upstream-statements.ts';
+import type * as registry from '../decisions/registry/types.ts';
 import type * as logger from '../observability/logger.ts';
 import type * as codec from '../peers/sharing-codec.ts';
 import type * as types from './types.ts';
@@ -14,6 +15,8 @@
 	readonly logger: logger.Logger;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
+	/** Requests per second that a cold upstream of a service accepts; undefined if the service has no such limit. */
+	getColdRate(service: string): number | undefined;
 	/** Called after a change of how an upstream may be used. */
 	onChange(): void;
 };
@@ -23,6 +26,8 @@
 	readonly statements: upstreamStatements.UpstreamStatements;
 	/** Records the statements in a response that an upstream sent to this entry. */
 	recordResponse(upstream: upstreams.Upstream, metadata: types.ResponseMetadata, exchange: Exchange): void;
+	/** Records what a new or changed registration says of its upstream. */
+	recordRegistration(registration: registry.Registration): void;
 	/** Records statements that another entry has heard. Returns whether one of them changed what is known. */
 	recordShared(shared: readonly codec.SharedStatement[], origin: string): boolean;
 	/** Gets the statements that changed after a revision, with their age. */
@@ -41,7 +46,7 @@
 	const statements = upstreamStatements.createUpstreamStatements();
 	/** Incarnations of the upstreams whose invalid statement was logged. */
 	const loggedInvalid = new Map<string, number>();
-	const pauseTimers = new Map<string, NodeJS.Timeout>();
+	const accessTimers = new Map<string, NodeJS.Timeout>();
 
 	function record(statement: upstreamStatements.UpstreamStatement, origin: string): boolean {
 		const isChange = statements.record(statement);
@@ -51,28 +56,36 @@
 				upstream: id, incarnation, ...describeContent(content), origin, ageMilliseconds: Math.round(host.getNow() - heardAt),
 			});
 			host.onChange();
-			schedulePauseEnd(statement);
+			scheduleAccessEnd(statement);
 		}
 
 		return isChange;
 	}
 
-	/** Calls `onChange` at the end of a pause, which no response announces. */
-	function schedulePauseEnd(upstream: upstreamStatements.UpstreamIncarnation): void {
+	/** Calls `onChange` at the end of a pause or of the cold state, which no response announces. */
+	function scheduleAccessEnd(upstream: upstreamStatements.UpstreamIncarnation): void {
 		const now = host.getNow();
-		const access = statements.getAccess(upstream, now);
-		if (access.kind !== 'paused') {
+		const endsAt = getAccessEnd(statements.getAccess(upstream, now));
+		if (endsAt === undefined) {
 			return;
 		}
 
-		clearTimeout(pauseTimers.get(upstream.id));
+		clearTimeout(accessTimers.get(upstream.id));
 		const timer = setTimeout(() => {
-			pauseTimers.delete(upstream.id);
+			accessTimers.delete(upstream.id);
 			host.onChange();
-			schedulePauseEnd(upstream);
-		}, Math.max(1, access.endsAt - now));
+			scheduleAccessEnd(upstream);
+		}, Math.max(1, Math.ceil(endsAt - now)));
 		timer.unref();
-		pauseTimers.set(upstream.id, timer);
+		accessTimers.set(upstream.id, timer);
+	}
+
+	/** Records whether an upstream is cold, if its service limits the requests to such upstreams. */
+	function recordCold(source: Omit<upstreamStatements.UpstreamStatement, 'content'>, service: string, milliseconds: number, origin: string): void {
+		const requestsPerSecond = host.getColdRate(service);
+		if (requestsPerSecond !== undefined) {
+			record({...source, content: {kind: 'cold', milliseconds, requestsPerSecond}}, origin);
+		}
 	}
 
 	/** Returns the stated value; logs one that can't be used. */
@@ -105,7 +118,7 @@
 
 	return {
 		statements,
-		recordResponse({registration: {id, incarnation}}, {acceptance}, {kind, statusCode}) {
+		recordResponse({registration: {id, incarnation, service}}, {acceptance}, {kind, statusCode}) {
 			const source = {id, incarnation, heardAt: host.getNow()};
 			if (getValue(source, 'leaving', acceptance.leaving)) {
 				record({...source, content: {kind: 'leaving'}}, 'response');
@@ -122,10 +135,20 @@
 			if (milliseconds !== undefined) {
 				record({...source, content: {kind: 'pause', milliseconds}}, 'response');
 			}
+
+			const coldMilliseconds = getValue(source, 'cold', acceptance.coldMilliseconds);
+			if (coldMilliseconds !== undefined || (acceptance.coldMilliseconds.kind === 'absent' && kind === 'check' && statements.isCold(source, source.heardAt))) {
+				recordCold(source, service, coldMilliseconds ?? 0, 'response');
+			}
+		},
+		recordRegistration({id, incarnation, service, warmUpMilliseconds}) {
+			if (warmUpMilliseconds > 0) {
+				recordCold({id, incarnation, heardAt: host.getNow()}, service, warmUpMilliseconds, 'registry');
+			}
 		},
 		recordShared(shared, origin) {
 			const now = host.getNow();
-			const changes = shared.filter(({ageMilliseconds, ...statement}) => record({...statement, heardAt: now - ageMilliseconds}, origin));
+			const changes = shared.filter(statement => !isOver(statement)).filter(({ageMilliseconds, ...statement}) => record({...statement, heardAt: now - ageMilliseconds}, origin));
 			return changes.length > 0;
 		},
 		getUpdate(since) {
@@ -145,13 +168,39 @@
 			}
 		},
 		close() {
-			for (const timer of pauseTimers.values()) {
+			for (const timer of accessTimers.values()) {
 				clearTimeout(timer);
 			}
 		},
 	};
 }
 
+/** Whether a statement of another entry holds no longer. */
+function isOver({content, ageMilliseconds}: codec.SharedStatement): boolean {
+	return content.kind === 'cold' && content.milliseconds > 0 && ageMilliseconds >= content.milliseconds;
+}
+
+function getAccessEnd(access: upstreamStatements.UpstreamAccess): number | undefined {
+	switch (access.kind) {
+		case 'paused': {
+			return access.endsAt;
+		}
+
+		case 'by-permit': {
+			return access.coldUntil;
+		}
+
+		case 'open':
+		case 'leaving': {
+			return undefined;
+		}
+
+		default: {
+			return exhaustiveness.assertNever(access);
+		}
+	}
+}
+
 function describeContent(content: upstreamStatements.StatementContent): Readonly<Record<string, unknown>> {
 	switch (content.kind) {
 		case 'rate-limit': {
@@ -162,6 +211,10 @@
 			return {statement: content.kind, milliseconds: content.milliseconds};
 		}
 
+		case 'cold': {
+			return {statement: content.kind, milliseconds: Math.round(content.milliseconds), requestsPerSecond: content.requestsPerSecond};
+		}
+
 		case 'no-rate-limit':
 		case 'leaving': {
 			return {statement: content.kind};
--- a/src/gateway/store-reader.test.ts
+++ b/src/gateway/store-reader.test.ts
@@ -82,7 +82,7 @@
 
 function createState(): platformStates.PlatformState {
 	return platformStates.createPlatformState({
-		logger: silentLogger, getNow, onConfiguration: () => undefined, onUpstreams: () => undefined,
+		logger: silentLogger, getNow, onConfiguration: () => undefined, onUpstreams: () => undefined, onEvacuations: () => undefined,
 	});
 }
 
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -1,10 +1,11 @@
 /** Reads the configuration and the registry from the platform's store. */
 import * as timers from 'node:timers/promises';
 import type * as neverthrow from 'neverthrow';
+import type * as evacuations from '../decisions/registry/evacuations.ts';
 import {type Logger} from '../observability/logger.ts';
 import * as platformStates from './platform-state.ts';
 import {
-	type ConfigurationRecord, type ReadOptions, type StoreError, type StoreHost, type StorePage, type StoreStream,
+	type OperatorRecord, type ReadOptions, type StoreError, type StoreHost, type StorePage, type StoreStream,
 } from './types.ts';
 
 /** Dependencies of a store reader. */
@@ -99,11 +100,14 @@
 			return false;
 		}
 
-		configurationPosition = result.value.position;
-		for (const record of result.value.records) {
+		const {position, records, isComplete} = result.value;
+		configurationPosition = position;
+		for (const record of records) {
 			applyConfigurationRecord(record);
 		}
 
+		applyEvacuations(records.filter(record => record.kind === 'evacuated' || record.kind === 'restored'), isComplete);
+
 		if (result.value.isComplete || result.value.position >= result.value.endPosition) {
 			platformState.confirmUpTo('configuration', host.getNow());
 		}
@@ -111,11 +115,36 @@
 		return true;
 	}
 
-	function applyConfigurationRecord(record: ConfigurationRecord): void {
-		if (record.kind === 'published') {
-			platformState.applyConfiguration(record.configuration, storeOrigin);
-		} else {
-			logger.warn('configuration-unusable', {reason: record.reason, position: configurationPosition});
+	function applyConfigurationRecord(record: OperatorRecord): void {
+		switch (record.kind) {
+			case 'published': {
+				platformState.applyConfiguration(record.configuration, storeOrigin);
+				break;
+			}
+
+			case 'unusable': {
+				logger.warn('configuration-unusable', {reason: record.reason, position: configurationPosition});
+				break;
+			}
+
+			case 'unusable-evacuation': {
+				logger.warn('evacuation-unusable', {failureDomain: record.failureDomain, reason: record.reason, position: configurationPosition});
+				break;
+			}
+
+			case 'evacuated':
+			case 'restored': {
+				break;
+			}
+		}
+	}
+
+	function applyEvacuations(records: readonly evacuations.EvacuationRecord[], isComplete: boolean): void {
+		const isChanged = isComplete
+			? platformState.evacuations.applySnapshot(records, configurationPosition)
+			: platformState.evacuations.applyRecords(records, configurationPosition);
+		if (isChanged) {
+			platformState.handleEvacuationChange(storeOrigin);
 		}
 	}
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import type * as neverthrow from 'neverthrow';
 import type * as configuration from '../decisions/configuration/types.ts';
+import type * as evacuations from '../decisions/registry/evacuations.ts';
 import type * as registry from '../decisions/registry/types.ts';
 import type * as prequalSelection from '../decisions/routing/prequal-selection.ts';
 import type * as call from '../entry/call.ts';
@@ -24,6 +25,12 @@
 	= | {readonly kind: 'published'; readonly configuration: configuration.Configuration}
 		| {readonly kind: 'unusable'; readonly reason: string};
 
+/** A record that operators publish. */
+export type OperatorRecord
+	= | ConfigurationRecord
+		| evacuations.EvacuationRecord
+		| {readonly kind: 'unusable-evacuation'; readonly failureDomain: string; readonly reason: string};
+
 /** Time limits of a read. */
 export type ReadOptions = {
 	/** Maximum time for which the store may hold the read open until a record arrives. */
@@ -41,7 +48,8 @@
 
 /** The streams of the platform's store. */
 export type StoreHost = {
-	readonly configuration: StoreStream<ConfigurationRecord>;
+	/** Configurations and evacuations. */
+	readonly configuration: StoreStream<OperatorRecord>;
 	readonly registry: StoreStream<registry.RegistryRecord>;
 };
 
@@ -70,6 +78,8 @@
 	readonly leaving: Stated<true>;
 	/** Time for which the upstream accepts no requests from this entry, if it rejects one, in milliseconds. */
 	readonly retryAfterMilliseconds: Stated<number>;
+	/** Time for which the upstream stays cold, in milliseconds. */
+	readonly coldMilliseconds: Stated<number>;
 };
 
 /** Data from the headers of an upstream's response. */
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -24,6 +24,8 @@
 	getMaximumConnections(service: string): number;
 	/** Returns the number of running entries. */
 	countEntries(): number;
+	/** Whether the upstreams of a failure domain receive nothing new. */
+	isEvacuated(failureDomain: string): boolean;
 	/** Gets how an upstream may be used according to its own statements. */
 	getAccess(upstream: upstreamStatements.UpstreamIncarnation, now: number): upstreamStatements.UpstreamAccess;
 	/** Present time in milliseconds of a monotonic clock. */
@@ -46,7 +48,11 @@
 	listByLocality(service: string, isLocal: boolean): readonly Upstream[];
 	/** Lists the upstreams of a service that need a permit for each request. */
 	listByPermit(service: string): readonly Upstream[];
-	/** Gets the time at which the first of the paused upstreams of a service accepts requests again; undefined if none is paused. */
+	/** Whether all upstreams of a service are in evacuated failure domains. */
+	isServiceEvacuated(service: string): boolean;
+	/** Counts the upstreams that are cold. */
+	countCold(): number;
+	/** Gets the time at which the first of the paused or cold upstreams of a service accepts requests again; undefined if there is none. */
 	getPauseEnd(service: string): number | undefined;
 	/** Whether an upstream may still receive new requests without a permit. */
 	isUsable(upstream: Upstream): boolean;
@@ -67,9 +73,9 @@
 const idleMilliseconds = 8000;
 
 /** Usable upstreams of a service. */
-type ServiceUpstreams = {readonly all: Upstream[]; readonly local: Upstream[]; readonly remote: Upstream[]; readonly byPermit: Upstream[]; readonly pauseEnds: number[]};
+type ServiceUpstreams = {readonly all: Upstream[]; readonly local: Upstream[]; readonly remote: Upstream[]; readonly byPermit: Upstream[]; readonly evacuated: Upstream[]; readonly pauseEnds: number[]};
 const createServiceUpstreams = (): ServiceUpstreams => ({
-	all: [], local: [], remote: [], byPermit: [], pauseEnds: [],
+	all: [], local: [], remote: [], byPermit: [], evacuated: [], pauseEnds: [],
 });
 const noUpstreams = createServiceUpstreams();
 
@@ -128,7 +134,11 @@
 
 			const usable = usableByService.get(service) ?? createServiceUpstreams();
 			usableByService.set(service, usable);
-			addUpstream(usable, upstream, now);
+			if (host.isEvacuated(upstream.registration.failureDomain)) {
+				usable.evacuated.push(upstream);
+			} else {
+				addUpstream(usable, upstream, now);
+			}
 		}
 
 		all = [...usableByService.values()].flatMap(usable => usable.all);
@@ -146,6 +156,10 @@
 
 			case 'by-permit': {
 				usable.byPermit.push(upstream);
+				if (access.coldUntil !== undefined) {
+					usable.pauseEnds.push(access.coldUntil);
+				}
+
 				break;
 			}
 
@@ -188,6 +202,17 @@
 		listUsable: service => (usableByService.get(service) ?? noUpstreams).all,
 		listByLocality: (service, isLocalRequested) => (usableByService.get(service) ?? noUpstreams)[isLocalRequested ? 'local' : 'remote'],
 		listByPermit: service => (usableByService.get(service) ?? noUpstreams).byPermit,
+		isServiceEvacuated(service) {
+			const {all: open, byPermit, evacuated, pauseEnds} = usableByService.get(service) ?? noUpstreams;
+			return evacuated.length > 0 && open.length + byPermit.length + pauseEnds.length === 0;
+		},
+		countCold() {
+			const now = host.getNow();
+			return [...upstreams.values()].filter(({registration}) => {
+				const access = host.getAccess(registration, now);
+				return access.kind === 'by-permit' && access.coldUntil !== undefined;
+			}).length;
+		},
 		getPauseEnd(service) {
 			const {pauseEnds} = usableByService.get(service) ?? noUpstreams;
 			return pauseEnds.length === 0 ? undefined : Math.min(...pauseEnds);
@@ -196,7 +221,7 @@
 			const {id, service, incarnation} = registration;
 			const existing = upstreams.get(id)?.registration;
 			const isPresent = existing?.state === 'ready' && existing.service === service && existing.incarnation === incarnation;
-			return isPresent && excludedIncarnations.get(id) !== incarnation && host.getAccess(registration, host.getNow()).kind === 'open';
+			return isPresent && excludedIncarnations.get(id) !== incarnation && !host.isEvacuated(registration.failureDomain) && host.getAccess(registration, host.getNow()).kind === 'open';
 		},
 		getSelectionShare({registration}, now) {
 			const access = host.getAccess(registration, now);
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -17,6 +17,10 @@
 	readonly isCutOff: boolean;
 	/** Memory that connections, requests and responses claim. */
 	readonly claimedBytes: number;
+	/** Upstreams that are cold, so that each request to them needs a permit. */
+	readonly coldUpstreams: number;
+	/** Failure domains whose upstreams receive nothing new. */
+	readonly evacuatedFailureDomains: number;
 };
 
 /** Records the metrics of a gateway. */
@@ -66,6 +70,8 @@
 		openRequests: 'fescuering_gateway_open_requests',
 		isCutOff: 'fescuering_gateway_cut_off',
 		claimedBytes: 'fescuering_gateway_claimed_bytes',
+		coldUpstreams: 'fescuering_gateway_cold_upstreams',
+		evacuatedFailureDomains: 'fescuering_gateway_evacuated_failure_domains',
 	};
 	const gaugeMetrics = new Map(Object.values(gaugeNames).map(name => [name, new prometheus.Gauge({name, help: 'State of this entry.', registers})]));
 
@@ -97,6 +103,8 @@
 			gaugeMetrics.get(gaugeNames.openRequests)!.set(gauges.openRequests);
 			gaugeMetrics.get(gaugeNames.isCutOff)!.set(Number(gauges.isCutOff));
 			gaugeMetrics.get(gaugeNames.claimedBytes)!.set(gauges.claimedBytes);
+			gaugeMetrics.get(gaugeNames.coldUpstreams)!.set(gauges.coldUpstreams);
+			gaugeMetrics.get(gaugeNames.evacuatedFailureDomains)!.set(gauges.evacuatedFailureDomains);
 			return registry.metrics();
 		},
 	};
--- a/src/peers/permits.ts
+++ b/src/peers/permits.ts
@@ -13,6 +13,8 @@
 	readonly requestsPerSecond: number;
 	/** Time since the limit was heard from the upstream. */
 	readonly ageMilliseconds: number;
+	/** Time for which the upstream stays cold, which is why it has a limit; 0 for a limit that it stated. */
+	readonly coldMilliseconds: number;
 };
 
 /** The coordinator didn't answer, or its answer is invalid. */
@@ -36,7 +38,7 @@
 	async function sendRequest(address: string, request: SharedPermitRequest): Promise<permitIssuer.PermitResponse> {
 		const client = connect.createClient(generated.PermitService, transports.get(address));
 		const message = protobuf.create(generated.PermitRequestSchema, {
-			...request, incarnation: BigInt(request.incarnation), ageMilliseconds: Math.round(Math.max(0, request.ageMilliseconds)),
+			...request, incarnation: BigInt(request.incarnation), ageMilliseconds: Math.round(Math.max(0, request.ageMilliseconds)), coldMilliseconds: Math.ceil(request.coldMilliseconds),
 		});
 		return toPermitResponse(await client.requestPermit(message, {timeoutMs: answerTimeoutMilliseconds}));
 	}
@@ -62,14 +64,14 @@
 	return router => {
 		router.service(generated.PermitService, {
 			requestPermit({
-				requester, upstreamId, incarnation, requestsPerSecond, ageMilliseconds,
+				requester, upstreamId, incarnation, requestsPerSecond, ageMilliseconds, coldMilliseconds,
 			}) {
 				if (!(requestsPerSecond > 0)) {
 					throw new connect.ConnectError('The request has no rate limit. Set requests_per_second to the limit that the upstream stated.', connect.Code.InvalidArgument);
 				}
 
 				return toResponseMessage(host.handleRequest({
-					requester, upstreamId, incarnation: Number(incarnation), requestsPerSecond, ageMilliseconds,
+					requester, upstreamId, incarnation: Number(incarnation), requestsPerSecond, ageMilliseconds, coldMilliseconds,
 				}));
 			},
 		});
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -4,6 +4,7 @@
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import type * as upstreamStatements from '../decisions/backpressure/upstream-statements.ts';
 import * as configuration from '../decisions/configuration/types.ts';
+import type * as evacuations from '../decisions/registry/evacuations.ts';
 import * as registry from '../decisions/registry/types.ts';
 import {type RegistryUpdate} from '../decisions/registry/upstream-registry.ts';
 import {type Member, type MemberUpdate} from '../decisions/sharing/types.ts';
@@ -19,6 +20,8 @@
 	readonly configurationVersion: number;
 	/** Position of the follower in the registry; -1 for none. */
 	readonly registryPosition: number;
+	/** Version of the follower's set of evacuated failure domains; -1 for none. */
+	readonly evacuationsVersion: number;
 	/** Incarnation of the entry that assigned `membersRevision`; empty for none. */
 	readonly membersSource: string;
 	/** Revision of the follower's member list; -1 for none. */
@@ -37,6 +40,8 @@
 	readonly ageMilliseconds: number;
 	readonly configuration: configuration.Configuration | undefined;
 	readonly registryUpdate: RegistryUpdate | undefined;
+	/** Set of evacuated failure domains; undefined if the follower's is current. */
+	readonly evacuations: evacuations.EvacuationSet | undefined;
 	/** Incarnation of the responder. */
 	readonly membersSource: string;
 	readonly memberUpdate: MemberUpdate;
@@ -91,6 +96,10 @@
 			return {case: 'isLeaving', value: true};
 		}
 
+		case 'cold': {
+			return {case: 'cold', value: protobuf.create(generated.ColdStateSchema, {milliseconds: Math.round(content.milliseconds), requestsPerSecond: content.requestsPerSecond})};
+		}
+
 		default: {
 			return exhaustiveness.assertNever(content);
 		}
@@ -123,6 +132,11 @@
 			return content.value ? {kind: 'leaving'} : undefined;
 		}
 
+		case 'cold': {
+			const {milliseconds, requestsPerSecond} = content.value;
+			return requestsPerSecond > 0 ? {kind: 'cold', milliseconds, requestsPerSecond} : undefined;
+		}
+
 		case undefined: {
 			return undefined;
 		}
@@ -139,6 +153,7 @@
 		follower: toMemberMessage(request.follower),
 		configurationVersion: BigInt(request.configurationVersion),
 		registryPosition: BigInt(request.registryPosition),
+		evacuationsVersion: BigInt(request.evacuationsVersion),
 		membersRevision: BigInt(request.membersRevision),
 		statementsRevision: BigInt(request.statementsRevision),
 		statements: request.statements.map(statement => toStatementMessage(statement)),
@@ -151,6 +166,7 @@
 		follower: toMember(message.follower),
 		configurationVersion: Number(message.configurationVersion),
 		registryPosition: Number(message.registryPosition),
+		evacuationsVersion: Number(message.evacuationsVersion),
 		membersSource: message.membersSource,
 		membersRevision: Number(message.membersRevision),
 		statementsRevision: Number(message.statementsRevision),
@@ -164,6 +180,7 @@
 		ageMilliseconds: Math.round(Math.min(maximumAgeMilliseconds, update.ageMilliseconds)),
 		configuration: update.configuration === undefined ? '' : JSON.stringify(update.configuration),
 		registryUpdate: update.registryUpdate === undefined ? '' : JSON.stringify(update.registryUpdate),
+		...(update.evacuations && {evacuations: protobuf.create(generated.EvacuationSetSchema, {version: BigInt(update.evacuations.version), failureDomains: [...update.evacuations.failureDomains]})}),
 		members: update.memberUpdate.members.map(member => toMemberMessage(member)),
 		membersSource: update.membersSource,
 		membersRevision: BigInt(update.memberUpdate.revision),
@@ -180,6 +197,7 @@
 		ageMilliseconds: message.ageMilliseconds,
 		configuration: message.configuration === '' ? undefined : configuration.configurationSchema.parse(JSON.parse(message.configuration)),
 		registryUpdate: message.registryUpdate === '' ? undefined : registryUpdateSchema.parse(JSON.parse(message.registryUpdate)),
+		evacuations: message.evacuations && {version: Number(message.evacuations.version), failureDomains: message.evacuations.failureDomains},
 		membersSource: message.membersSource,
 		memberUpdate: {
 			revision: Number(message.membersRevision),
--- a/stand-ins/platform-upstream.ts
+++ b/stand-ins/platform-upstream.ts
@@ -49,6 +49,8 @@
 	setStatements(headers: Readonly<Record<string, string>>): void;
 	/** Sets the partition between the upstream and its clients, by their address. */
 	setPartition(getPartition: (clientAddress: string) => Partition): void;
+	/** Sets the time for which the upstream states that it is cold, in milliseconds; undefined for a warm one. */
+	setCold(milliseconds: number | undefined): void;
 	/** Sets whether health checks fail and responses close their connection, as for an upstream that is shutting down. */
 	setDraining(isLeaving: boolean): void;
 	close(): Promise<void>;
@@ -68,6 +70,7 @@
 	let behaviour: PlatformUpstreamBehavior = {kind: 'answer', milliseconds: 1};
 	let runningCount = 0;
 	let isLeaving = false;
+	let coldUntil: number | undefined;
 	let statements: Readonly<Record<string, string>> = {};
 	const checkTimes: number[] = [];
 	const abortedRequestIds: string[] = [];
@@ -89,6 +92,7 @@
 		return applies || hanging.has(socket);
 	}
 
+	const createColdHeader = () => coldUntil === undefined ? {} : {'cold-ms': String(Math.max(0, Math.round(coldUntil - performance.now())))};
 	const formatLoad = () => `${runningCount},0,${slots},100`;
 
 	function receiveRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -103,7 +107,7 @@
 		request.once('end', () => {
 			if (request.url === '/healthz') {
 				checkTimes.push(performance.now());
-				response.writeHead(isLeaving ? 503 : 200, {'instance-id': id, 'upstream-load': formatLoad()}).end();
+				response.writeHead(isLeaving ? 503 : 200, {'instance-id': id, 'upstream-load': formatLoad(), ...createColdHeader()}).end();
 				return;
 			}
 
@@ -214,6 +218,9 @@
 		setPartition(getNewPartition) {
 			getPartition = getNewPartition;
 		},
+		setCold(milliseconds) {
+			coldUntil = milliseconds === undefined ? undefined : performance.now() + milliseconds;
+		},
 		setDraining(isNowLeaving) {
 			isLeaving = isNowLeaving;
 		},
--- a/test/support/hostile-upstream.ts
+++ b/test/support/hostile-upstream.ts
@@ -41,7 +41,7 @@
 	const address = server.address();
 	const port = typeof address === 'object' && address ? address.port : 0;
 	const upstreams = upstreamsModule.createUpstreams({
-		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), getNow,
+		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), isEvacuated: () => false, getNow,
 	}, 'here');
 	upstreams.update([{
 		id: 'u-1', service: 'desk', address: `127.0.0.1:${port}`, failureDomain: 'here', slots: 4, state: 'ready', warmUpMilliseconds: 0, incarnation: 1, sequence: 1,
