Identify workspaces by their keys, and keep their allowances over all entries

Change: a table of keys with the configuration decides who calls; 401 only by an entry that is current; the name goes to the upstream, the key to nobody; the rank of a workspace goes before that of the route. One entry keeps a ledger of the allowances; entries report five times a second while requests arrive and admit the share that it grants. Active only where a configuration has workspaces, and allowances.

--- a/src/decisions/backpressure/permit-issuer.ts
+++ b/src/decisions/backpressure/permit-issuer.ts
@@ -7,6 +7,7 @@
 if it has lost sight of other entries, because these may have a coordinator of their own.
 */
 import type * as randomness from '../random.ts';
+import * as entryCount from '../sharing/entry-count.ts';
 
 /** Request for a permit. */
 export type PermitRequest = {
@@ -49,8 +50,6 @@
 const horizonMilliseconds = 1000;
 /** Time from the first request for a permit until an entry issues permits as the coordinator, in milliseconds, in which most of its predecessor's permits expire. */
 const takeoverMilliseconds = permitMilliseconds;
-/** Time for which the largest number of known entries is remembered, in milliseconds. */
-const entriesMemoryMilliseconds = 15_000;
 /** Time for which an entry that asked counts as one that competes for the permits, in milliseconds. */
 const requesterMemoryMilliseconds = 2000;
 const minimumRetryMilliseconds = 100;
@@ -68,12 +67,7 @@
 /** Creates an issuer that has issued no permits. */
 export function createPermitIssuer(random: randomness.RandomSource): PermitIssuer {
 	const permitsByUpstream = new Map<string, UpstreamPermits>();
-	/** Numbers of known entries and the times at which they were observed; each is larger than the ones after it. */
-	let observations: ReadonlyArray<{readonly entries: number; readonly at: number}> = [];
-
-	function observeEntries(entries: number, now: number): void {
-		observations = [...observations.filter(({entries: earlier, at}) => earlier > entries && now - at <= entriesMemoryMilliseconds), {entries, at: now}];
-	}
+	const largestCount = entryCount.createLargestEntryCount();
 
 	function getUpstreamPermits({upstreamId, incarnation}: PermitRequest, now: number): UpstreamPermits {
 		const existing = permitsByUpstream.get(upstreamId);
@@ -100,13 +94,13 @@
 
 	return {
 		request(request, {requestsPerSecond, isCoordinator, entries}, now) {
-			observeEntries(entries, now);
+			const largestEntries = largestCount.observe(entries, now);
 			if (!isCoordinator || requestsPerSecond === undefined) {
 				permitsByUpstream.delete(request.upstreamId);
 				return {kind: 'denied', retryAfterMilliseconds: minimumRetryMilliseconds};
 			}
 
-			const visibleShare = entries / observations[0]!.entries;
+			const visibleShare = entries / largestEntries;
 			const intervalMilliseconds = millisecondsPerSecond / (issuedShare * visibleShare * requestsPerSecond);
 			const permits = getUpstreamPermits(request, now);
 			const requesters = countRequesters(permits, request.requester, now);
@@ -119,7 +113,9 @@
 			permits.nextStartAt = startsAt + intervalMilliseconds;
 			return {kind: 'granted', startsInMilliseconds: startsAt - now, validMilliseconds: permitMilliseconds};
 		},
-		observeEntries,
+		observeEntries(entries, now) {
+			largestCount.observe(entries, now);
+		},
 		retain(isRegistered) {
 			for (const id of permitsByUpstream.keys()) {
 				if (!isRegistered(id)) {
--- a/src/decisions/backpressure/permit-roles.ts
+++ b/src/decisions/backpressure/permit-roles.ts
@@ -37,6 +37,12 @@
 	return {coordinator: findHighest(ready, getScore), requesterCount: limit, mayAsk: isRequester && before < limit};
 }
 
+/** Finds the entry that ranks first for an identifier among those that are ready. */
+export function findFirstReady(id: string, members: readonly sharing.Member[]): sharing.Member | undefined {
+	const idHash = hash.hashText(id);
+	return findHighest(members.filter(({isReady}) => isReady), name => hash.mixHashes(hash.hashText(name), idHash));
+}
+
 function findHighest(members: readonly sharing.Member[], getScore: (name: string) => number): sharing.Member | undefined {
 	let highest: {readonly member: sharing.Member; readonly score: number} | undefined;
 	for (const member of members) {
--- a/src/decisions/configuration/route-table.test.ts
+++ b/src/decisions/configuration/route-table.test.ts
@@ -7,7 +7,7 @@
 
 function createRoute(pathPrefix: string, changes: Partial<types.Route> = {}): types.Route {
 	return {
-		name: pathPrefix, host: 'desk.example', pathPrefix, kind: 'idempotent', destinations: [{service: 'a', weight: 1}], timeoutMilliseconds: 1000, objectiveMilliseconds: 100, maximumAttempts: 2, priority: 0, ...changes,
+		name: pathPrefix, host: 'desk.example', pathPrefix, kind: 'idempotent', destinations: [{service: 'a', weight: 1}], timeoutMilliseconds: 1000, objectiveMilliseconds: 100, maximumAttempts: 2, priority: 0, isPublic: false, ...changes,
 	};
 }
 
@@ -15,6 +15,7 @@
 	version: 1,
 	routes: [createRoute('/a/'), createRoute('/a/b/'), createRoute('/', {host: 'all.example'})],
 	services: [],
+	workspaces: [],
 	limits: {
 		headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1,
 	},
--- a/src/decisions/configuration/types.ts
+++ b/src/decisions/configuration/types.ts
@@ -27,6 +27,18 @@
 	maximumAttempts: z.int().positive(),
 	/** Priority rank; 0 is the highest. */
 	priority: z.int().nonnegative(),
+	/** Whether callers need no key, if the configuration has workspaces. */
+	isPublic: z.boolean().default(false),
+});
+
+/** A workspace, whose requests carry one of its keys. */
+export const workspaceSchema = z.object({
+	name: z.string(),
+	keys: z.array(z.string()),
+	/** Priority rank, which goes before that of the route; 0 is the highest. */
+	priority: z.int().nonnegative(),
+	/** Requests over all entries; absent if the workspace has no limit. */
+	allowance: z.object({requestsPerSecond: z.number().positive(), burst: z.number().nonnegative()}).optional(),
 });
 
 export const serviceSchema = z.object({
@@ -51,6 +63,8 @@
 	version: z.int().nonnegative(),
 	routes: z.array(routeSchema),
 	services: z.array(serviceSchema),
+	/** Workspaces; without any, callers need no keys. */
+	workspaces: z.array(workspaceSchema).default([]),
 	limits: callerLimitsSchema,
 });
 
@@ -58,5 +72,6 @@
 export type Destination = z.infer<typeof destinationSchema>;
 export type Route = z.infer<typeof routeSchema>;
 export type ServiceDescription = z.infer<typeof serviceSchema>;
+export type Workspace = z.infer<typeof workspaceSchema>;
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 export type Configuration = z.infer<typeof configurationSchema>;
--- a/src/gateway/call-log.ts
+++ b/src/gateway/call-log.ts
@@ -17,6 +17,7 @@
 		const fields = {
 			id: request.id,
 			route: request.route.name,
+			workspace: request.workspace?.name,
 			kind: request.route.kind,
 			service: request.service,
 			configuration: request.configurationVersion,
@@ -36,6 +37,10 @@
 			logger.warn('request-ended', fields);
 		}
 
+		if (request.workspace) {
+			metrics.recordWorkspaceRequest(request.workspace.name, outcome);
+		}
+
 		metrics.recordRequest(request.route.name, outcome, reason, milliseconds, heldMilliseconds);
 		for (const {upstream, end} of attempts) {
 			metrics.recordAttempt(upstream, end);
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -5,6 +5,7 @@
 starts after the response.
 */
 import {assertNever} from '../decisions/assert-never.ts';
+import * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import * as hedgeDelay from '../decisions/retries/hedge-delay.ts';
 import {type FleetRetryBudget} from '../decisions/retries/fleet-retry-budget.ts';
 import * as retryDecision from '../decisions/outcomes/retry-decision.ts';
@@ -101,7 +102,7 @@
 		let isSelected = false;
 		const cancel = host.selector.select({
 			service,
-			priority: route.priority,
+			priority: workspaceKeys.getPriority(route, request.workspace),
 			work: {
 				workMilliseconds: host.learner.getRouteMilliseconds(route.name),
 				meanWorkMilliseconds: host.learner.getServiceMilliseconds(service),
@@ -109,7 +110,8 @@
 				mayExceedCapacity: route.priority === 0,
 			},
 			tried,
-			mayRelay: !request.isRelayed,
+			// Another entry would ask for the key, which isn't passed on.
+			mayRelay: !request.isRelayed && request.workspace === undefined,
 			objectiveEndsAt,
 			expiresAt: Math.min(request.deadlineAt, Math.max(holdUntil, host.getNow() + minimumRetryHoldMilliseconds)),
 		}, selection => {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -17,9 +17,11 @@
 import {createLifeCycle} from '../entry/life-cycle.ts';
 import {type GatewayMetrics} from '../observability/gateway-metrics.ts';
 import {type Logger} from '../observability/logger.ts';
+import * as peerAllowances from '../peers/allowances.ts';
 import * as peerPermits from '../peers/permits.ts';
 import {createPeerServer} from '../peers/peer-server.ts';
 import {createSharingClient, createSharingRoutes} from '../peers/sharing.ts';
+import * as allowancesModule from './allowances.ts';
 import * as callLog from './call-log.ts';
 import {startCall} from './call-runner.ts';
 import {createDirectory, type Directory} from './directory.ts';
@@ -216,6 +218,15 @@
 		getNow,
 		recordPermit: metrics.recordPermit,
 	});
+	const allowances = allowancesModule.createAllowances({
+		client: peerAllowances.createAllowanceClient(),
+		logger,
+		random,
+		name: settings.name,
+		listWorkspaces: () => platformState.getActiveConfiguration()?.configuration.workspaces ?? [],
+		listMembers: sharing.members.list,
+		getNow,
+	});
 	const countEntries = () => sharing.members.count();
 	let checkShare = {value: 0, expiresAt: Number.NEGATIVE_INFINITY};
 	/** Gets the part of the fleet's load checks that this entry may make. */
@@ -306,6 +317,15 @@
 		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
 		canFinish: ({deadlineAt, route}) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: callRunnerHost.learner.getRouteMilliseconds(route.name)}, getNow()),
 		getNow,
+		admit(workspace) {
+			const isAdmitted = allowances.admit(workspace);
+			if (!isAdmitted) {
+				metrics.recordWorkspaceRequest(workspace.name, 'limited');
+			}
+
+			return isAdmitted;
+		},
+		getAllowanceRetryMilliseconds: allowances.getRetryMilliseconds,
 		startCall(request, target) {
 			demand.countRequest(getNow());
 			return startCall(callRunnerHost, request, target);
@@ -357,7 +377,7 @@
 
 	const peers = splitAddress(settings.listen.peers);
 	const peerServer = await openPorts.openPort(host, 'peers', async () => {
-		const result = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest})], ...messageLimits.createMessageLimits(memory, getNow)});
+		const result = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest}), peerAllowances.createAllowanceRoutes(allowances)], ...messageLimits.createMessageLimits(memory, getNow)});
 		if (result.isErr()) {
 			throw result.error.cause;
 		}
@@ -413,6 +433,7 @@
 		upstreams.close();
 		relays.close();
 		permits.close();
+		allowances.close();
 		recorder.close();
 		ports.close();
 		directoryServer.close();
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -5,6 +5,7 @@
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
+import type * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as attempt from '../entry/attempt.ts';
 import {type CallBody} from '../entry/call.ts';
@@ -17,7 +18,7 @@
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'behind-closing' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -38,6 +39,10 @@
 	canFinish(request: RequestContext): boolean;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
+	/** Whether the allowance of a workspace has room for a request. */
+	admit(workspace: configuration.Workspace): boolean;
+	/** Time after which a caller that was not admitted should return, in milliseconds. */
+	getAllowanceRetryMilliseconds(): number;
 	startCall(request: GatewayRequest, target: ResponseTarget): RunningCall;
 	recordRefusal(reason: FrontRefusal, id: string | undefined, statusCode: number): void;
 };
@@ -70,11 +75,17 @@
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
 const unavailableStatus = 503;
-const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken'>, number>> = {
+const tooManyRequestsStatus = 429;
+const unauthorizedStatus = 401;
+const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut' | 'behind-closing' | 'too-many-requests-on-connection' | 'response-not-taken'>, number>> = {
 	'no-configuration': 503,
 	'news-stale': 503,
 	'unknown-route': 404,
 	'no-identity': 400,
+	'key-unreadable': 400,
+	'key-unknown': 401,
+	'key-undecided': 503,
+	'allowance-used': 429,
 	'headers-too-large': 431,
 	'body-too-large': 413,
 	'body-late': 408,
@@ -92,6 +103,10 @@
 };
 const malformedStatus = 400;
 
+type IdentifiedCaller
+	= | {readonly kind: 'identified'; readonly workspace: configuration.Workspace | undefined}
+		| {readonly kind: 'refused'; readonly reason: 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used'};
+
 /** Creates the server; the caller starts and stops it. */
 export function createFrontServer(host: FrontServerHost): FrontServer {
 	let relayedRequests = 0;
@@ -122,6 +137,13 @@
 			return;
 		}
 
+		if (host.isLeaving() && connections.countRequestsOn(request.socket) > 1) {
+			// The response before it closes the connection, so its caller sends it again.
+			host.recordRefusal('behind-closing', undefined, 0);
+			request.resume();
+			return;
+		}
+
 		const metadata = host.headers.readRequest(request.headers);
 		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
@@ -140,7 +162,7 @@
 			return;
 		}
 
-		const {configuration: {version, limits}, routes} = activeConfiguration;
+		const {configuration: {version, limits}, routes, keys} = activeConfiguration;
 		const route = routes.resolve(request.headers.host ?? '', request.url ?? '');
 		if (!route) {
 			refuse(request, response, host.isStale() ? 'news-stale' : 'unknown-route', metadata.id);
@@ -152,6 +174,12 @@
 			return;
 		}
 
+		const caller = identifyCaller(request, keys, route);
+		if (caller.kind !== 'identified') {
+			refuse(request, response, caller.reason, metadata.id);
+			return;
+		}
+
 		const headerBytes = countHeaderBytes(request.rawHeaders);
 		if (headerBytes > limits.headerBytes) {
 			refuse(request, response, 'headers-too-large', metadata.id);
@@ -163,6 +191,7 @@
 			id,
 			route: {...route, maximumAttempts: Math.min(route.maximumAttempts, metadata.relayedExecutions ?? route.maximumAttempts)},
 			service: routeTable.chooseServiceByWeight(route, host.random),
+			workspace: caller.workspace,
 			isRelayed: metadata.relayedExecutions !== undefined,
 			configurationVersion: version,
 			receivedAt,
@@ -176,6 +205,29 @@
 		});
 	}
 
+	/** Identifies the calling workspace, and admits its request if its allowance has room. */
+	function identifyCaller(request: http.IncomingMessage, keys: workspaceKeys.KeyTable, route: configuration.Route): IdentifiedCaller {
+		const identification = keys.identify(keys.isActive ? host.headers.readCredentials(request) : {kind: 'absent'}, route.isPublic, host.isStale());
+		switch (identification.kind) {
+			case 'identified': {
+				const {workspace} = identification;
+				return !workspace || host.admit(workspace) ? {kind: 'identified', workspace} : {kind: 'refused', reason: 'allowance-used'};
+			}
+
+			case 'unreadable': {
+				return {kind: 'refused', reason: 'key-unreadable'};
+			}
+
+			case 'unknown': {
+				return {kind: 'refused', reason: 'key-unknown'};
+			}
+
+			case 'undecided': {
+				return {kind: 'refused', reason: 'key-undecided'};
+			}
+		}
+	}
+
 	function handleReceived(request: http.IncomingMessage, response: http.ServerResponse, result: requestReception.ReceptionResult, context: RequestContext): void {
 		switch (result.kind) {
 			case 'refused': {
@@ -200,7 +252,7 @@
 					...context,
 					method: request.method ?? 'GET',
 					path: request.url ?? '/',
-					headers: createForwardedHeaders(request, body),
+					headers: createForwardedHeaders(request, body, context.workspace),
 					body,
 				}, {
 					respond(gatewayResponse) {
@@ -222,8 +274,9 @@
 		socket.resetAndDestroy();
 	}
 
-	function createForwardedHeaders(request: http.IncomingMessage, body: CallBody): GatewayRequest['headers'] {
-		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isReplacedHeader(name)}, {has: host.headers.isIdentityHeader});
+	function createForwardedHeaders(request: http.IncomingMessage, body: CallBody, workspace: configuration.Workspace | undefined): GatewayRequest['headers'] {
+		const hasWorkspaces = workspace !== undefined || host.getActiveConfiguration()?.keys.isActive === true;
+		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isReplacedHeader(name) || (hasWorkspaces && host.headers.isCredentialHeader(name))}, {has: host.headers.isIdentityHeader});
 		const length = body.kind === 'streamed' ? request.headers['content-length'] : undefined;
 		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
 	}
@@ -234,13 +287,33 @@
 		request.resume();
 		writeResponse(request, response, {
 			statusCode,
-			headers: statusCode === 503 ? host.headers.createRetryHeaders(reason === 'stopping' ? retryElsewhereMilliseconds : retryAfterMilliseconds) : [],
+			headers: createRefusalHeaders(reason, statusCode),
 			body: new Uint8Array(),
 			hasOwnEnd: true,
 			isOwn: true,
 		});
 	}
 
+	function createRefusalHeaders(reason: FrontRefusal, statusCode: number): GatewayResponse['headers'] {
+		switch (statusCode) {
+			case unavailableStatus: {
+				return host.headers.createRetryHeaders(reason === 'stopping' ? retryElsewhereMilliseconds : retryAfterMilliseconds);
+			}
+
+			case tooManyRequestsStatus: {
+				return host.headers.createRetryHeaders(host.getAllowanceRetryMilliseconds());
+			}
+
+			case unauthorizedStatus: {
+				return host.headers.createChallengeHeaders();
+			}
+
+			default: {
+				return [];
+			}
+		}
+	}
+
 	function writeResponse(request: http.IncomingMessage, response: http.ServerResponse, gatewayResponse: GatewayResponse): void {
 		if (response.destroyed) {
 			return;
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -112,7 +112,7 @@
 	}
 
 	function createAddedHeaders(milliseconds: number): readonly string[] {
-		return upstream.kind === 'relay' ? host.headers.createRelayHeaders(milliseconds, request.maximumExecutions) : host.headers.createUpstreamHeaders(registration.id, milliseconds);
+		return upstream.kind === 'relay' ? host.headers.createRelayHeaders(milliseconds, request.maximumExecutions) : host.headers.createUpstreamHeaders(registration.id, milliseconds, request.workspace?.name);
 	}
 
 	function send(connection: Connection): void {
--- a/src/gateway/platform-state.ts
+++ b/src/gateway/platform-state.ts
@@ -1,5 +1,6 @@
 /** The state of the platform as this entry last received it, its age, and the waits for its next change. */
 import * as routeTable from '../decisions/configuration/route-table.ts';
+import * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
 import * as evacuationsModule from '../decisions/registry/evacuations.ts';
 import * as upstreamRegistry from '../decisions/registry/upstream-registry.ts';
@@ -23,6 +24,7 @@
 export type ActiveConfiguration = {
 	readonly configuration: configuration.Configuration;
 	readonly routes: routeTable.RouteTable;
+	readonly keys: workspaceKeys.KeyTable;
 };
 
 /** The configuration and the registry of upstreams, as this entry last received them. The metrics and logs call their age the knowledge age. */
@@ -125,7 +127,7 @@
 				return;
 			}
 
-			activeConfiguration = {configuration: next, routes: routeTable.createRouteTable(next)};
+			activeConfiguration = {configuration: next, routes: routeTable.createRouteTable(next), keys: workspaceKeys.createKeyTable(next.workspaces)};
 			host.logger.info('configuration-in-force', {
 				version: next.version, previous: activeVersion, routes: next.routes.length, origin,
 			});
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import type * as neverthrow from 'neverthrow';
 import type * as configuration from '../decisions/configuration/types.ts';
+import type * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import type * as evacuations from '../decisions/registry/evacuations.ts';
 import type * as registry from '../decisions/registry/types.ts';
 import type * as prequalSelection from '../decisions/routing/prequal-selection.ts';
@@ -96,12 +97,20 @@
 	readonly acceptance: StatedAcceptance;
 };
 
+export type Credentials = workspaceKeys.Credentials;
+
 /** Reads and creates the platform's headers in messages with callers and upstreams. */
 export type HeaderHost = {
 	readRequest(headers: http.IncomingHttpHeaders): RequestMetadata;
 	readResponse(headers: http.IncomingHttpHeaders): ResponseMetadata;
-	/** Creates the headers with the target upstream and the remaining time, as alternating names and values. */
-	createUpstreamHeaders(upstreamId: string, milliseconds: number): readonly string[];
+	/** Reads the key of the calling workspace. */
+	readCredentials(request: http.IncomingMessage): Credentials;
+	/** Whether a header tells who calls, so that only the entry may set it; names are in lower case. */
+	isCredentialHeader(name: string): boolean;
+	/** Creates the headers that tell a caller to send a key. */
+	createChallengeHeaders(): call.HeaderPairs;
+	/** Creates the headers with the target upstream, the remaining time and the calling workspace, as alternating names and values. */
+	createUpstreamHeaders(upstreamId: string, milliseconds: number, workspace: string | undefined): readonly string[];
 	/** Creates the headers of a request that is passed on to another entry, which may let so many upstreams run it, as alternating names and values. */
 	createRelayHeaders(milliseconds: number, maximumExecutions: number): readonly string[];
 	/** Creates the headers that tell another entry which request this entry's own response belongs to, and whether it has surely not run. */
@@ -119,6 +128,8 @@
 	readonly id: string;
 	readonly route: configuration.Route;
 	readonly service: string;
+	/** Workspace that calls; undefined if the configuration has none, or the route needs none. */
+	readonly workspace: configuration.Workspace | undefined;
 	/** Whether another entry passed the request on. */
 	readonly isRelayed: boolean;
 	/** Version of the configuration that the route comes from. */
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -7,6 +7,10 @@
 /** Bucket limits of load checks, in seconds. */
 const checkBuckets = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.1, 0.3];
 
+/** Number of workspaces that are counted by their names; the others are counted together. */
+const maximumNamedWorkspaces = 200;
+const otherWorkspaces = 'other';
+
 /** State of a gateway, read when the metrics are collected. */
 export type GatewayGauges = {
 	readonly configurationVersion: number;
@@ -30,6 +34,8 @@
 	recordCheck(result: string, milliseconds: number): void;
 	recordStoreCall(call: string, result: string, milliseconds: number): void;
 	recordPermit(side: string, result: string): void;
+	/** Records a request of a workspace that ended, or was refused because its allowance is used up (`limited`). */
+	recordWorkspaceRequest(workspace: string, outcome: string): void;
 	/** Records a connection that was closed to make room for others. */
 	recordClosedConnection(port: string): void;
 	getText(gauges: GatewayGauges): Promise<string>;
@@ -60,6 +66,10 @@
 	const permits = new prometheus.Counter({
 		name: 'fescuering_gateway_permits_total', help: 'Requests for permits to use an upstream with a rate limit, by side (asked or issued) and result.', labelNames: ['side', 'result'] as const, registers,
 	});
+	const workspaceRequests = new prometheus.Counter({
+		name: 'fescuering_gateway_workspace_requests_total', help: 'Requests that ended, by workspace and outcome.', labelNames: ['workspace', 'outcome'] as const, registers,
+	});
+	const namedWorkspaces = new Set<string>();
 	const closedConnections = new prometheus.Counter({
 		name: 'fescuering_gateway_closed_connections_total', help: 'Connections that were closed to make room for others, by port.', labelNames: ['port'] as const, registers,
 	});
@@ -93,6 +103,13 @@
 		recordPermit(side, result) {
 			permits.inc({side, result});
 		},
+		recordWorkspaceRequest(workspace, outcome) {
+			if (namedWorkspaces.size < maximumNamedWorkspaces) {
+				namedWorkspaces.add(workspace);
+			}
+
+			workspaceRequests.inc({workspace: namedWorkspaces.has(workspace) ? workspace : otherWorkspaces, outcome});
+		},
 		recordClosedConnection(port) {
 			closedConnections.inc({port});
 		},
--- a/stand-ins/platform-upstream.ts
+++ b/stand-ins/platform-upstream.ts
@@ -26,6 +26,7 @@
 	readonly hasRun: boolean;
 	readonly method: string;
 	readonly path: string;
+	readonly headers: http.IncomingHttpHeaders;
 	/** SHA-256 digest of the body in hexadecimal digits. */
 	readonly digest: string;
 	/** Time of receipt in milliseconds of the monotonic clock. */
@@ -126,7 +127,7 @@
 		});
 		const hasRun = !isMisdirected && behaviour.kind !== 'refuse' && runningCount < slots;
 		arrivals.push({
-			requestId, hasRun, method: request.method ?? '', path: request.url ?? '', digest, receivedAt: performance.now(),
+			requestId, hasRun, method: request.method ?? '', path: request.url ?? '', headers: request.headers, digest, receivedAt: performance.now(),
 		});
 		if (isMisdirected) {
 			response.writeHead(misdirectedStatus, {'instance-id': id, 'attempt-id': requestId}).end();
--- a/test/support/hostile-upstream.ts
+++ b/test/support/hostile-upstream.ts
@@ -57,9 +57,10 @@
 	return {
 		id,
 		route: {
-			name: 'price', host: 'desk.example', pathPrefix: '/price/', kind: 'idempotent', destinations: [{service: 'desk', weight: 1}], timeoutMilliseconds: 1000, objectiveMilliseconds: 300, maximumAttempts: 2, priority: 0,
+			name: 'price', host: 'desk.example', pathPrefix: '/price/', kind: 'idempotent', destinations: [{service: 'desk', weight: 1}], timeoutMilliseconds: 1000, objectiveMilliseconds: 300, maximumAttempts: 2, priority: 0, isPublic: false,
 		},
 		service: 'desk',
+		workspace: undefined,
 		isRelayed: false,
 		configurationVersion: 1,
 		method: 'GET',
