Keep the connection of a request without a body that is refused

Cause: a request is not marked as complete yet when it is refused within its first event, so each refusal closed its connection, and requests sent behind a 401 were never answered. The test of requests sent ahead timed out before.

Change: only a body that isn't read closes the connection. Requests behind others are refused while the entry leaves, instead of being dropped: the response before them may have been written without a close.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -9,6 +9,7 @@
 import {type RandomSource} from '../decisions/random.ts';
 import * as attempt from '../entry/attempt.ts';
 import {type CallBody} from '../entry/call.ts';
+import {hasBody} from '../entry/receive-body.ts';
 import {getForwardedHeaders} from '../entry/headers.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
 import * as callerConnections from './caller-connections.ts';
@@ -18,7 +19,7 @@
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'behind-closing' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -77,7 +78,7 @@
 const unavailableStatus = 503;
 const tooManyRequestsStatus = 429;
 const unauthorizedStatus = 401;
-const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut' | 'behind-closing' | 'too-many-requests-on-connection' | 'response-not-taken'>, number>> = {
+const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken'>, number>> = {
 	'no-configuration': 503,
 	'news-stale': 503,
 	'unknown-route': 404,
@@ -138,9 +139,8 @@
 		}
 
 		if (host.isLeaving() && connections.countRequestsOn(request.socket) > 1) {
-			// The response before it closes the connection, so its caller sends it again.
-			host.recordRefusal('behind-closing', undefined, 0);
-			request.resume();
+			// The response before it closes the connection, so no upstream should begin to work on it.
+			refuse(request, response, 'stopping', undefined);
 			return;
 		}
 
@@ -322,7 +322,9 @@
 		// Only the upstream knows the length of the body that isn't sent.
 		const isBodyless = attempt.isBodyless(request.method ?? '', gatewayResponse.statusCode);
 		const headers = [...gatewayResponse.headers, ...createRelayedHeaders(request, gatewayResponse)].filter(([name]) => isBodyless || name !== 'content-length').flat();
-		const isClosing = host.isLeaving() || !request.complete || !gatewayResponse.hasOwnEnd;
+		// A request without a body isn't marked as complete yet when it is refused at once.
+		const isPartlyUnread = hasBody(request) && !request.complete;
+		const isClosing = host.isLeaving() || isPartlyUnread || !gatewayResponse.hasOwnEnd;
 		// Without it, Node.js closes the connection after a response that has neither a length nor chunks.
 		response.useChunkedEncodingByDefault = isBodyless;
 		response.writeHead(gatewayResponse.statusCode, [
--- a/test/workspaces.test.ts
+++ b/test/workspaces.test.ts
@@ -89,6 +89,29 @@
 	expect(upstream.receivedRequests).toEqual([]);
 });
 
+// Guards against responses that reach the caller of another request on the same connection.
+test('requests that are sent before the first one is answered are answered in their order', async () => {
+	const gateway = await startGateway();
+	const [host, port] = gateway.front.split(':');
+	const socket = net.connect(Number(port), host);
+	const ids = Array.from({length: 12}, (_value, index) => `id-${index}`);
+	const createRequest = (id: string) => `GET /price/1 HTTP/1.1\r\nHost: ${gateways.host}\r\nAttempt-Id: ${id}\r\nAuthorization: Bearer ${Number(id.slice(3)) % 3 === 0 ? 'unknown' : 'club-key'}\r\n\r\n`;
+	socket.write(ids.map(id => createRequest(id)).join(''));
+	const statuses = await new Promise<readonly string[]>(resolve => {
+		let text = '';
+		socket.on('data', chunk => {
+			text += String(chunk);
+			const lines = [...text.matchAll(/HTTP\/1.1 (?<status>\d{3}) /gv)].map(match => match.groups!.status!);
+			if (lines.length === ids.length) {
+				resolve(lines);
+			}
+		});
+	});
+	socket.destroy();
+	expect(statuses).toEqual(ids.map(id => Number(id.slice(3)) % 3 === 0 ? '401' : '200'));
+	expect(upstream.executedRequestIds.toSorted()).toEqual(ids.filter(id => Number(id.slice(3)) % 3 !== 0).toSorted());
+});
+
 test('a public route needs no key, and no claim or key of its caller reaches the upstream', async () => {
 	const gateway = await startGateway();
 	const answers = [await send(gateway, undefined, '/open/1', {tenant: 'press'}), await send(gateway, 'Bearer unknown', '/open/1')];
