--- a/bench/programs/crowds.ts
+++ b/bench/programs/crowds.ts
@@ -9,6 +9,7 @@
 command
 	.option('--connections <integer>', 'Number of connections', {default: 1000})
 	.option('--memory <megabytes>', 'Memory of the machine', {default: 202})
+	.option('--form <name>', 'Only this form, e.g. "complete bodies"')
 	.option('--descriptors <integer>', 'Descriptors of the process', {default: 4100})
 	.help();
 const {options} = command.parse();
@@ -44,7 +45,7 @@
 }
 
 if (options.help !== true) {
-	for (const {name, createText} of forms) {
+	for (const {name, createText} of forms.filter(form => options.form === undefined || form.name === options.form)) {
 		process.stdout.write(`${name}: ${await measure(createText)}\n`);
 	}
 
--- a/src/decisions/admission/allowance-ledger.ts
+++ b/src/decisions/admission/allowance-ledger.ts
@@ -34,7 +34,7 @@
 /** Time in which a new account learns the demand; the grants of an earlier ledger hold meanwhile. */
 const learningMilliseconds = demandMilliseconds + reportMilliseconds;
 /** Time over which what is left of a burst, or was admitted beyond it, is spread, in seconds. */
-const balanceSeconds = 1;
+const balanceSeconds = 0.5;
 /** Smallest share of its rate that a workspace gets after it was admitted too much. */
 const minimumRateShare = 0.25;
 /** Requests per second beyond the allowance that a workspace isn't limited for; a few requests at once are no demand. */
