Leave more connections to other entries, and count their messages as they last

Cause: found by reading. All entries may follow one and ask it for permits, 600 connections at 312 entries, and each request claimed the memory of the largest message until its end was read, 80 MB if 312 arrive in one moment: the limits would have closed what they are not for.

Change: other entries have 0.3 of the sockets, callers 0.35; a message claims 16 KiB at first, and that of the largest, now 128 KiB, after 250 ms.

--- a/src/gateway/message-limits.ts
+++ b/src/gateway/message-limits.ts
@@ -3,21 +3,32 @@
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import type * as peerServer from '../peers/peer-server.ts';
 
-/** Largest message of another entry, in bytes; the statements of a thousand upstreams take a quarter of it. */
-const readMaxBytes = 262_144;
+/** Largest message of another entry, in bytes; the statements of a thousand upstreams take half of it. */
+const readMaxBytes = 131_072;
+/** Memory that a message claims at first, in bytes; hundreds of entries may send one at the same moment. */
+const usualBytes = 16_384;
+/** Time after which a message that is not complete claims the memory of the largest one, in milliseconds. */
+const usualMilliseconds = 250;
 
-/** Creates the options of the peer server: each message that is not complete claims the memory of the largest one. */
+/** Creates the options of the peer server: each message that is not complete claims memory. */
 export function createMessageLimits(memory: trafficMemory.TrafficMemory, getNow: () => number): Pick<peerServer.PeerServerOptions, 'readMaxBytes' | 'onRequest'> {
 	return {
 		readMaxBytes,
 		onRequest(request: http2.Http2ServerRequest) {
-			const now = getNow();
-			const claim = memory.claim('peer-messages', now, () => {
+			const claim = memory.claim('peer-messages', getNow(), () => {
 				request.stream.close();
 			});
-			request.once('end', claim.free);
-			request.stream.once('close', claim.free);
-			claim.resize(readMaxBytes, now);
+			const timer = setTimeout(() => {
+				claim.resize(readMaxBytes, getNow());
+			}, usualMilliseconds);
+			const free = () => {
+				clearTimeout(timer);
+				claim.free();
+			};
+
+			request.once('end', free);
+			request.stream.once('close', free);
+			claim.resize(usualBytes, getNow());
 		},
 	};
 }
--- a/src/gateway/port-limits.ts
+++ b/src/gateway/port-limits.ts
@@ -46,9 +46,9 @@
 const bytesPerHeadByte = 4;
 /** Interval at which the movement on connections is observed, in milliseconds. */
 const observationMilliseconds = 500;
-/** Share of the sockets of the process that each port may use; the rest is for upstreams, other entries and the store. */
+/** Share of the sockets of the process that each port may use; the rest is for upstreams and the store. All other entries may follow one, and ask it for permits. */
 const socketShares: Readonly<Record<PortName, number>> = {
-	callers: 0.5, directory: 0.125, peers: 0.125, readiness: 0.03, metrics: 0.02,
+	callers: 0.35, directory: 0.1, peers: 0.3, readiness: 0.02, metrics: 0.02,
 };
 const minimumConnections = 4;
 
