--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -88,7 +88,7 @@
 /** Time for which a computed share of a budget is used, in milliseconds; the demand that it depends on changes less often. */
 const shareLifetimeMilliseconds = 200;
 /** Share of the memory of the instance for what callers and upstreams send; the rest is for the program, its state and garbage. */
-const trafficMemoryShare = 0.15;
+const trafficMemoryShare = 0.2;
 const bytesPerMegabyte = 1_000_000;
 /** Descriptors that are kept for files and for the runtime. */
 const reservedDescriptors = 200;
