End the exchanges of a connection with it, whatever their responses emit

Callers that send requests ahead on a connection and leave: their requests ran on, stayed open for good, kept their memory claims and held up a stop.

Node.js emits close on a response only if its turn on the connection has come. An exchange now ends exactly once, by its response, by the close of its connection or by the end of what the caller sends, and all that is held for a request hangs on that end alone (exchanges.ts).

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -14,6 +14,7 @@
 } from './problem.ts';
 import * as bodyCollector from './body-collector.ts';
 import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive-body.ts';
+import * as exchangesModule from './exchanges.ts';
 import {type CallExecution} from './service-runner.ts';
 
 /** Answer of a route that the entry itself serves, e.g. the entry list or the metrics. */
@@ -70,7 +71,7 @@
 /** Creates the server without starting it. Its owner has to start and stop it. */
 export function createCallerServer(host: CallerServerHost, limits: CallerServerLimits): CallerServer {
 	let nextCallId = 1;
-	let openRequests = 0;
+	const exchanges = exchangesModule.createExchanges();
 	let totalReservedBytes = 0;
 	const bodyReceiver = {blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), getNow: host.getNow};
 	const server = http.createServer({
@@ -91,21 +92,19 @@
 	});
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-		openRequests++;
+		const exchange = exchanges.begin(request, response);
 		const path = getPath(request.url ?? '');
 		const route = host.builtInRoutes.get(path);
 		if (route) {
-			response.once('close', () => {
-				openRequests--;
-			});
 			void answerBuiltInRoute(request, response, route);
 			return;
 		}
 
-		handleCall(request, response);
+		handleCall(exchange);
 	}
 
-	function handleCall(request: http.IncomingMessage, response: http.ServerResponse): void {
+	function handleCall(exchange: exchangesModule.Exchange): void {
+		const {request, response} = exchange;
 		const receivedAt = host.getNow();
 		let execution: CallExecution | undefined;
 		const sink = createHttpSink(response, {
@@ -113,9 +112,8 @@
 			isLeaving: host.isLeaving,
 			isEntryListStale: () => host.isEntryListStale(getSingleValue(request.headers[headerNames.entriesVersion])),
 		});
-		response.once('close', () => {
-			openRequests--;
-			if (!response.writableFinished) {
+		exchange.onEnd(end => {
+			if (end === 'caller-left') {
 				execution?.cancel();
 			}
 		});
@@ -138,7 +136,7 @@
 		}
 
 		totalReservedBytes += reservedBytes;
-		response.once('close', () => {
+		exchange.onEnd(() => {
 			totalReservedBytes -= reservedBytes;
 		});
 		receiveBody(bodyReceiver, request, limits, {
@@ -161,6 +159,10 @@
 					}
 
 					case 'body': {
+						if (exchange.hasEnded()) {
+							break;
+						}
+
 						execution = host.handle(createCall(request, classification.value, received.body, receivedAt), sink);
 						break;
 					}
@@ -187,7 +189,7 @@
 		};
 	}
 
-	return {server, countOpenRequests: () => openRequests};
+	return {server, countOpenRequests: exchanges.count};
 }
 
 /** Answers a call that is not executed, and closes the connection if a part of its body is unread. */
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -1,16 +1,16 @@
 /** Tracks the connections of callers, so that a stop closes those that are idle and no others. */
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import * as exchangesModule from '../entry/exchanges.ts';
 import type * as portLimits from './port-limits.ts';
 
 /** Connections of callers to one server. */
 export type CallerConnections = {
-	/** Counts a request until its response was passed to the system or the connection has closed. */
-	trackRequest(request: http.IncomingMessage, response: http.ServerResponse): void;
-	/** Number of tracked requests. */
-	countRequests(): number;
-	/** Number of tracked requests on one connection. */
-	countRequestsOn(socket: net.Socket): number;
+	beginExchange(request: http.IncomingMessage, response: http.ServerResponse): exchangesModule.Exchange;
+	/** Number of exchanges that have not ended. */
+	countExchanges(): number;
+	/** Number of exchanges on one connection that have not ended. */
+	countExchangesOn(socket: net.Socket): number;
 	/** Accepts no more connections, and closes each connection once it has no request. */
 	stop(): void;
 	/** Resets the connections that still have requests, so that a response that ends with its connection isn't taken for complete. */
@@ -18,19 +18,18 @@
 };
 
 type ConnectionState = {
-	openRequests: number;
-	/** Number of bytes that were received when the last request ended. */
+	/** Number of bytes that were received when the last exchange ended. */
 	receivedBytes: number;
 };
 
 /** Tracks the connections of a server from now on, and limits those without a request. */
 export function trackConnections(server: http.Server, port: portLimits.LimitedPort): CallerConnections {
 	const connections = new Map<net.Socket, ConnectionState>();
-	let openRequests = 0;
+	const exchanges = exchangesModule.createExchanges();
 	let isStopping = false;
 
 	server.on('connection', (socket: net.Socket) => {
-		connections.set(socket, {openRequests: 0, receivedBytes: 0});
+		connections.set(socket, {receivedBytes: 0});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -38,34 +37,32 @@
 
 	function closeIfIdle(socket: net.Socket, state: ConnectionState): void {
 		// A connection that has received part of a request is kept.
-		if (isStopping && state.openRequests === 0 && socket.bytesRead === state.receivedBytes) {
+		if (isStopping && exchanges.countOn(socket) === 0 && socket.bytesRead === state.receivedBytes) {
 			socket.destroySoon();
 		}
 	}
 
 	return {
-		trackRequest({socket}, response) {
-			const state = connections.get(socket);
-			openRequests++;
-			if (state) {
-				state.openRequests++;
-				port.beginUse(socket);
-			}
+		beginExchange(request, response) {
+			const {socket} = request;
+			const exchange = exchanges.begin(request, response);
+			port.beginUse(socket);
+			exchange.onEnd(() => {
+				const state = connections.get(socket);
+				if (!state) {
+					return;
+				}
 
-			response.once('close', () => {
-				openRequests--;
-				if (state) {
-					state.openRequests--;
-					state.receivedBytes = socket.bytesRead;
-					closeIfIdle(socket, state);
-					if (state.openRequests === 0) {
-						port.endUse(socket);
-					}
+				state.receivedBytes = socket.bytesRead;
+				closeIfIdle(socket, state);
+				if (exchanges.countOn(socket) === 0) {
+					port.endUse(socket);
 				}
 			});
+			return exchange;
 		},
-		countRequests: () => openRequests,
-		countRequestsOn: socket => connections.get(socket)?.openRequests ?? 0,
+		countExchanges: exchanges.count,
+		countExchangesOn: exchanges.countOn,
 		stop() {
 			isStopping = true;
 			// `http.Server.close` also closes connections whose responses were written, but not yet taken by the system.
@@ -75,8 +72,8 @@
 			}
 		},
 		reset() {
-			for (const [socket, state] of connections) {
-				if (state.openRequests > 0) {
+			for (const socket of connections.keys()) {
+				if (exchanges.countOn(socket) > 0) {
 					socket.resetAndDestroy();
 				}
 			}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -9,6 +9,7 @@
 import {type RandomSource} from '../decisions/random.ts';
 import * as attempt from '../entry/attempt.ts';
 import {type CallBody} from '../entry/call.ts';
+import type * as exchanges from '../entry/exchanges.ts';
 import {hasBody} from '../entry/receive-body.ts';
 import {getForwardedHeaders} from '../entry/headers.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
@@ -51,7 +52,7 @@
 /** The server for callers. */
 export type FrontServer = {
 	readonly server: http.Server;
-	/** Counts the requests whose responses are not finished. */
+	/** Counts the exchanges that have not ended. */
 	countOpen(): number;
 	/** Accepts no more connections, and closes each connection once it has no request. */
 	stop(): void;
@@ -121,7 +122,7 @@
 	const connections = callerConnections.trackConnections(server, host.ports.limitPort(server, 'callers'));
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		// A status would be taken for the response to the first request that is not answered yet, which may have run.
-		if (error.code === 'ECONNRESET' || !socket.writable || connections.countRequestsOn(socket) > 0) {
+		if (error.code === 'ECONNRESET' || !socket.writable || connections.countExchangesOn(socket) > 0) {
 			socket.destroy();
 			return;
 		}
@@ -132,57 +133,57 @@
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const receivedAt = host.getNow();
-		connections.trackRequest(request, response);
-		if (connections.countRequestsOn(request.socket) > maximumRequestsPerConnection) {
+		const exchange = connections.beginExchange(request, response);
+		if (connections.countExchangesOn(request.socket) > maximumRequestsPerConnection) {
 			closeConnection(request.socket, 'too-many-requests-on-connection');
 			return;
 		}
 
-		if (host.isLeaving() && connections.countRequestsOn(request.socket) > 1) {
+		if (host.isLeaving() && connections.countExchangesOn(request.socket) > 1) {
 			// The response before it closes the connection, so no upstream should begin to work on it.
-			refuse(request, response, 'stopping', undefined);
+			refuse(exchange, 'stopping', undefined);
 			return;
 		}
 
 		const metadata = host.headers.readRequest(request.headers);
 		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
-			response.once('close', () => {
+			exchange.onEnd(() => {
 				relayedRequests--;
 			});
 			if (relayedRequests > maximumRelayedRequests) {
-				refuse(request, response, 'too-many-relayed', metadata.id);
+				refuse(exchange, 'too-many-relayed', metadata.id);
 				return;
 			}
 		}
 
 		const activeConfiguration = host.getActiveConfiguration();
 		if (!activeConfiguration) {
-			refuse(request, response, 'no-configuration', metadata.id);
+			refuse(exchange, 'no-configuration', metadata.id);
 			return;
 		}
 
 		const {configuration: {version, limits}, routes, keys} = activeConfiguration;
 		const route = routes.resolve(request.headers.host ?? '', request.url ?? '');
 		if (!route) {
-			refuse(request, response, host.isStale() ? 'news-stale' : 'unknown-route', metadata.id);
+			refuse(exchange, host.isStale() ? 'news-stale' : 'unknown-route', metadata.id);
 			return;
 		}
 
 		if (metadata.id === undefined) {
-			refuse(request, response, 'no-identity', metadata.id);
+			refuse(exchange, 'no-identity', metadata.id);
 			return;
 		}
 
 		const caller = identifyCaller(request, keys, route);
 		if (caller.kind !== 'identified') {
-			refuse(request, response, caller.reason, metadata.id);
+			refuse(exchange, caller.reason, metadata.id);
 			return;
 		}
 
 		const headerBytes = countHeaderBytes(request.rawHeaders);
 		if (headerBytes > limits.headerBytes) {
-			refuse(request, response, 'headers-too-large', metadata.id);
+			refuse(exchange, 'headers-too-large', metadata.id);
 			return;
 		}
 
@@ -198,10 +199,10 @@
 			deadlineAt: receivedAt + Math.min(route.timeoutMilliseconds, metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY),
 		};
 		const requestLimits = {
-			bodyBytes: limits.bodyBytes, headerBytes, isBehindOthers: connections.countRequestsOn(request.socket) > 1, receivedAt, deadlineAt: context.deadlineAt,
+			bodyBytes: limits.bodyBytes, headerBytes, isBehindOthers: connections.countExchangesOn(request.socket) > 1, receivedAt, deadlineAt: context.deadlineAt,
 		};
-		reception.receive(request, response, requestLimits, result => {
-			handleReceived(request, response, result, context);
+		reception.receive(exchange, requestLimits, result => {
+			handleReceived(exchange, result, context);
 		});
 	}
 
@@ -228,10 +229,11 @@
 		}
 	}
 
-	function handleReceived(request: http.IncomingMessage, response: http.ServerResponse, result: requestReception.ReceptionResult, context: RequestContext): void {
+	function handleReceived(exchange: exchanges.Exchange, result: requestReception.ReceptionResult, context: RequestContext): void {
+		const {request, response} = exchange;
 		switch (result.kind) {
 			case 'refused': {
-				refuse(request, response, result.reason, context.id);
+				refuse(exchange, result.reason, context.id);
 				break;
 			}
 
@@ -243,7 +245,7 @@
 
 			case 'complete': {
 				if (!host.canFinish(context)) {
-					refuse(request, response, 'stopping', context.id);
+					refuse(exchange, 'stopping', context.id);
 					break;
 				}
 
@@ -256,11 +258,11 @@
 					body,
 				}, {
 					respond(gatewayResponse) {
-						writeResponse(request, response, gatewayResponse);
+						writeResponse(exchange, gatewayResponse);
 					},
 				});
-				response.once('close', () => {
-					if (!response.writableFinished) {
+				exchange.onEnd(end => {
+					if (end === 'caller-left') {
 						running.cancel();
 					}
 				});
@@ -281,11 +283,11 @@
 		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
 	}
 
-	function refuse(request: http.IncomingMessage, response: http.ServerResponse, reason: keyof typeof refusalStatuses, id: string | undefined): void {
+	function refuse(exchange: exchanges.Exchange, reason: keyof typeof refusalStatuses, id: string | undefined): void {
 		const statusCode = refusalStatuses[reason];
 		host.recordRefusal(reason, id, statusCode);
-		request.resume();
-		writeResponse(request, response, {
+		exchange.request.resume();
+		writeResponse(exchange, {
 			statusCode,
 			headers: createRefusalHeaders(reason, statusCode),
 			body: new Uint8Array(),
@@ -314,8 +316,9 @@
 		}
 	}
 
-	function writeResponse(request: http.IncomingMessage, response: http.ServerResponse, gatewayResponse: GatewayResponse): void {
-		if (response.destroyed) {
+	function writeResponse(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
+		const {request, response} = exchange;
+		if (response.destroyed || exchange.hasEnded()) {
 			return;
 		}
 
@@ -332,21 +335,21 @@
 			...(isBodyless || !gatewayResponse.hasOwnEnd ? [] : ['content-length', String(gatewayResponse.body.length)]),
 			...(isClosing ? ['connection', 'close'] : []),
 		]);
-		claimResponse(request.socket, response, gatewayResponse.body.length);
+		claimResponse(exchange, gatewayResponse.body.length);
 		response.end(gatewayResponse.body);
 	}
 
 	/** Claims the memory of a large response until its caller has taken it. */
-	function claimResponse(socket: net.Socket, response: http.ServerResponse, bytes: number): void {
+	function claimResponse(exchange: exchanges.Exchange, bytes: number): void {
 		if (bytes < claimedResponseBytes) {
 			return;
 		}
 
 		const now = host.getNow();
 		const claim = host.memory.claim('responses', now, () => {
-			closeConnection(socket, 'response-not-taken');
+			closeConnection(exchange.request.socket, 'response-not-taken');
 		});
-		response.once('close', claim.free);
+		exchange.onEnd(claim.free);
 		claim.resize(bytes, now);
 	}
 
@@ -358,7 +361,7 @@
 
 	return {
 		server,
-		countOpen: connections.countRequests,
+		countOpen: connections.countExchanges,
 		stop: connections.stop,
 		reset() {
 			reception.close();
--- a/src/gateway/request-reception.ts
+++ b/src/gateway/request-reception.ts
@@ -1,16 +1,16 @@
 /** Receives the bodies of requests within the memory of the entry, and gives up those that are late. */
-import type * as http from 'node:http';
 import type * as smallChunks from '../decisions/admission/small-chunks.ts';
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as bodyCollector from '../entry/body-collector.ts';
 import {type CallBody} from '../entry/call.ts';
+import type * as exchanges from '../entry/exchanges.ts';
 import * as receiveBody from '../entry/receive-body.ts';
 import * as portLimits from './port-limits.ts';
 
 /** Why a body is not received any more. */
 export type ReceptionRefusal = 'body-late' | 'small-chunks' | 'memory-full' | 'body-too-large';
 
-/** Result of receiving a request. The memory of a complete one is kept until its response has ended. */
+/** Result of receiving a request. The memory of a complete one is kept until its exchange has ended. */
 export type ReceptionResult
 	= | {readonly kind: 'complete'; readonly body: CallBody}
 		| {readonly kind: 'refused'; readonly reason: ReceptionRefusal}
@@ -40,8 +40,8 @@
 
 /** Receives requests. */
 export type RequestReception = {
-	/** Receives the body of a request. The listener is called once, unless the response closes first. */
-	receive(request: http.IncomingMessage, response: http.ServerResponse, limits: RequestLimits, listener: (result: ReceptionResult) => void): void;
+	/** Receives the body of a request. The listener is called once, unless the exchange ends first. */
+	receive(exchange: exchanges.Exchange, limits: RequestLimits, listener: (result: ReceptionResult) => void): void;
 	/** Sets the time without any bytes after which a body is given up, in milliseconds. */
 	setIdleTimeout(milliseconds: number): void;
 	close(): void;
@@ -84,7 +84,7 @@
 	const timer = setInterval(refuseLateBodies, checkIntervalMilliseconds);
 
 	return {
-		receive(request, response, limits, listener) {
+		receive(exchange, limits, listener) {
 			const {receivedAt, deadlineAt} = limits;
 			const headBytes = (limits.isBehindOthers ? 0 : portLimits.connectionBytes) + requestBytes + (bytesPerHeaderByte * limits.headerBytes);
 			const state: ReceivingRequest = {
@@ -105,9 +105,16 @@
 				state.refuse('memory-full');
 			});
 			receiving.add(state);
-			response.once('close', () => {
-				receiving.delete(state);
+			const endCut = () => {
+				if (receiving.delete(state)) {
+					state.body?.abandon();
+					listener({kind: 'cut'});
+				}
+			};
+
+			exchange.onEnd(() => {
 				claim.free();
+				endCut();
 			});
 			claim.resize(headBytes, receivedAt);
 			if (!receiving.has(state)) {
@@ -119,7 +126,7 @@
 				return claim.keep();
 			};
 
-			state.body = receiveBody.receiveBody({...host, blocks}, request, {bodyBytes: limits.bodyBytes, bufferedBodyBytes: maximumBufferedBodyBytes}, {
+			state.body = receiveBody.receiveBody({...host, blocks}, exchange.request, {bodyBytes: limits.bodyBytes, bufferedBodyBytes: maximumBufferedBodyBytes}, {
 				mayKeep: (size, isStreamed) => keepMemory(isStreamed ? size + streamBytes : size),
 				onProgress(heldBytes) {
 					state.movedAt = host.getNow();
@@ -139,8 +146,7 @@
 						}
 
 						case 'cut': {
-							receiving.delete(state);
-							listener({kind: 'cut'});
+							endCut();
 							break;
 						}
 
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -30,6 +30,8 @@
 	hasEnded(): boolean;
 	signal(name: NodeJS.Signals): void;
 	hasLogged(event: string): boolean;
+	/** Counts the log lines of an event that contain a text. */
+	countLogged(event: string, text: string): number;
 };
 
 const cleanups: Array<() => Promise<void>> = [];
@@ -113,6 +115,7 @@
 			child.kill(name);
 		},
 		hasLogged: event => log.includes(`event=${event} `),
+		countLogged: (event, text) => log.split('\n').filter(line => line.includes(`event=${event} `) && line.includes(text)).length,
 	};
 }
 
@@ -131,3 +134,14 @@
 	await gateways.waitUntil(async () => isReady(gateway));
 	return gateway;
 }
+
+/** Reads the value of a metric without labels. */
+export async function readMetric(gateway: GatewayProcess, name: string): Promise<number> {
+	const {body} = await gateways.send(`${gateway.host}:${metricsPort}`, '/metrics');
+	const line = body.split('\n').find(text => text.startsWith(`${name} `));
+	if (line === undefined) {
+		throw new Error(`The metrics don't contain ${name}.`);
+	}
+
+	return Number(line.slice(name.length + 1));
+}
