Give up attempts that are not sent yet when the caller of a non-idempotent request leaves

A non-idempotent request whose attempt waited for a connection was sent as soon as one became free, although its caller had left meanwhile: the upstream's work may go on until the deadline, and attempts that had not begun it were counted as such work. Only attempts that were sent are left to finish now.

An attempt that was given up or expired before it was sent no longer counts as a failure of its upstream, nor as a sign that this entry is cut off. Cancelled requests for a connection leave the pool's queue at once.

That it is what the users saw is suspected, not shown.

--- a/src/decisions/outcomes/retry-decision.test.ts
+++ b/src/decisions/outcomes/retry-decision.test.ts
@@ -3,7 +3,7 @@
 
 const {expect, test} = vitest;
 const ends: readonly AttemptEnd[] = [
-	{kind: 'not-sent'}, {kind: 'not-run'}, {kind: 'answered', statusCode: 500}, {kind: 'answered', statusCode: 404}, {kind: 'broken', reason: 'reset'},
+	{kind: 'not-sent', reason: 'unreachable'}, {kind: 'not-run'}, {kind: 'answered', statusCode: 500}, {kind: 'answered', statusCode: 404}, {kind: 'broken', reason: 'reset'},
 ];
 
 test('a non-idempotent request is retried only while no upstream can have executed it', () => {
--- a/src/decisions/outcomes/retry-decision.ts
+++ b/src/decisions/outcomes/retry-decision.ts
@@ -2,10 +2,13 @@
 import {assertNever} from '../assert-never.ts';
 import type * as configuration from '../configuration/types.ts';
 
+/** Why a request was not sent; only `unreachable` says something about the upstream. */
+export type UnsentReason = 'unreachable' | 'given-up' | 'expired';
+
 /** How an attempt at an upstream ended. */
 export type AttemptEnd
 	/** No byte of the request was sent. */
-	= | {readonly kind: 'not-sent'}
+	= | {readonly kind: 'not-sent'; readonly reason: UnsentReason}
 	/** The upstream reported that it did not execute the request. */
 		| {readonly kind: 'not-run'}
 	/** The upstream sent a complete answer; one with a status below 500 is final. */
--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -62,7 +62,7 @@
 };
 
 /** Request for a connection that has not been served. */
-type Waiter = {readonly listener: ConnectionListener; isCancelled: boolean};
+type Waiter = {readonly listener: ConnectionListener};
 
 /** Creates an empty pool. */
 export function createConnectionPool(options: ConnectionPoolOptions): ConnectionPool {
@@ -76,7 +76,6 @@
 	let isClosed = false;
 
 	function acquire(isTrustRequired: boolean, listener: ConnectionListener): () => void {
-		const waiter: Waiter = {listener, isCancelled: false};
 		const connection = takeIdleConnection(isTrustRequired);
 		if (connection) {
 			openSpareConnection();
@@ -84,11 +83,15 @@
 			return () => undefined;
 		}
 
+		const waiter: Waiter = {listener};
 		waiters.push(waiter);
 		makeRoom();
 		openConnectionsForWaiters();
 		return () => {
-			waiter.isCancelled = true;
+			const index = waiters.indexOf(waiter);
+			if (index !== -1) {
+				waiters.splice(index, 1);
+			}
 		};
 	}
 
@@ -107,7 +110,7 @@
 	}
 
 	function openConnectionsForWaiters(): void {
-		const missingCount = countWaiters() - openingCount;
+		const missingCount = waiters.length - openingCount;
 		for (let index = 0; index < missingCount && openCount + openingCount < options.getLimit(); index++) {
 			openConnection();
 		}
@@ -119,17 +122,6 @@
 		}
 	}
 
-	function countWaiters(): number {
-		let count = 0;
-		for (const waiter of waiters) {
-			if (!waiter.isCancelled) {
-				count++;
-			}
-		}
-
-		return count;
-	}
-
 	function openConnection(): void {
 		openingCount++;
 		try {
@@ -163,11 +155,11 @@
 
 	/** Fails the oldest request for a connection when there are more requests than connections being opened. */
 	function failUnservedWaiter(): void {
-		if (openingCount >= countWaiters()) {
+		if (openingCount >= waiters.length) {
 			return;
 		}
 
-		dequeueWaiter()?.listener(undefined);
+		waiters.shift()?.listener(undefined);
 	}
 
 	function createConnection(socket: net.Socket): Connection {
@@ -221,18 +213,9 @@
 		openConnectionsForWaiters();
 	}
 
-	function dequeueWaiter(): Waiter | undefined {
-		let waiter = waiters.shift();
-		while (waiter?.isCancelled) {
-			waiter = waiters.shift();
-		}
-
-		return waiter;
-	}
-
 	/** Passes a connection that was active just now to the oldest waiter; without one, the connection becomes idle. */
 	function assignConnection(connection: Connection): void {
-		const waiter = dequeueWaiter();
+		const waiter = waiters.shift();
 		if (waiter) {
 			waiter.listener(connection);
 		} else if (isClosed) {
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -235,7 +235,12 @@
 			}
 
 			case 'not-sent': {
-				record.recordFailure(now);
+				if (end.reason === 'unreachable') {
+					record.recordFailure(now);
+				} else {
+					record.recordEnd();
+				}
+
 				break;
 			}
 
@@ -341,9 +346,13 @@
 				return;
 			}
 
-			if (route.kind === 'non-idempotent' && running.size > 0) {
+			if (route.kind === 'non-idempotent' && [...running].some(attempt => attempt.isSent())) {
 				// The upstream may finish its work until the deadline.
 				isAnswered = true;
+				for (const attempt of [...running].filter(unsent => !unsent.isSent())) {
+					attempt.giveUp();
+				}
+
 				report(callerLeftStatus, 'cancelled', 'caller-left');
 				return;
 			}
@@ -364,7 +373,10 @@
 			return end.reason;
 		}
 
-		case 'not-sent':
+		case 'not-sent': {
+			return end.reason === 'unreachable' ? end.kind : end.reason;
+		}
+
 		case 'not-run': {
 			return end.kind;
 		}
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -50,6 +50,8 @@
 /** Controls one attempt. */
 export type GatewayAttempt = {
 	start(): void;
+	/** Whether the upstream may have received bytes of the request. */
+	isSent(): boolean;
 	/** Ends the attempt; aborts a request that was sent, so that the upstream stops its work. */
 	giveUp(): void;
 };
@@ -106,7 +108,7 @@
 			} else if (connection) {
 				use(connection);
 			} else {
-				finish({kind: 'not-sent'});
+				finish({kind: 'not-sent', reason: 'unreachable'});
 			}
 		});
 	}
@@ -161,7 +163,7 @@
 			},
 			onFailed(error) {
 				pool.discard(connection);
-				finish(isSent ? {kind: 'broken', reason: describeError(error)} : {kind: 'not-sent'});
+				finish(isSent ? {kind: 'broken', reason: describeError(error)} : {kind: 'not-sent', reason: 'unreachable'});
 			},
 		});
 	}
@@ -240,13 +242,14 @@
 				acquire();
 			}
 		},
+		isSent: () => isSent,
 		giveUp() {
 			if (isOver) {
 				return;
 			}
 
 			cancelAcquire?.();
-			finish(isSent ? {kind: 'broken', reason: 'given-up'} : {kind: 'not-sent'});
+			finish(isSent ? {kind: 'broken', reason: 'given-up'} : {kind: 'not-sent', reason: 'given-up'});
 			runningAttempt?.abort();
 		},
 	};
--- a/src/gateway/reachability-monitor.ts
+++ b/src/gateway/reachability-monitor.ts
@@ -126,7 +126,10 @@
 				}
 
 				case 'not-sent': {
-					recordFailure(upstream);
+					if (end.reason === 'unreachable') {
+						recordFailure(upstream);
+					}
+
 					break;
 				}
 
--- a/test/gateway-attempt.test.ts
+++ b/test/gateway-attempt.test.ts
@@ -2,13 +2,10 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
-import {createFleetRetryBudget} from '../src/decisions/retries/fleet-retry-budget.ts';
-import {createWorkEstimator} from '../src/decisions/routing/work-estimator.ts';
 import {createHeaderHost} from '../platform/headers.ts';
-import {startCall} from '../src/gateway/call-runner.ts';
 import {type CheckResult, startLoadCheck} from '../src/gateway/load-check.ts';
-import type * as gatewayTypes from '../src/gateway/types.ts';
 import {type Upstream} from '../src/gateway/upstreams.ts';
+import * as callSupport from './support/calls.ts';
 import * as hostileUpstream from './support/hostile-upstream.ts';
 
 const {afterEach, expect, test} = vitest;
@@ -171,32 +168,6 @@
 	expect(upstream.pool.count()).toBe(0);
 });
 
-/** Starts a call of which each attempt goes to the same upstream. */
-function startCallAt(upstream: Upstream, request: gatewayTypes.GatewayRequest, respond: (response: gatewayTypes.GatewayResponse) => void) {
-	return startCall({
-		selector: {
-			select(_request, listener) {
-				listener({
-					kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
-				});
-				return () => undefined;
-			},
-			hasHeldRequests: () => false,
-			onAttemptEnded: () => undefined,
-			close: () => undefined,
-		},
-		headers: createHeaderHost(),
-		memory: hostileUpstream.memory,
-		recordStatements: () => undefined,
-		learner: createWorkEstimator(),
-		budget: createFleetRetryBudget({ratio: 1, windowMilliseconds: 1000, slack: 10}, 0),
-		countEntries: () => 1,
-		observeAttempt: () => undefined,
-		getNow,
-		onEnd: () => undefined,
-	}, request, {respond});
-}
-
 test('an upstream that never answers is given up at the deadline, also after the caller of a non-idempotent request has left', async () => {
 	let closedConnections = 0;
 	let requests = 0;
@@ -207,7 +178,7 @@
 		});
 	});
 	const request = createRequest('a');
-	const running = startCallAt(upstream, {...request, route: {...request.route, kind: 'non-idempotent'}, deadlineAt: getNow() + 200}, () => undefined);
+	const running = callSupport.startCallAt(upstream, {...request, route: {...request.route, kind: 'non-idempotent'}, deadlineAt: getNow() + 200}, () => undefined);
 	await waitUntil(() => requests === 1);
 	running.cancel();
 	await timers.setTimeout(20);
@@ -235,7 +206,7 @@
 	})());
 	const request = createRequest('a');
 	const statusCode = await new Promise<number>(resolve => {
-		startCallAt(upstream, {...request, route: {...request.route, kind: 'non-idempotent'}}, response => {
+		callSupport.startCallAt(upstream, {...request, route: {...request.route, kind: 'non-idempotent'}}, response => {
 			resolve(response.statusCode);
 		});
 	});
--- a/test/support/hostile-upstream.ts
+++ b/test/support/hostile-upstream.ts
@@ -74,14 +74,23 @@
 
 export type AttemptResult = {readonly end: retryDecision.AttemptEnd; readonly answer: gatewayAttempt.AttemptResponse | undefined};
 
+const createAttemptHost = (getTime: () => number): gatewayAttempt.GatewayAttemptHost => ({
+	headers: headerHost.createHeaderHost(), memory, getNow: getTime, recordStatements: () => undefined,
+});
+
+const createSelection = (upstream: upstreamsModule.Upstream) => ({
+	kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
+} as const);
+
+/** Starts an attempt with a clock of its own. */
+export function startAttempt(upstream: upstreamsModule.Upstream, request: types.GatewayRequest, getTime: () => number, onEnd: (end: retryDecision.AttemptEnd) => void): void {
+	gatewayAttempt.createGatewayAttempt(createAttemptHost(getTime), {...request, refusedOn: new Set(), maximumExecutions: 1}, createSelection(upstream), {onSent: () => undefined, onEnd}).start();
+}
+
 /** Makes an attempt; `afterSending` is called once the request has been written. */
 export async function attempt(upstream: upstreamsModule.Upstream, id: string, afterSending: () => Promise<void> = async () => undefined): Promise<AttemptResult> {
 	return new Promise(resolve => {
-		gatewayAttempt.createGatewayAttempt({
-			headers: headerHost.createHeaderHost(), memory, getNow, recordStatements: () => undefined,
-		}, {...createRequest(id), refusedOn: new Set(), maximumExecutions: 1}, {
-			kind: 'selected', upstream, connection: undefined, expectedMilliseconds: 10, checks: 0,
-		}, {
+		gatewayAttempt.createGatewayAttempt(createAttemptHost(getNow), {...createRequest(id), refusedOn: new Set(), maximumExecutions: 1}, createSelection(upstream), {
 			onSent() {
 				setImmediate(() => {
 					void afterSending();
