Send no request whose deadline has passed while it waited for a connection

The deadline was checked by timers only. An attempt that got its connection after the deadline was sent with a remaining time of 1 ms, when the event loop was late and the connection came first. The attempt now compares the time at the last moment before bytes go out, and returns the connection to its pool.

--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -62,7 +62,7 @@
 const maximumResponseBytes = 4 * 1024 * 1024;
 /** Interval at which the progress of a response is observed, in milliseconds. */
 const progressIntervalMilliseconds = 250;
-/** Minimum remaining time that is sent to the upstream, in milliseconds. */
+/** Minimum remaining time with which a request is sent, in milliseconds. */
 const minimumDeadlineMilliseconds = 1;
 
 /** Creates an attempt; call `start` to begin. */
@@ -118,7 +118,13 @@
 	}
 
 	function send(connection: Connection): void {
-		const milliseconds = Math.max(minimumDeadlineMilliseconds, Math.floor(request.deadlineAt - host.getNow()));
+		const milliseconds = Math.floor(request.deadlineAt - host.getNow());
+		if (milliseconds < minimumDeadlineMilliseconds) {
+			pool.release(connection);
+			finish({kind: 'not-sent', reason: 'expired'});
+			return;
+		}
+
 		runningAttempt = attempt.startAttempt(connection, {
 			method: request.method,
 			path: request.path,
--- a/test/caller-leaves.test.ts
+++ b/test/caller-leaves.test.ts
@@ -1,6 +1,7 @@
-/** Tests that nothing is sent to an upstream for a caller that has left. */
+/** Tests that nothing is sent to an upstream for a caller that has left, or whose time is over. */
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
+import type * as retryDecision from '../src/decisions/outcomes/retry-decision.ts';
 import type * as connectionPool from '../src/entry/connection-pool.ts';
 import type * as types from '../src/gateway/types.ts';
 import type * as upstreamsModule from '../src/gateway/upstreams.ts';
@@ -42,3 +43,17 @@
 	expect(getRequestCount()).toBe(0);
 	expect(upstream.record.getState(hostileUpstream.getNow()).inFlight).toBe(0);
 });
+
+// Guards against requests that reach an upstream after their deadline because their timers fire late.
+test('a request that gets its connection after its deadline is not sent, and its upstream has not failed', async () => {
+	const {upstream, connections, getRequestCount} = await startBusyUpstream();
+	let now = hostileUpstream.getNow();
+	const ended = new Promise<retryDecision.AttemptEnd>(resolve => {
+		hostileUpstream.startAttempt(upstream, createRequest('idempotent'), () => now, resolve);
+	});
+	now += 1001;
+	upstream.pool.release(connections[0]!);
+	expect(await ended).toEqual({kind: 'not-sent', reason: 'expired'});
+	await timers.setTimeout(arrivalMilliseconds);
+	expect(getRequestCount()).toBe(0);
+});
