Read what arrived behind a request before its call starts

Requests were sent to upstreams for callers that had left. An entry that was busy, or got no processor time, reads a request and the close behind it in two turns of its event loop, and started the call in the first. On an entry with a quarter of a core each turn can take long, so the abort followed late.

A request whose deadline passes meanwhile is refused, truthfully as not run.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -13,6 +13,7 @@
 import {hasBody} from '../entry/receive-body.ts';
 import {getForwardedHeaders} from '../entry/headers.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
+import * as callStarter from './call-starter.ts';
 import * as callerConnections from './caller-connections.ts';
 import {type ActiveConfiguration} from './platform-state.ts';
 import type * as portLimits from './port-limits.ts';
@@ -20,7 +21,7 @@
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'deadline-passed';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -94,6 +95,7 @@
 	'small-chunks': 503,
 	'memory-full': 503,
 	stopping: 503,
+	'deadline-passed': 503,
 	'too-many-relayed': 503,
 };
 
@@ -112,6 +114,7 @@
 /** Creates the server; the caller starts and stops it. */
 export function createFrontServer(host: FrontServerHost): FrontServer {
 	let relayedRequests = 0;
+	const starter = callStarter.createCallStarter(host.getNow);
 	const reception = requestReception.createRequestReception(host);
 	const server = http.createServer({
 		maxHeaderSize: maximumHeaderBytes,
@@ -230,7 +233,6 @@
 	}
 
 	function handleReceived(exchange: exchanges.Exchange, result: requestReception.ReceptionResult, context: RequestContext): void {
-		const {request, response} = exchange;
 		switch (result.kind) {
 			case 'refused': {
 				refuse(exchange, result.reason, context.id);
@@ -239,38 +241,49 @@
 
 			case 'cut': {
 				host.recordRefusal('body-cut', context.id, 0);
-				response.destroy();
+				exchange.response.destroy();
 				break;
 			}
 
 			case 'complete': {
-				if (!host.canFinish(context)) {
-					refuse(exchange, 'stopping', context.id);
-					break;
-				}
-
-				const {body} = result;
-				const running = host.startCall({
-					...context,
-					method: request.method ?? 'GET',
-					path: request.url ?? '/',
-					headers: createForwardedHeaders(request, body, context.workspace),
-					body,
-				}, {
-					respond(gatewayResponse) {
-						writeResponse(exchange, gatewayResponse);
-					},
-				});
-				exchange.onEnd(end => {
-					if (end === 'caller-left') {
-						running.cancel();
-					}
+				starter.schedule(exchange, () => {
+					start(exchange, result.body, context);
 				});
 				break;
 			}
 		}
 	}
 
+	function start(exchange: exchanges.Exchange, body: CallBody, context: RequestContext): void {
+		const {request} = exchange;
+		if (!host.canFinish(context)) {
+			refuse(exchange, 'stopping', context.id);
+			return;
+		}
+
+		if (host.getNow() >= context.deadlineAt) {
+			refuse(exchange, 'deadline-passed', context.id);
+			return;
+		}
+
+		const running = host.startCall({
+			...context,
+			method: request.method ?? 'GET',
+			path: request.url ?? '/',
+			headers: createForwardedHeaders(request, body, context.workspace),
+			body,
+		}, {
+			respond(gatewayResponse) {
+				writeResponse(exchange, gatewayResponse);
+			},
+		});
+		exchange.onEnd(end => {
+			if (end === 'caller-left') {
+				running.cancel();
+			}
+		});
+	}
+
 	function closeConnection(socket: net.Socket, reason: 'too-many-requests-on-connection' | 'response-not-taken'): void {
 		host.recordRefusal(reason, undefined, 0);
 		socket.resetAndDestroy();
