Encode what all followers of a source need once, and compress it

One entry reads the store and sends its state to all others. At 312 entries its link needs 9.0 s (157 MB over 140 Mbit/s) for 1,400 routes, 600 upstreams and the members, where a change has to be in force within 3 s; each follower gave up after 0.65 s, closed the connection and went on to the next source, where the same happened.

Complete updates of the registry and the members are reused for 200 ms, updates between two positions as long as nothing is applied; configurations and complete updates are compressed once for all followers. A follower says whether it reads that, so entries of two versions follow each other.

A property shows that followers still end with the registry of their source.

--- a/src/decisions/registry/upstream-registry.ts
+++ b/src/decisions/registry/upstream-registry.ts
@@ -51,6 +51,8 @@
 export type UpstreamRegistry = {
 	/** Gets the position after the last applied record; -1 before the first. */
 	getPosition(): number;
+	/** Gets a number that increases whenever anything was applied. */
+	getRevision(): number;
 	/**
 	Applies the latest record of each upstream and removes all other upstreams. The records were read while the end of the
 	log moved through the range, and contain all changes up to its start. Ignored if the start is behind the current
@@ -82,6 +84,7 @@
 	/** Positions of the latest removals by upstream ID, oldest first. */
 	const removals = new Map<string, number>();
 	let position = -1;
+	let revision = 0;
 	/** Oldest reader position for which an incremental update is possible: removals before a snapshot may be unknown. */
 	let oldestIncrementalPosition = -1;
 
@@ -169,12 +172,14 @@
 
 	return {
 		getPosition: () => position,
+		getRevision: () => revision,
 		applySnapshot({from, to}, records, removalsDueAt) {
 			if (from < position) {
 				return [];
 			}
 
 			position = from;
+			revision++;
 			oldestIncrementalPosition = to;
 			const keptIds = new Set(records.flatMap(record => record.kind === 'removed' ? [] : [record.id]));
 			return [
@@ -188,6 +193,7 @@
 			}
 
 			position = to;
+			revision++;
 			return records
 				.map(record => applyRecord(record, to, removalsDueAt))
 				.filter(event => event !== undefined);
@@ -198,6 +204,7 @@
 			}
 
 			position = update.position;
+			revision++;
 			if (update.isComplete) {
 				oldestIncrementalPosition = position;
 			}
@@ -209,12 +216,14 @@
 			].filter(event => event !== undefined);
 		},
 		applyDueRemovals(confirmedAt) {
+			revision++;
 			return [...upstreams]
 				.filter(([, {removalDueAt}]) => removalDueAt !== undefined && removalDueAt <= confirmedAt)
 				.map(([id, {changedAt}]) => applyRemoval(id, changedAt))
 				.filter(event => event !== undefined);
 		},
 		extendHolds(dueAt) {
+			revision++;
 			for (const [id, upstream] of upstreams) {
 				if (upstream.removalDueAt !== undefined && upstream.removalDueAt < dueAt) {
 					upstreams.set(id, {...upstream, removalDueAt: dueAt});
--- /dev/null
+++ b/src/gateway/follower-updates.test.ts
@@ -0,0 +1,162 @@
+import * as protobuf from '@bufbuild/protobuf';
+import * as fastCheck from 'fast-check';
+import * as vitest from 'vitest';
+import type * as configuration from '../decisions/configuration/types.ts';
+import * as upstreamRegistry from '../decisions/registry/upstream-registry.ts';
+import type * as registryTypes from '../decisions/registry/types.ts';
+import * as memberList from '../decisions/sharing/member-list.ts';
+import type * as sharing from '../decisions/sharing/types.ts';
+import * as generated from '../generated/sharing_pb.ts';
+import * as codec from '../peers/sharing-codec.ts';
+import * as followerUpdates from './follower-updates.ts';
+
+const {expect, test} = vitest;
+
+/** Time in which a configuration must be in force, and the bandwidth of the widest link of a large deployment. */
+const configurationMilliseconds = 3000;
+const linkBytesPerMillisecond = 17_500;
+const followers = 311;
+const upstreamCount = 600;
+const routeCount = 1400;
+
+function createMember(index: number): sharing.Member {
+	return {
+		name: `edge-riverside-${index}`, incarnation: `${index}`.padStart(16, '5'), startedAt: 1_787_674_693_000 + index, failureDomain: 'riverside', region: 'east', callerAddress: `10.2.0.${index}:8144`, peerAddress: `10.2.0.${index}:8146`, isReady: true, canRead: true, isCutOff: false, linkMegabits: 20, cores: 0.27, requestsPerSecond: 10,
+	};
+}
+
+const createRegistration = (index: number, sequence = 1): registryTypes.Registration => ({
+	id: `i-${index.toString(16).padStart(10, '7')}`, service: 'desk', address: `10.4.64.${index}:8663`, failureDomain: 'riverside', slots: 4, state: 'ready', warmUpMilliseconds: 0, incarnation: 1_787_674_693_212 + index, sequence,
+});
+
+const createConfiguration = (): configuration.Configuration => ({
+	version: 7,
+	routes: Array.from({length: routeCount}, (_value, index) => ({
+		name: `r-${(index * 7919).toString(36)}`, host: 'desk.example', pathPrefix: `/lohu${(index * 104_729).toString(36)}/`, kind: 'idempotent', destinations: [{service: 'desk', weight: 1}], timeoutMilliseconds: 5000, objectiveMilliseconds: 1500, maximumAttempts: 2, priority: 2, isPublic: false,
+	})),
+	services: [],
+	workspaces: [],
+	limits: {
+		headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1,
+	},
+});
+
+function createFleetState() {
+	const registry = upstreamRegistry.createUpstreamRegistry();
+	registry.applySnapshot({from: upstreamCount, to: upstreamCount}, Array.from({length: upstreamCount}, (_value, index) => {
+		const registration = createRegistration(index);
+		return {kind: 'registered', id: registration.id, registration} as const;
+	}));
+	const members = memberList.createMemberList(() => createMember(0));
+	for (let index = 1; index <= followers; index++) {
+		members.recordMember(createMember(index), 0);
+	}
+
+	return {registry, members};
+}
+
+// Guards against a source that its followers lose at the moment when all of them need its state, since its link can't carry it in time.
+test('the state of a large deployment reaches all followers of one source within a third of the time that a change may take', () => {
+	const {registry, members} = createFleetState();
+	const updates = followerUpdates.createFollowerUpdates({registry, members, getNow: () => 0});
+	const configurationInForce = createConfiguration();
+	let bytes = 0;
+	for (let count = 0; count < followers; count++) {
+		const message = codec.toUpdateMessage({
+			ageMilliseconds: 0, configuration: configurationInForce, registryUpdate: updates.getRegistryUpdate(-1), evacuations: undefined, membersSource: 's', memberUpdate: updates.getMemberUpdate(-1), statementsRevision: 0, statements: [],
+		}, true);
+		bytes += protobuf.toBinary(generated.FollowResponseSchema, message).length;
+	}
+
+	expect(bytes).toBeLessThan(linkBytesPerMillisecond * configurationMilliseconds / 3);
+});
+
+test.each([true, false])('an update is read as it was sent (compressed: %s)', isCompressed => {
+	const {registry, members} = createFleetState();
+	const updates = followerUpdates.createFollowerUpdates({registry, members, getNow: () => 0});
+	const update: codec.SharingUpdate = {
+		ageMilliseconds: 3, configuration: createConfiguration(), registryUpdate: updates.getRegistryUpdate(-1), evacuations: undefined, membersSource: 's', memberUpdate: updates.getMemberUpdate(-1), statementsRevision: 0, statements: [],
+	};
+	const bytes = protobuf.toBinary(generated.FollowResponseSchema, codec.toUpdateMessage(update, isCompressed));
+	expect(codec.toSharingUpdate(protobuf.fromBinary(generated.FollowResponseSchema, bytes))).toEqual(update);
+});
+
+test('complete updates are reused for a short while only, and not while removals are held back', () => {
+	const {registry, members} = createFleetState();
+	let now = 0;
+	const updates = followerUpdates.createFollowerUpdates({registry, members, getNow: () => now});
+	const [first, firstMembers] = [updates.getRegistryUpdate(-1), updates.getMemberUpdate(-1)];
+	now = 150;
+	expect(updates.getRegistryUpdate(-1)).toBe(first);
+	expect(updates.getMemberUpdate(-1)).toBe(firstMembers);
+	now = 250;
+	expect(updates.getRegistryUpdate(-1)).not.toBe(first);
+	expect(updates.getMemberUpdate(-1)).not.toBe(firstMembers);
+	registry.applyRecords({from: upstreamCount, to: upstreamCount + 1}, [{kind: 'removed', id: createRegistration(3).id}], 2000);
+	const getDueTimes = () => updates.getRegistryUpdate(-1)!.changes.flatMap(change => change.kind === 'registered' ? change.removalDueInMilliseconds ?? [] : []);
+	expect(getDueTimes()).toEqual([1750]);
+	now = 300;
+	expect(getDueTimes()).toEqual([1700]);
+});
+
+test('whenever followers ask, they end with the registry of their source', () => {
+	const operation = fastCheck.oneof(
+		fastCheck.record({kind: fastCheck.constant('record' as const), id: fastCheck.nat(3), isRemoved: fastCheck.boolean()}),
+		fastCheck.record({kind: fastCheck.constant('snapshot' as const), ids: fastCheck.uniqueArray(fastCheck.nat(3))}),
+		fastCheck.record({kind: fastCheck.constant('ask' as const), follower: fastCheck.nat(2)}),
+		fastCheck.record({kind: fastCheck.constant('wait' as const), milliseconds: fastCheck.nat(300)}),
+	);
+	fastCheck.assert(fastCheck.property(fastCheck.array(operation, {maxLength: 40}), operations => {
+		const source = upstreamRegistry.createUpstreamRegistry();
+		const others = Array.from({length: 3}, () => upstreamRegistry.createUpstreamRegistry());
+		const {members} = createFleetState();
+		let now = 0;
+		let sequence = 1;
+		const updates = followerUpdates.createFollowerUpdates({registry: source, members, getNow: () => now});
+		const createRecord = (id: number) => {
+			const registration = createRegistration(id, sequence++);
+			return {kind: 'registered', id: registration.id, registration} as const;
+		};
+
+		const ask = (follower: upstreamRegistry.UpstreamRegistry) => {
+			const update = updates.getRegistryUpdate(follower.getPosition());
+			if (update) {
+				follower.applyUpdate(update, now);
+			}
+		};
+
+		source.applySnapshot({from: 0, to: 0}, []);
+		for (const step of operations) {
+			const position = source.getPosition();
+			switch (step.kind) {
+				case 'record': {
+					const record = createRecord(step.id);
+					source.applyRecords({from: position, to: position + 1}, [step.isRemoved ? {kind: 'removed', id: record.id} : record]);
+					break;
+				}
+
+				case 'snapshot': {
+					source.applySnapshot({from: position, to: position + 1}, step.ids.map(id => createRecord(id)));
+					break;
+				}
+
+				case 'ask': {
+					ask(others[step.follower]!);
+					break;
+				}
+
+				case 'wait': {
+					now += step.milliseconds;
+					break;
+				}
+			}
+		}
+
+		source.applyRecords({from: source.getPosition(), to: source.getPosition() + 1}, [createRecord(4)]);
+		for (const follower of others) {
+			ask(follower);
+			ask(follower);
+			expect(follower.list().map(({id}) => id).toSorted()).toEqual(source.list().map(({id}) => id).toSorted());
+		}
+	}), {seed: 47, numRuns: 300});
+});
--- /dev/null
+++ b/src/gateway/follower-updates.ts
@@ -0,0 +1,101 @@
+/**
+Provides the updates of the registry and the member list for followers, and reuses them.
+
+When the source of all entries is lost, they begin to follow the next one in the same moment, and each needs all of its
+state. The complete updates are reused for a short while, so that they are computed, encoded and compressed once. Updates
+of the registry from one position to another are the same for all followers at that position.
+*/
+import type * as upstreamRegistry from '../decisions/registry/upstream-registry.ts';
+import type * as memberList from '../decisions/sharing/member-list.ts';
+import type * as sharing from '../decisions/sharing/types.ts';
+
+/** Dependencies of the updates. */
+export type FollowerUpdatesHost = {
+	readonly registry: Pick<upstreamRegistry.UpstreamRegistry, 'getRevision' | 'getNextRemovalAt' | 'getUpdate'>;
+	readonly members: Pick<memberList.MemberList, 'getUpdate'>;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+};
+
+/** Updates for followers. */
+export type FollowerUpdates = {
+	/** Gets the changes of the registry after a position; undefined if there is no later position. */
+	getRegistryUpdate(since: number): upstreamRegistry.RegistryUpdate | undefined;
+	/** Gets the changes of the member list after a revision; all members for -1. */
+	getMemberUpdate(since: number): sharing.MemberUpdate;
+};
+
+/** Time for which a complete update is reused, in milliseconds; the changes after it follow with the next update. */
+const reuseMilliseconds = 200;
+
+type Complete<Update> = {readonly update: Update; readonly madeAt: number};
+
+/** Creates the updates of an entry. */
+export function createFollowerUpdates(host: FollowerUpdatesHost): FollowerUpdates {
+	const {registry} = host;
+	let completeRegistry: Complete<upstreamRegistry.RegistryUpdate> | undefined;
+	let completeMembers: Complete<sharing.MemberUpdate> | undefined;
+	let incremental = {revision: -1, updates: new Map<number, upstreamRegistry.RegistryUpdate>()};
+
+	const isRecent = ({madeAt}: {readonly madeAt: number}, now: number) => now - madeAt <= reuseMilliseconds;
+
+	function findReusable(since: number, now: number): upstreamRegistry.RegistryUpdate | undefined {
+		if (since < 0) {
+			return completeRegistry && isRecent(completeRegistry, now) ? completeRegistry.update : undefined;
+		}
+
+		return incremental.revision === registry.getRevision() ? incremental.updates.get(since) : undefined;
+	}
+
+	function keep(since: number, update: upstreamRegistry.RegistryUpdate, now: number): void {
+		if (since < 0) {
+			completeRegistry = {update, madeAt: now};
+			return;
+		}
+
+		const revision = registry.getRevision();
+		if (incremental.revision !== revision) {
+			incremental = {revision, updates: new Map()};
+		}
+
+		incremental.updates.set(since, update);
+	}
+
+	function createRegistryUpdate(since: number): upstreamRegistry.RegistryUpdate {
+		const now = host.getNow();
+		// The time until a removal that is held back depends on the present time.
+		if (registry.getNextRemovalAt() !== undefined) {
+			completeRegistry = undefined;
+			incremental.updates.clear();
+			return registry.getUpdate(since, now);
+		}
+
+		const reusable = findReusable(since, now);
+		if (reusable) {
+			return reusable;
+		}
+
+		const update = registry.getUpdate(since, now);
+		keep(since, update, now);
+		return update;
+	}
+
+	return {
+		getRegistryUpdate(since) {
+			const update = createRegistryUpdate(since);
+			return update.position > since ? update : undefined;
+		},
+		getMemberUpdate(since) {
+			if (since >= 0) {
+				return host.members.getUpdate(since);
+			}
+
+			const now = host.getNow();
+			if (!completeMembers || !isRecent(completeMembers, now)) {
+				completeMembers = {update: host.members.getUpdate(since), madeAt: now};
+			}
+
+			return completeMembers.update;
+		},
+	};
+}
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -8,6 +8,7 @@
 import {type Logger} from '../observability/logger.ts';
 import type * as codec from '../peers/sharing-codec.ts';
 import {type SharingClient, type SharingError} from '../peers/sharing.ts';
+import * as followerUpdates from './follower-updates.ts';
 import {type PlatformState} from './platform-state.ts';
 import type * as statementRecorder from './statement-recorder.ts';
 import {type StoreReader} from './store-reader.ts';
@@ -69,6 +70,7 @@
 export function createSharingLoop(host: SharingLoopHost): SharingLoop {
 	const {logger, platformState, reader, client} = host;
 	const members = createMemberList(host.getSelf);
+	const updates = followerUpdates.createFollowerUpdates({registry: platformState.registry, members, getNow: host.getNow});
 	const self = host.getSelf();
 	const sourceSelector = sourceSelection.createSourceSelector({name: self.name});
 	const stopping = new AbortController();
@@ -95,6 +97,7 @@
 			statements: host.statements.getUpdate(sentStatementsRevision).statements,
 			statementsRevision: receivedVersion.statementsRevision,
 			waitMilliseconds,
+			acceptsCompressed: true,
 		};
 	}
 
@@ -281,11 +284,6 @@
 		}
 	}
 
-	function getRegistryUpdate(position: number) {
-		const update = platformState.registry.getUpdate(position, host.getNow());
-		return update.position > position ? update : undefined;
-	}
-
 	function getEvacuations(version: number) {
 		const set = platformState.evacuations.getSet();
 		return set.version > version ? set : undefined;
@@ -298,7 +296,7 @@
 
 	function hasUpdate(request: codec.SharingRequest): boolean {
 		const version = platformState.getActiveConfiguration()?.configuration.version ?? -1;
-		const update = getRegistryUpdate(request.registryPosition);
+		const update = updates.getRegistryUpdate(request.registryPosition);
 		return version > request.configurationVersion
 			|| (update !== undefined && (update.changes.length > 0 || update.isComplete))
 			|| platformState.evacuations.getChangedVersion() > request.evacuationsVersion
@@ -335,10 +333,10 @@
 			return {
 				ageMilliseconds: Math.max(0, platformState.getAge(host.getNow())),
 				configuration: activeConfiguration && activeConfiguration.configuration.version > request.configurationVersion ? activeConfiguration.configuration : undefined,
-				registryUpdate: getRegistryUpdate(request.registryPosition),
+				registryUpdate: updates.getRegistryUpdate(request.registryPosition),
 				evacuations: getEvacuations(request.evacuationsVersion),
 				membersSource: self.incarnation,
-				memberUpdate: members.getUpdate(request.membersSource === self.incarnation ? request.membersRevision : -1),
+				memberUpdate: updates.getMemberUpdate(request.membersSource === self.incarnation ? request.membersRevision : -1),
 				...getStatementUpdate(request),
 			};
 		},
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -1,4 +1,5 @@
 /** Converts requests and updates of the sharing service to and from their wire form. */
+import * as buffer from 'node:buffer';
 import * as protobuf from '@bufbuild/protobuf';
 import * as z from 'zod';
 import * as exhaustiveness from '../decisions/assert-never.ts';
@@ -9,6 +10,7 @@
 import {type RegistryUpdate} from '../decisions/registry/upstream-registry.ts';
 import {type Member, type MemberUpdate} from '../decisions/sharing/types.ts';
 import * as generated from '../generated/sharing_pb.ts';
+import * as compressedState from './compressed-state.ts';
 
 /** A statement of an upstream, with its age in place of a time, since the clocks of two entries differ. */
 export type SharedStatement = Omit<upstreamStatements.UpstreamStatement<upstreamStatements.SharedContent>, 'heardAt'> & {readonly ageMilliseconds: number};
@@ -32,6 +34,8 @@
 	readonly statementsRevision: number;
 	/** How long the responder may wait for changes before it answers. */
 	readonly waitMilliseconds: number;
+	/** Whether the follower reads compressed updates, which entries of earlier versions don't. */
+	readonly acceptsCompressed: boolean;
 };
 
 /** Changes that the follower has not received yet. */
@@ -172,16 +176,47 @@
 		statementsRevision: Number(message.statementsRevision),
 		statements: toStatements(message.statements),
 		waitMilliseconds: message.waitMilliseconds,
+		acceptsCompressed: message.acceptsCompressed,
 	};
 }
 
-export function toUpdateMessage(update: SharingUpdate): generated.FollowResponse {
+const configurationCompressor = compressedState.createStateCompressor<configuration.Configuration>(value => JSON.stringify(value));
+const registryCompressor = compressedState.createStateCompressor<RegistryUpdate>(value => JSON.stringify(value));
+const membersCompressor = compressedState.createStateCompressor<readonly Member[]>(members => protobuf.toBinary(generated.MemberListSchema, protobuf.create(generated.MemberListSchema, {members: members.map(member => toMemberMessage(member))})));
+/** Number of routes, registrations or members from which on a part that many followers receive is compressed. */
+const compressedEntries = 16;
+
+/** The parts of an update that grow with the deployment; those with few entries aren't compressed. */
+type LargeParts = Partial<Pick<generated.FollowResponse, 'configuration' | 'registryUpdate' | 'members' | 'compressedConfiguration' | 'compressedRegistryUpdate' | 'compressedMembers'>>;
+
+function toConfigurationPart(value: configuration.Configuration | undefined, isCompressed: boolean): LargeParts {
+	if (value === undefined) {
+		return {};
+	}
+
+	return isCompressed && value.routes.length >= compressedEntries ? {compressedConfiguration: configurationCompressor.compress(value)} : {configuration: JSON.stringify(value)};
+}
+
+function toRegistryPart(update: RegistryUpdate | undefined, isCompressed: boolean): LargeParts {
+	if (update === undefined) {
+		return {};
+	}
+
+	return isCompressed && update.isComplete && update.changes.length >= compressedEntries ? {compressedRegistryUpdate: registryCompressor.compress(update)} : {registryUpdate: JSON.stringify(update)};
+}
+
+function toMembersPart({members, isComplete}: MemberUpdate, isCompressed: boolean): LargeParts {
+	return isCompressed && isComplete && members.length >= compressedEntries ? {compressedMembers: membersCompressor.compress(members)} : {members: members.map(member => toMemberMessage(member))};
+}
+
+/** Converts an update to its wire form; large parts are compressed if the follower accepts that. */
+export function toUpdateMessage(update: SharingUpdate, isCompressed: boolean): generated.FollowResponse {
 	return protobuf.create(generated.FollowResponseSchema, {
 		ageMilliseconds: Math.round(Math.min(maximumAgeMilliseconds, update.ageMilliseconds)),
-		configuration: update.configuration === undefined ? '' : JSON.stringify(update.configuration),
-		registryUpdate: update.registryUpdate === undefined ? '' : JSON.stringify(update.registryUpdate),
+		...toConfigurationPart(update.configuration, isCompressed),
+		...toRegistryPart(update.registryUpdate, isCompressed),
+		...toMembersPart(update.memberUpdate, isCompressed),
 		...(update.evacuations && {evacuations: protobuf.create(generated.EvacuationSetSchema, {version: BigInt(update.evacuations.version), failureDomains: [...update.evacuations.failureDomains]})}),
-		members: update.memberUpdate.members.map(member => toMemberMessage(member)),
 		membersSource: update.membersSource,
 		membersRevision: BigInt(update.memberUpdate.revision),
 		membersComplete: update.memberUpdate.isComplete,
@@ -191,18 +226,30 @@
 	});
 }
 
+function readText(text: string, compressed: Uint8Array): string {
+	return compressed.length === 0 ? text : buffer.Buffer.from(compressedState.decompress(compressed)).toString('utf8');
+}
+
+function parseText<Value>(text: string, schema: z.ZodType<Value>): Value | undefined {
+	return text === '' ? undefined : schema.parse(JSON.parse(text));
+}
+
+function readMembers({members, compressedMembers}: generated.FollowResponse): readonly generated.Member[] {
+	return compressedMembers.length === 0 ? members : protobuf.fromBinary(generated.MemberListSchema, compressedState.decompress(compressedMembers)).members;
+}
+
 /** Converts an update from its wire form; throws if a part is invalid, e.g. if another version of the program wrote it. */
 export function toSharingUpdate(message: generated.FollowResponse): SharingUpdate {
 	return {
 		ageMilliseconds: message.ageMilliseconds,
-		configuration: message.configuration === '' ? undefined : configuration.configurationSchema.parse(JSON.parse(message.configuration)),
-		registryUpdate: message.registryUpdate === '' ? undefined : registryUpdateSchema.parse(JSON.parse(message.registryUpdate)),
+		configuration: parseText(readText(message.configuration, message.compressedConfiguration), configuration.configurationSchema),
+		registryUpdate: parseText(readText(message.registryUpdate, message.compressedRegistryUpdate), registryUpdateSchema),
 		evacuations: message.evacuations && {version: Number(message.evacuations.version), failureDomains: message.evacuations.failureDomains},
 		membersSource: message.membersSource,
 		memberUpdate: {
 			revision: Number(message.membersRevision),
 			isComplete: message.membersComplete,
-			members: message.members.map(member => toMember(member)),
+			members: readMembers(message).map(member => toMember(member)),
 			removed: message.removedMembers,
 		},
 		statementsRevision: Number(message.statementsRevision),
--- a/src/peers/sharing.ts
+++ b/src/peers/sharing.ts
@@ -64,7 +64,7 @@
 					throw new connect.ConnectError('The request has no follower. Set follower to the member that sends the request.', connect.Code.InvalidArgument);
 				}
 
-				return codec.toUpdateMessage(await host.handleFollow(request));
+				return codec.toUpdateMessage(await host.handleFollow(request), request.acceptsCompressed);
 			},
 		});
 	};
