Count what is held in two ways, compare them in the soak, and log late event loops

A request that was held for good showed only in a gauge that nobody compared with anything. New gauges: calls that hold anything, open connections of all ports, and the largest lateness of a timer; log lines event-loop-late (250 ms or more) and call-overdue (a second past the deadline, once a call).

The soak now has callers that send requests ahead and leave at any moment; when all callers are gone, it checks that no request and no call is open, and that the claimed memory is that of the open connections.

--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -11,6 +11,8 @@
 import {type SoakGateway, startGateways} from './gateways.ts';
 import type * as judgePartitions from './judge-partitions.ts';
 import {judgeSoak, type SoakVerdict} from './judge.ts';
+import * as judgeHeld from './judge-held.ts';
+import * as leavingCallers from './leaving-callers.ts';
 import {createSoakPlan, type FaultKind, type PlannedFault} from './fault-plan.ts';
 import {
 	failureDomains, serviceNames, type SoakPlatform, type SoakStatement, type SoakUpstream, startSoakPlatform, type TimeSpan,
@@ -74,20 +76,22 @@
 		platform, gateways, storeFaults: [], partitions: [],
 	};
 	try {
-		const callers = startCallers({
+		const callersOptions = {
 			seed: options.seed,
-			count: options.callers,
-			directoryAddresses: gateways.map(({directoryAddress: directory}) => directory),
 			listRoutes: () => platform.routes.filter(({withdrawnAt}) => withdrawnAt === undefined || performance.now() < withdrawnAt + withdrawnRouteMilliseconds),
-		});
+		};
+		const callers = startCallers({...callersOptions, count: options.callers, directoryAddresses: gateways.map(({directoryAddress: directory}) => directory)});
+		const leaving = leavingCallers.startLeavingCallers({...callersOptions, count: Math.ceil(options.callers / 4), addresses: gateways.map(({callerAddress}) => callerAddress)});
 		const isServingAtStart = await waitUntilServing(callers);
 		options.print(isServingAtStart ? 'serving' : 'not serving at the start');
 		await Promise.all(createSoakPlan(options.seed, options.seconds * 1000).map(async planned => runPlannedFault(planned, deployment, options.print)));
 		const hasRecovered = await waitUntilServing(callers);
-		const requests = await callers.stop();
-		return judgeSoak({
+		const requests = [...await callers.stop(), ...await leaving.stop()];
+		const heldViolations = await judgeHeld.judgeHeld(gateways);
+		const verdict = judgeSoak({
 			requests, upstreams: platform.upstreams, gateways, storeFaults: deployment.storeFaults, partitions: deployment.partitions, hasRecovered: isServingAtStart && hasRecovered,
 		}, options.hasTimeBounds);
+		return {...verdict, violations: [...verdict.violations, ...heldViolations]};
 	} finally {
 		await Promise.all(gateways.map(async gateway => gateway.stop()));
 		await platform.close();
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -52,6 +52,8 @@
 	/** Observes what the end of an attempt shows about the connection to upstreams. */
 	observeAttempt(upstream: upstreams.Upstream, end: retryDecision.AttemptEnd): void;
 	onEnd(report: CallReport): void;
+	/** Tracks a call; the returned function is called once it holds nothing any more. */
+	beginCall(id: string, deadlineAt: number): () => void;
 };
 
 /** Receiver of the response. */
@@ -85,6 +87,7 @@
 	const attempts: AttemptReport[] = [];
 	const tried = new Set<string>();
 	const running = new Set<GatewayAttempt>();
+	const endCall = host.beginCall(request.id, request.deadlineAt);
 	let mayHaveRunOn = 0;
 	let isAnswered = false;
 	let checks = 0;
@@ -180,6 +183,7 @@
 				recordEnd(selected, end, now - sentAt, now);
 				host.observeAttempt(upstream, end);
 				handleEnd(end, response);
+				endIfOver();
 				host.selector.onAttemptEnded(upstream);
 			},
 		});
@@ -321,6 +325,15 @@
 		for (const attempt of running) {
 			attempt.giveUp();
 		}
+
+		endIfOver();
+	}
+
+	function endIfOver(): void {
+		if (isAnswered && running.size === 0) {
+			clearTimeout(deadlineTimer);
+			endCall();
+		}
 	}
 
 	function report(statusCode: number, outcome: CallReport['outcome'], reason: string): void {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -27,12 +27,14 @@
 import {createDirectory, type Directory} from './directory.ts';
 import {createFrontServer} from './front-server.ts';
 import type * as loadCheck from './load-check.ts';
+import * as latenessWatch from './lateness-watch.ts';
 import * as messageLimits from './message-limits.ts';
 import * as openPorts from './open-port.ts';
 import * as permitsModule from './permits.ts';
 import * as portLimits from './port-limits.ts';
 import * as reachabilityMonitor from './reachability-monitor.ts';
 import * as relaysModule from './relays.ts';
+import * as runningCallsModule from './running-calls.ts';
 import {createPlatformState} from './platform-state.ts';
 import {createSelector} from './selection.ts';
 import {type GatewaySettings} from './settings.ts';
@@ -207,7 +209,11 @@
 		isFirstStart: settings.isFirstStart,
 		random,
 		getNow,
+		recordLateness(milliseconds) {
+			lateness.record(milliseconds);
+		},
 	});
+	const lateness = latenessWatch.createLatenessWatch({logger, countOpen: () => frontServer.countOpen()});
 	const permits = permitsModule.createPermits({
 		client: peerPermits.createPermitClient(),
 		recorder,
@@ -294,6 +300,7 @@
 			metrics.recordClosedConnection(port);
 		},
 	});
+	const runningCalls = runningCallsModule.createRunningCalls({logger, getNow});
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
@@ -304,6 +311,7 @@
 		countEntries,
 		observeAttempt: reachability.recordAttempt,
 		getNow,
+		beginCall: runningCalls.begin,
 		onEnd: callLog.createCallRecorder({logger, metrics, getKnowledgeAge: () => getRoundedAge()}),
 	};
 	const frontServer = createFrontServer({
@@ -367,8 +375,11 @@
 			knowledgeAgeMilliseconds: getRoundedAge(),
 			members: countEntries(),
 			openRequests: frontServer.countOpen(),
+			runningCalls: runningCalls.count(),
+			connections: ports.countConnections(),
 			isCutOff: reachability.isCutOff(),
 			claimedBytes: memory.getUsed(),
+			largestLatenessMilliseconds: lateness.takeLargest(),
 			coldUpstreams: upstreams.countCold(),
 			evacuatedFailureDomains: platformState.evacuations.getSet().failureDomains.length,
 		});
@@ -399,6 +410,7 @@
 		upstreams.closeIdle();
 		relays.closeIdle();
 		permits.observeEntries();
+		runningCalls.logOverdue();
 	}, maintenanceIntervalMilliseconds);
 	logger.info('gateway-started', {
 		incarnation, address: settings.listen.callers, failureDomain: settings.failureDomain, startMilliseconds: Math.round(getNow()), staleMilliseconds,
--- a/src/gateway/port-limits.ts
+++ b/src/gateway/port-limits.ts
@@ -26,6 +26,8 @@
 	beginUse(socket: net.Socket): void;
 	/** Limits a connection again; what it receives from now on belongs to its next request. */
 	endUse(socket: net.Socket): void;
+	/** Number of open connections. */
+	countConnections(): number;
 	close(): void;
 };
 
@@ -37,6 +39,8 @@
 	limitPort(server: net.Server, name: PortName): LimitedPort;
 	/** Limits a port that answers requests without reading their bodies: it closes connections on which a body follows. */
 	limitBodylessPort(server: http.Server, name: PortName): LimitedPort;
+	/** Number of open connections of all ports. */
+	countConnections(): number;
 	close(): void;
 };
 
@@ -123,6 +127,7 @@
 					connection.claim = claim(socket);
 				}
 			},
+			countConnections: () => connections.size,
 			close() {
 				clearInterval(timer);
 			},
@@ -141,6 +146,7 @@
 			});
 			return limitPort(server, name);
 		},
+		countConnections: () => ports.reduce((sum, port) => sum + port.countConnections(), 0),
 		close() {
 			for (const port of ports) {
 				port.close();
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -29,6 +29,8 @@
 	getSeeds(): readonly string[];
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
+	/** Records by how many milliseconds a timer was late. */
+	recordLateness(milliseconds: number): void;
 };
 
 /** Exchanges the platform state and the member list with the other entries. */
@@ -214,7 +216,9 @@
 		while (!stopping.signal.aborted) {
 			if (platformState.getAge(host.getNow()) <= sourceSelection.staleMilliseconds || findSource() === undefined || shouldWaitForSeeds()) {
 				interval = ownReadIntervalMilliseconds;
+				const dueAt = host.getNow() + pauseMilliseconds;
 				await timers.setTimeout(pauseMilliseconds);
+				host.recordLateness(Math.max(0, host.getNow() - dueAt));
 				continue;
 			}
 
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -17,10 +17,16 @@
 	readonly knowledgeAgeMilliseconds: number;
 	readonly members: number;
 	readonly openRequests: number;
+	/** Calls that are not answered, or still have an attempt at an upstream. */
+	readonly runningCalls: number;
+	/** Open connections of all ports. */
+	readonly connections: number;
 	/** Whether this entry reaches no upstream. */
 	readonly isCutOff: boolean;
 	/** Memory that connections, requests and responses claim. */
 	readonly claimedBytes: number;
+	/** Largest lateness of a timer since the last collection; the event loop did nothing else for so long. */
+	readonly largestLatenessMilliseconds: number;
 	/** Upstreams that are cold, so that each request to them needs a permit. */
 	readonly coldUpstreams: number;
 	/** Failure domains whose upstreams receive nothing new. */
@@ -78,8 +84,11 @@
 		knowledgeAgeMilliseconds: 'fescuering_gateway_knowledge_age_seconds',
 		members: 'fescuering_gateway_members',
 		openRequests: 'fescuering_gateway_open_requests',
+		runningCalls: 'fescuering_gateway_running_calls',
+		connections: 'fescuering_gateway_connections',
 		isCutOff: 'fescuering_gateway_cut_off',
 		claimedBytes: 'fescuering_gateway_claimed_bytes',
+		largestLatenessMilliseconds: 'fescuering_gateway_largest_lateness_seconds',
 		coldUpstreams: 'fescuering_gateway_cold_upstreams',
 		evacuatedFailureDomains: 'fescuering_gateway_evacuated_failure_domains',
 	};
@@ -118,8 +127,11 @@
 			gaugeMetrics.get(gaugeNames.knowledgeAgeMilliseconds)!.set(Math.min(gauges.knowledgeAgeMilliseconds, Number.MAX_SAFE_INTEGER) * secondsPerMillisecond);
 			gaugeMetrics.get(gaugeNames.members)!.set(gauges.members);
 			gaugeMetrics.get(gaugeNames.openRequests)!.set(gauges.openRequests);
+			gaugeMetrics.get(gaugeNames.runningCalls)!.set(gauges.runningCalls);
+			gaugeMetrics.get(gaugeNames.connections)!.set(gauges.connections);
 			gaugeMetrics.get(gaugeNames.isCutOff)!.set(Number(gauges.isCutOff));
 			gaugeMetrics.get(gaugeNames.claimedBytes)!.set(gauges.claimedBytes);
+			gaugeMetrics.get(gaugeNames.largestLatenessMilliseconds)!.set(gauges.largestLatenessMilliseconds * secondsPerMillisecond);
 			gaugeMetrics.get(gaugeNames.coldUpstreams)!.set(gauges.coldUpstreams);
 			gaugeMetrics.get(gaugeNames.evacuatedFailureDomains)!.set(gauges.evacuatedFailureDomains);
 			return registry.metrics();
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -30,5 +30,6 @@
 		observeAttempt: () => undefined,
 		getNow: hostileUpstream.getNow,
 		onEnd: () => undefined,
+		beginCall: () => () => undefined,
 	}, request, {respond});
 }
