Stop reading refused bodies, and read in turn while bodies come in small chunks

An entry that met 200 callers whose bodies come in chunks of one byte was silent for many seconds, for all its other callers too, although it had refused the bodies: what followed was still read and parsed, 64 KiB at a time and up to 32 times in a row from each connection, and a new caller waited in the queue of connections behind all of them.

A connection whose body is refused is not read any more. Without small chunks nothing changes.

Not measured at a fifth of a core.

--- a/src/decisions/admission/small-chunks.test.ts
+++ b/src/decisions/admission/small-chunks.test.ts
@@ -7,7 +7,7 @@
 /** Sends a body in chunks of one size, one every `intervalMilliseconds`. Returns the number of chunks until it has to end. */
 function send(body: smallChunks.ChunkedBody, bytes: number, startsAt: number, intervalMilliseconds = 0.01): number {
 	for (let count = 0; count < chunkCount; count++) {
-		if (body.recordChunk(bytes, startsAt + (count * intervalMilliseconds))) {
+		if (body.recordChunk(bytes, startsAt + (count * intervalMilliseconds)) === 'refuse') {
 			return count;
 		}
 	}
@@ -31,7 +31,7 @@
 		for (const [index, body] of bodies.entries()) {
 			if (!ended.has(index)) {
 				received++;
-				if (body.recordChunk(1, count * 0.1)) {
+				if (body.recordChunk(1, count * 0.1) === 'refuse') {
 					ended.add(index);
 				}
 			}
@@ -48,6 +48,13 @@
 	expect(send(watch.startBody(), 64, 1)).toBe(chunkCount);
 	const body = watch.startBody();
 	for (let count = 0; count < 4000; count++) {
-		expect(body.recordChunk(1, 2)).toBe(false);
+		expect(body.recordChunk(1, 2)).toBe('go-on');
 	}
 });
+
+test('a body in chunks of one byte lets others be read every few thousand chunks', () => {
+	const body = smallChunks.createSmallChunkWatch().startBody();
+	const verdicts = Array.from({length: 20_000}, () => body.recordChunk(1, 0));
+	expect(verdicts.filter(verdict => verdict === 'yield').length).toBe(4);
+	expect(verdicts.includes('refuse')).toBe(false);
+});
--- a/src/decisions/admission/small-chunks.ts
+++ b/src/decisions/admission/small-chunks.ts
@@ -5,10 +5,17 @@
 its size, so a few megabytes occupy an entry for seconds. One such body alone is served, as nobody waits for it.
 */
 
+/** What to do with a body after one of its chunks. */
+export type ChunkVerdict
+	= | 'go-on'
+	/** Other connections are read before the rest of it. */
+		| 'yield'
+	/** It has to end, since others are received in small chunks as well. */
+		| 'refuse';
+
 /** Body that is being received in chunks. */
 export type ChunkedBody = {
-	/** Records a chunk. Returns whether the body has to end because others are received in small chunks as well. */
-	recordChunk(bytes: number, now: number): boolean;
+	recordChunk(bytes: number, now: number): ChunkVerdict;
 };
 
 /** The bodies that are being received. */
@@ -16,7 +23,7 @@
 	startBody(): ChunkedBody;
 };
 
-/** Number of chunks from which on a body counts. */
+/** Number of chunks from which on a body counts, and after which others are read again. */
 const toleratedChunks = 4096;
 /** Mean size below which chunks are small, in bytes. */
 const smallChunkBytes = 64;
@@ -37,15 +44,15 @@
 					chunks++;
 					size += bytes;
 					if (chunks < toleratedChunks || size >= chunks * smallChunkBytes) {
-						return false;
+						return 'go-on';
 					}
 
 					if (latest && latest.body !== body && now - latest.at < memoryMilliseconds) {
-						return true;
+						return 'refuse';
 					}
 
 					latest = {body, at: now};
-					return false;
+					return chunks % toleratedChunks === 0 ? 'yield' : 'go-on';
 				},
 			};
 		},
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -14,6 +14,7 @@
 } from './problem.ts';
 import * as bodyCollector from './body-collector.ts';
 import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive-body.ts';
+import * as callerReading from './caller-reading.ts';
 import * as exchangesModule from './exchanges.ts';
 import {type CallExecution} from './service-runner.ts';
 
@@ -73,7 +74,6 @@
 	let nextCallId = 1;
 	const exchanges = exchangesModule.createExchanges();
 	let totalReservedBytes = 0;
-	const bodyReceiver = {blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), getNow: host.getNow};
 	const server = http.createServer({
 		maxHeaderSize: limits.headerBytes,
 		headersTimeout: limits.headersTimeoutMilliseconds,
@@ -83,6 +83,10 @@
 		noDelay: true,
 	}, handleRequest);
 	server.maxConnections = limits.connections;
+	const reading = callerReading.createCallerReading(server, exchanges, host.getNow);
+	const bodyReceiver = {
+		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
+	};
 	server.on('clientError', answerClientError);
 	server.on('upgrade', (_request, socket) => {
 		answerOnSocket(socket, 'malformed-request');
@@ -150,6 +154,7 @@
 					case 'memory-full':
 					case 'small-chunks': {
 						refuse(request, sink, 'queue-full');
+						reading.discard(request, received.kind === 'small-chunks');
 						break;
 					}
 
--- a/src/entry/exchanges.ts
+++ b/src/entry/exchanges.ts
@@ -25,6 +25,7 @@
 	begin(request: http.IncomingMessage, response: http.ServerResponse): Exchange;
 	count(): number;
 	countOn(socket: net.Socket): number;
+	listOn(socket: net.Socket): readonly Exchange[];
 };
 
 type OpenExchange = Exchange & {end(end: ExchangeEnd): void};
@@ -100,6 +101,7 @@
 		},
 		count: () => openCount,
 		countOn: socket => openBySocket.get(socket)?.size ?? 0,
+		listOn: socket => [...openBySocket.get(socket) ?? []],
 	};
 }
 
--- a/src/entry/receive-body.ts
+++ b/src/entry/receive-body.ts
@@ -17,6 +17,8 @@
 export type BodyReceiverHost = {
 	readonly blocks: bodyCollector.BlockPool;
 	readonly smallChunks: smallChunks.SmallChunkWatch;
+	/** Lets other connections be read before the next part of a costly body. */
+	yieldReading(request: http.IncomingMessage): void;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 };
@@ -106,11 +108,21 @@
 				request.pause();
 				return {kind: 'streamed', stream: createBodyStream(request, [collector.takeBytes()], limits.bodyBytes), length};
 			}, true);
-		} else if (chunkedBody.recordChunk(chunk.length, host.getNow())) {
+			return;
+		}
+
+		const verdict = chunkedBody.recordChunk(chunk.length, host.getNow());
+		if (verdict === 'refuse') {
 			end({kind: 'small-chunks'});
-		} else {
-			listener.onProgress?.(collector.getHeldBytes());
+			host.yieldReading(request);
+			return;
 		}
+
+		if (verdict === 'yield') {
+			host.yieldReading(request);
+		}
+
+		listener.onProgress?.(collector.getHeldBytes());
 	};
 
 	const onEnd = () => {
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -1,11 +1,13 @@
 /** Tracks the connections of callers, so that a stop closes those that are idle and no others. */
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import * as callerReading from '../entry/caller-reading.ts';
 import * as exchangesModule from '../entry/exchanges.ts';
 import type * as portLimits from './port-limits.ts';
 
 /** Connections of callers to one server. */
 export type CallerConnections = {
+	readonly reading: callerReading.CallerReading;
 	beginExchange(request: http.IncomingMessage, response: http.ServerResponse): exchangesModule.Exchange;
 	/** Number of exchanges that have not ended. */
 	countExchanges(): number;
@@ -22,8 +24,8 @@
 	receivedBytes: number;
 };
 
-/** Tracks the connections of a server from now on, and limits those without a request. */
-export function trackConnections(server: http.Server, port: portLimits.LimitedPort): CallerConnections {
+/** Tracks the connections of a server from now on, and limits those without a request; `getNow` returns the present time in milliseconds of a monotonic clock. */
+export function trackConnections(server: http.Server, port: portLimits.LimitedPort, getNow: () => number): CallerConnections {
 	const connections = new Map<net.Socket, ConnectionState>();
 	const exchanges = exchangesModule.createExchanges();
 	let isStopping = false;
@@ -43,6 +45,7 @@
 	}
 
 	return {
+		reading: callerReading.createCallerReading(server, exchanges, getNow),
 		beginExchange(request, response) {
 			const {socket} = request;
 			const exchange = exchanges.begin(request, response);
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -377,6 +377,7 @@
 			openRequests: frontServer.countOpen(),
 			runningCalls: runningCalls.count(),
 			connections: ports.countConnections(),
+			deferredConnections: frontServer.countDeferred(),
 			isCutOff: reachability.isCutOff(),
 			claimedBytes: memory.getUsed(),
 			largestLatenessMilliseconds: lateness.takeLargest(),
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -55,6 +55,8 @@
 	readonly server: http.Server;
 	/** Counts the exchanges that have not ended. */
 	countOpen(): number;
+	/** Counts the connections that wait until they are read, because others are costly to read. */
+	countDeferred(): number;
 	/** Accepts no more connections, and closes each connection once it has no request. */
 	stop(): void;
 	/** Resets the connections whose requests are not finished. */
@@ -115,14 +117,14 @@
 export function createFrontServer(host: FrontServerHost): FrontServer {
 	let relayedRequests = 0;
 	const starter = callStarter.createCallStarter(host.getNow);
-	const reception = requestReception.createRequestReception(host);
 	const server = http.createServer({
 		maxHeaderSize: maximumHeaderBytes,
 		connectionsCheckingInterval: connectionsCheckIntervalMilliseconds,
 		requestTimeout: 0,
 		noDelay: true,
 	}, handleRequest);
-	const connections = callerConnections.trackConnections(server, host.ports.limitPort(server, 'callers'));
+	const connections = callerConnections.trackConnections(server, host.ports.limitPort(server, 'callers'), host.getNow);
+	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		// A status would be taken for the response to the first request that is not answered yet, which may have run.
 		if (error.code === 'ECONNRESET' || !socket.writable || connections.countExchangesOn(socket) > 0) {
@@ -299,7 +301,7 @@
 	function refuse(exchange: exchanges.Exchange, reason: keyof typeof refusalStatuses, id: string | undefined): void {
 		const statusCode = refusalStatuses[reason];
 		host.recordRefusal(reason, id, statusCode);
-		exchange.request.resume();
+		connections.reading.discard(exchange.request, reason === 'small-chunks');
 		writeResponse(exchange, {
 			statusCode,
 			headers: createRefusalHeaders(reason, statusCode),
@@ -375,6 +377,7 @@
 	return {
 		server,
 		countOpen: connections.countExchanges,
+		countDeferred: connections.reading.countDeferred,
 		stop: connections.stop,
 		reset() {
 			reception.close();
--- a/src/gateway/request-reception.ts
+++ b/src/gateway/request-reception.ts
@@ -1,4 +1,5 @@
 /** Receives the bodies of requests within the memory of the entry, and gives up those that are late. */
+import type * as http from 'node:http';
 import type * as smallChunks from '../decisions/admission/small-chunks.ts';
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as bodyCollector from '../entry/body-collector.ts';
@@ -21,6 +22,8 @@
 export type RequestReceptionHost = {
 	readonly memory: trafficMemory.TrafficMemory;
 	readonly smallChunks: smallChunks.SmallChunkWatch;
+	/** Lets other connections be read before the next part of a costly body. */
+	yieldReading(request: http.IncomingMessage): void;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 };
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -21,6 +21,8 @@
 	readonly runningCalls: number;
 	/** Open connections of all ports. */
 	readonly connections: number;
+	/** Connections of callers that wait until they are read, because others are costly to read. */
+	readonly deferredConnections: number;
 	/** Whether this entry reaches no upstream. */
 	readonly isCutOff: boolean;
 	/** Memory that connections, requests and responses claim. */
@@ -86,6 +88,7 @@
 		openRequests: 'fescuering_gateway_open_requests',
 		runningCalls: 'fescuering_gateway_running_calls',
 		connections: 'fescuering_gateway_connections',
+		deferredConnections: 'fescuering_gateway_deferred_connections',
 		isCutOff: 'fescuering_gateway_cut_off',
 		claimedBytes: 'fescuering_gateway_claimed_bytes',
 		largestLatenessMilliseconds: 'fescuering_gateway_largest_lateness_seconds',
@@ -129,6 +132,7 @@
 			gaugeMetrics.get(gaugeNames.openRequests)!.set(gauges.openRequests);
 			gaugeMetrics.get(gaugeNames.runningCalls)!.set(gauges.runningCalls);
 			gaugeMetrics.get(gaugeNames.connections)!.set(gauges.connections);
+			gaugeMetrics.get(gaugeNames.deferredConnections)!.set(gauges.deferredConnections);
 			gaugeMetrics.get(gaugeNames.isCutOff)!.set(Number(gauges.isCutOff));
 			gaugeMetrics.get(gaugeNames.claimedBytes)!.set(gauges.claimedBytes);
 			gaugeMetrics.get(gaugeNames.largestLatenessMilliseconds)!.set(gauges.largestLatenessMilliseconds * secondsPerMillisecond);
