Run a few requests of a connection at a time

Up to 256 requests that a caller sent ahead on a connection all ran at once. Their responses go out in order, so those behind a slow one held slots of upstreams and memory for nothing, and all ran for nobody when the caller left.

Callers that send a few ahead see no difference.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -324,6 +324,7 @@
 		isStale: () => platformState.getAge(getNow()) > staleRouteMilliseconds,
 		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
 		canFinish: ({deadlineAt, route}) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: callRunnerHost.learner.getRouteMilliseconds(route.name)}, getNow()),
+		getExpectedMilliseconds: ({route}) => callRunnerHost.learner.getRouteMilliseconds(route.name),
 		getNow,
 		admit(workspace) {
 			const isAdmitted = allowances.admit(workspace);
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -40,6 +40,8 @@
 	isLeaving(): boolean;
 	/** Whether a request can be finished before a planned stop of this entry. */
 	canFinish(request: RequestContext): boolean;
+	/** Mean time of the work of such requests, in milliseconds. */
+	getExpectedMilliseconds(request: RequestContext): number;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Whether the allowance of a workspace has room for a request. */
@@ -248,7 +250,7 @@
 			}
 
 			case 'complete': {
-				starter.schedule(exchange, () => {
+				starter.schedule(exchange, {...context, expectedMilliseconds: host.getExpectedMilliseconds(context)}, () => {
 					start(exchange, result.body, context);
 				});
 				break;
--- a/test/requests-ahead.test.ts
+++ b/test/requests-ahead.test.ts
@@ -84,3 +84,28 @@
 	expect(gateway.countLogged('request-refused', 'reason=memory-full')).toBe(0);
 	expect(gateway.countLogged('gateway-stopped', 'cutOff=0')).toBe(1);
 });
+
+// Guards against a caller that fills the slots of upstreams with requests whose responses can't be delivered yet.
+test('of many requests sent ahead on a connection a few run at a time, and all are answered in order', async () => {
+	const requestCount = 30;
+	const atOnce = 8;
+	const upstream = await platformUpstream.startPlatformUpstream('i-4', requestCount);
+	gatewayProcess.addCleanup(upstream.close);
+	upstream.setBehavior({kind: 'answer', milliseconds: workMilliseconds});
+	standIns.store.put('keyed.servers', 'i-1', undefined);
+	gateways.register(standIns.store, upstream, {slots: requestCount});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	const [host, port] = gateway.front.split(':');
+	const socket = net.connect(Number(port), host);
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	socket.write(Array.from({length: requestCount}, (_value, index) => createRequest(`ahead-${index}`)).join(''));
+	const listAnswered = () => [...text.matchAll(/attempt-id: (?<id>ahead-\d+)/gv)].map(match => match.groups!.id);
+	await gateways.waitUntil(() => listAnswered().length === requestCount);
+	socket.destroy();
+	expect(listAnswered()).toEqual(Array.from({length: requestCount}, (_value, index) => `ahead-${index}`));
+	const getArrival = (index: number) => upstream.receivedRequests.find(({requestId}) => requestId === `ahead-${index}`)!.receivedAt;
+	expect(getArrival(atOnce) - getArrival(0)).toBeGreaterThan(0.9 * workMilliseconds);
+});
