Read on in the operators' log where the source of an entry was

Entries that follow another one never read the operators' log themselves, so when the news of their source grew old, each of them began with a complete read: the newest configuration, 253 KB with 1,400 routes, over 300 times at once. The reads share the store's bandwidth, ran into their limit of 0.7 s, were repeated, and kept the next ones from being answered, that of the reader for all included.

The evacuations that come with the news have as their version the position in the same log up to which their source had read, so an entry reads on from there. store-reader.test.ts: a complete read before, one from that position now.

--- a/src/gateway/store-reader.test.ts
+++ b/src/gateway/store-reader.test.ts
@@ -225,3 +225,28 @@
 	await reader.readOnce();
 	expect(reading.getAge(getNow())).toBeGreaterThanOrEqual(1000);
 });
+
+// Guards against a store that all entries overload at once: those that followed another entry read all of the configuration again when its news grew old.
+test('an entry that followed another one reads on in the operators\' log where the other one was', async () => {
+	const store = createStore();
+	const reads: string[] = [];
+	const operators: types.StoreHost['configuration'] = {
+		async readNewest() {
+			reads.push('newest');
+			return neverthrow.ok({position: 9, records: [], endPosition: 9});
+		},
+		async read(position) {
+			reads.push(`from ${position}`);
+			return neverthrow.ok({position: 9, records: [], endPosition: 9});
+		},
+	};
+	const platformState = createState();
+	const reader = createReader({...store.host, configuration: operators}, platformState);
+	platformState.evacuations.applySet({version: 7, failureDomains: []});
+	await reader.readOnce();
+	await reader.readOnce();
+	expect(reads).toEqual(['from 7', 'from 9']);
+	const starting = createReader({...store.host, configuration: operators}, createState());
+	await starting.readOnce();
+	expect(reads.at(-1)).toBe('newest');
+});
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -95,7 +95,9 @@
 	}
 
 	async function readConfiguration(waitMilliseconds: number): Promise<boolean> {
-		const result = await read(store.configuration, configurationPosition, {waitMilliseconds, timeoutMilliseconds: waitMilliseconds + timeoutMilliseconds});
+		// What another entry has passed on contains the configurations up to the version of its evacuations, which is a position in the same log.
+		const from = Math.max(configurationPosition, platformState.evacuations.getSet().version);
+		const result = await read(store.configuration, from, {waitMilliseconds, timeoutMilliseconds: waitMilliseconds + timeoutMilliseconds});
 		if (result.isErr()) {
 			return false;
 		}
