Ask fewer sources in a row while all of them are stale

The pause after a source that fails or is stale now doubles from 50 ms to 800 ms and begins anew with the first fresh answer; the entry reads the store itself meanwhile, as before.

sharing.test.ts: at most 8 sources in the 3 s for which one is avoided (60 before).

--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -2,7 +2,7 @@
 import * as vitest from 'vitest';
 import {chooseCallerAddresses} from './entry-selection.ts';
 import {createMemberList, silenceMilliseconds} from './member-list.ts';
-import {avoidanceMilliseconds, createSourceSelector} from './source-selector.ts';
+import {avoidanceMilliseconds, createSourceSelector, getPauseAfterFailures} from './source-selector.ts';
 import {type Member} from './types.ts';
 
 const {expect, test} = vitest;
@@ -30,6 +30,19 @@
 	expect(selector.selectSource(members, 100 + avoidanceMilliseconds)).toBe('a');
 });
 
+// Guards against entries that ask hundreds of others for their whole state within a second while the store answers nobody.
+test('an entry asks few sources while all of them fail, and the next one soon after the first that fails', () => {
+	let asked = 0;
+	let time = 0;
+	while (time < avoidanceMilliseconds) {
+		asked++;
+		time += getPauseAfterFailures(asked);
+	}
+
+	expect(getPauseAfterFailures(1)).toBe(50);
+	expect(asked).toBeLessThanOrEqual(8);
+});
+
 test('the first-ranked member follows another one if it can not read the store itself', () => {
 	const members = [createMember('a', 1), createMember('b', 2)];
 	const selector = createSourceSelector({name: 'a'});
--- a/src/decisions/sharing/source-selector.ts
+++ b/src/decisions/sharing/source-selector.ts
@@ -25,6 +25,19 @@
 /** Time for which a source is avoided after it failed or returned stale data. */
 export const avoidanceMilliseconds = 3000;
 
+/** Pause after a source that failed or returned stale data, and its maximum, in milliseconds. */
+const firstPauseMilliseconds = 50;
+const maximumPauseMilliseconds = 800;
+
+/**
+Computes the pause before the next source is asked, from the number of sources in a row that failed or returned stale data.
+
+While the store answers nobody, all sources are stale, and each one that is asked sends its whole state.
+*/
+export function getPauseAfterFailures(failures: number): number {
+	return Math.min(maximumPauseMilliseconds, firstPauseMilliseconds * (2 ** (failures - 1)));
+}
+
 /** Selects the member that an entry follows. */
 export type SourceSelector = {
 	/** Gets the name of the member to follow; undefined if this entry ranks first among the members that aren't avoided, or if all are avoided: it then reads the store itself. */
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -78,6 +78,8 @@
 	const stopping = new AbortController();
 	const seedWaitEndsAt = host.getNow() + seedWaitMilliseconds;
 	let followAbort = new AbortController();
+	/** Number of sources in a row that failed or returned stale data. */
+	let failedSources = 0;
 	let source = '';
 	/** Source and revisions of the member list and the statements that were last received from the followed entry. */
 	let receivedVersion = noVersion;
@@ -197,19 +199,25 @@
 
 		if (result.isErr()) {
 			logger.warn('news-source-lost', {source: name, reason: result.error.message});
-			sourceSelector.avoid(name, host.getNow());
-			await timers.setTimeout(pauseMilliseconds);
+			await avoidSource(name);
 			return;
 		}
 
 		applyUpdate(result.value, name);
 		if (result.value.ageMilliseconds > sourceSelection.staleMilliseconds) {
 			logger.warn('news-source-stale', {source: name, ageMilliseconds: result.value.ageMilliseconds});
-			sourceSelector.avoid(name, host.getNow());
-			await timers.setTimeout(pauseMilliseconds);
+			await avoidSource(name);
+		} else {
+			failedSources = 0;
 		}
 	}
 
+	async function avoidSource(name: string): Promise<void> {
+		failedSources++;
+		sourceSelector.avoid(name, host.getNow());
+		await timers.setTimeout(sourceSelection.getPauseAfterFailures(failedSources));
+	}
+
 	/** Reads the store for this entry while the followed entry provides no fresh data. */
 	async function readWhileStale(): Promise<void> {
 		let interval = ownReadIntervalMilliseconds;
