Read the bodies of refused requests as before, unless they come in small chunks

A caller inside the limits whose request is refused at its head, e.g. by an entry that is leaving, may still be sending its body: closing a connection with unread bytes resets it, and the caller may lose the status that promises that the request has not run. Only bodies in small chunks are not read any more now.

--- a/src/entry/caller-reading.ts
+++ b/src/entry/caller-reading.ts
@@ -3,7 +3,7 @@
 
 The parser pays for each chunk of a body, whatever its size, and reads up to 64 KiB from a connection at a time, several
 times in a row while more has arrived. So the body of one caller can take tens of milliseconds, and those of a crowd take
-them one after the other before anything else is read. A connection whose body is refused is not read any more. While
+them one after the other before anything else is read. A connection whose costly body is refused is not read any more. While
 bodies come in small chunks, the connections that may bring more of them are read a few at a time.
 */
 import type * as http from 'node:http';
@@ -14,8 +14,8 @@
 
 /** Controls the reading from the connections of a server. */
 export type CallerReading = {
-	/** Discards the rest of a body. Stops reading from its connection if no other request of it is in progress, or the body is costly to read. */
-	discard(request: http.IncomingMessage, isCostly: boolean): void;
+	/** Discards the rest of a costly body, and stops reading from its connection. */
+	discard(request: http.IncomingMessage): void;
 	/** Lets others be read before the rest of a costly body: from now on, connections are read a few at a time, except those whose requests are all complete. */
 	yieldReading(request: http.IncomingMessage): void;
 	/** Number of connections that wait until they are read. */
@@ -105,15 +105,13 @@
 	}
 
 	return {
-		discard(request, isCostly) {
+		discard(request) {
 			const {socket} = request;
 			request.on('data', ignore);
 			request.resume();
-			if (!request.complete && (isCostly || exchanges.countOn(socket) <= 1)) {
-				queue.remove(socket);
-				stopped.add(socket);
-				stop(socket);
-			}
+			queue.remove(socket);
+			stopped.add(socket);
+			stop(socket);
 		},
 		yieldReading({socket: costly}) {
 			crowdedUntil = getNow() + crowdMilliseconds;
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -154,7 +154,10 @@
 					case 'memory-full':
 					case 'small-chunks': {
 						refuse(request, sink, 'queue-full');
-						reading.discard(request, received.kind === 'small-chunks');
+						if (received.kind === 'small-chunks') {
+							reading.discard(request);
+						}
+
 						break;
 					}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -13,6 +13,7 @@
 import {hasBody} from '../entry/receive-body.ts';
 import {getForwardedHeaders} from '../entry/headers.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
+import * as frontRefusals from './front-refusals.ts';
 import * as callStarter from './call-starter.ts';
 import * as callerConnections from './caller-connections.ts';
 import {type ActiveConfiguration} from './platform-state.ts';
@@ -20,9 +21,6 @@
 import * as requestReception from './request-reception.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
-/** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'deadline-passed';
-
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
 
@@ -49,7 +47,7 @@
 	/** Time after which a caller that was not admitted should return, in milliseconds. */
 	getAllowanceRetryMilliseconds(): number;
 	startCall(request: GatewayRequest, target: ResponseTarget): RunningCall;
-	recordRefusal(reason: FrontRefusal, id: string | undefined, statusCode: number): void;
+	recordRefusal(reason: frontRefusals.FrontRefusal, id: string | undefined, statusCode: number): void;
 };
 
 /** The server for callers. */
@@ -75,34 +73,8 @@
 const maximumRequestsPerConnection = 256;
 /** Maximum number of requests in progress that other entries pass on, so that they leave room for the own callers. */
 const maximumRelayedRequests = 64;
-/** Time after which a refused caller should retry, in milliseconds. */
-const retryAfterMilliseconds = 300;
-/** Time after which a caller should retry that another entry can serve at once, in milliseconds. */
-const retryElsewhereMilliseconds = 20;
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
-const unavailableStatus = 503;
-const tooManyRequestsStatus = 429;
-const unauthorizedStatus = 401;
-const refusalStatuses: Readonly<Record<Exclude<FrontRefusal, 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken'>, number>> = {
-	'no-configuration': 503,
-	'news-stale': 503,
-	'unknown-route': 404,
-	'no-identity': 400,
-	'key-unreadable': 400,
-	'key-unknown': 401,
-	'key-undecided': 503,
-	'allowance-used': 429,
-	'headers-too-large': 431,
-	'body-too-large': 413,
-	'body-late': 408,
-	'small-chunks': 503,
-	'memory-full': 503,
-	stopping: 503,
-	'deadline-passed': 503,
-	'too-many-relayed': 503,
-};
-
 /** Status codes for requests that can't be parsed, by the error code of Node.js. */
 const clientErrorStatuses: Readonly<Record<string, number>> = {
 	HPE_HEADER_OVERFLOW: 431, // eslint-disable-line @typescript-eslint/naming-convention
@@ -300,39 +272,24 @@
 		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
 	}
 
-	function refuse(exchange: exchanges.Exchange, reason: keyof typeof refusalStatuses, id: string | undefined): void {
-		const statusCode = refusalStatuses[reason];
+	function refuse(exchange: exchanges.Exchange, reason: frontRefusals.AnsweredRefusal, id: string | undefined): void {
+		const statusCode = frontRefusals.refusalStatuses[reason];
 		host.recordRefusal(reason, id, statusCode);
-		connections.reading.discard(exchange.request, reason === 'small-chunks');
+		if (reason === 'small-chunks') {
+			connections.reading.discard(exchange.request);
+		} else {
+			exchange.request.resume();
+		}
+
 		writeResponse(exchange, {
 			statusCode,
-			headers: createRefusalHeaders(reason, statusCode),
+			headers: frontRefusals.createRefusalHeaders(host, reason),
 			body: new Uint8Array(),
 			hasOwnEnd: true,
 			isOwn: true,
 		});
 	}
 
-	function createRefusalHeaders(reason: FrontRefusal, statusCode: number): GatewayResponse['headers'] {
-		switch (statusCode) {
-			case unavailableStatus: {
-				return host.headers.createRetryHeaders(reason === 'stopping' ? retryElsewhereMilliseconds : retryAfterMilliseconds);
-			}
-
-			case tooManyRequestsStatus: {
-				return host.headers.createRetryHeaders(host.getAllowanceRetryMilliseconds());
-			}
-
-			case unauthorizedStatus: {
-				return host.headers.createChallengeHeaders();
-			}
-
-			default: {
-				return [];
-			}
-		}
-	}
-
 	function writeResponse(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
 		const {request, response} = exchange;
 		if (response.destroyed || exchange.hasEnded()) {
@@ -373,7 +330,7 @@
 	/** Creates the additional headers of this entry's own response to a request that another entry passes on; upstreams' responses have them. */
 	function createRelayedHeaders(request: http.IncomingMessage, {statusCode, isOwn}: GatewayResponse): GatewayResponse['headers'] {
 		const {id, relayedExecutions} = host.headers.readRequest(request.headers);
-		return relayedExecutions !== undefined && isOwn ? host.headers.createRelayedRefusalHeaders(id, statusCode === unavailableStatus) : [];
+		return relayedExecutions !== undefined && isOwn ? host.headers.createRelayedRefusalHeaders(id, statusCode === frontRefusals.unavailableStatus) : [];
 	}
 
 	return {
