--- a/review/lib-2/link.ts
+++ b/review/lib-2/link.ts
@@ -15,8 +15,9 @@
 
 type Side = {readonly from: net.Socket; readonly to: net.Socket; held: Uint8Array[]; hasEnded: boolean};
 
-/** Starts a link on a free port of a host; each way takes the given time. */
-export async function startLink(host: string, target: string, delayMilliseconds = 0): Promise<Link> {
+/** Starts a link on a free port; each way takes the given time. */
+export async function startLink(target: string, delayMilliseconds = 0): Promise<Link> {
+	const host = '127.0.0.1';
 	const [targetHost, targetPort] = target.split(':');
 	const sides = new Set<Side>();
 	let isCut = false;
