--- a/review/lib-2/gateways.ts
+++ b/review/lib-2/gateways.ts
@@ -53,6 +53,15 @@
 ];
 const program = ['--max-old-space-size=160', '--max-semi-space-size=8', 'target/fescuering-gateway.cjs'];
 
+/** Processes that were started and have not ended. */
+const children = new Set<childProcess.ChildProcess>();
+
+process.once('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** Draws a loopback network for one run; gateways of other runs may listen on other ones. */
 export function drawNetwork(): string {
 	return `127.${crypto.randomInt(64, 192)}.${crypto.randomInt(255)}`;
@@ -114,10 +123,12 @@
 		stdio: ['ignore', log, log],
 	});
 	fs.closeSync(log);
+	children.add(child);
 	let isStopping = false;
 	let hasEnded = false;
 	const exited = new Promise<void>(resolve => {
 		child.once('exit', () => {
+			children.delete(child);
 			hasEnded = !isStopping;
 			resolve();
 		});
--- a/review/lib-2/record.ts
+++ b/review/lib-2/record.ts
@@ -8,6 +8,8 @@
 
 export type Verdict = 'broken' | 'held' | 'not-run';
 
+/** Time after which a case that has not ended counts as one that could not run, in milliseconds. */
+const maximumMilliseconds = 118_000;
 const exitCodes: Readonly<Record<Verdict, number>> = {held: 0, broken: 1, 'not-run': 2};
 
 export type CaseRecord = {
@@ -25,6 +27,15 @@
 		fs.appendFileSync(recordFile, line);
 	};
 
+	const giveUp = (reason: string) => {
+		write(`could not run: ${reason}`);
+		process.exit(exitCodes['not-run']); // eslint-disable-line unicorn/no-process-exit
+	};
+
+	process.once('uncaughtException', error => {
+		giveUp(error.message);
+	});
+	setTimeout(giveUp, maximumMilliseconds, 'it took too long').unref();
 	let verdict: Verdict = 'not-run';
 	try {
 		verdict = await run({write}, folder);
