--- a/review/7/run.ts
+++ b/review/7/run.ts
@@ -2,8 +2,8 @@
 Case 7: an upstream that has left gets requests for too long after the reader of the store was cut off from it.
 
 The gateway that reads the store is partitioned from it for a while, several times in a row. Soon after it is back, three
-upstreams leave: their entries are removed, and they serve on. Checked is DRAIN: no request reaches such an upstream later than `drainMs` after the removal
-was acknowledged, from a gateway that is in touch.
+upstreams leave: their entries are removed, and they serve on. Checked is DRAIN: no request reaches such an upstream later
+than `drainMs` after the removal was acknowledged, if the gateway was in touch when it took it and when it sent it on.
 */
 import * as storeStandIn from '../../stand-ins/store.ts';
 import * as clients from '../lib-2/clients.ts';
@@ -13,18 +13,18 @@
 import * as records from '../lib-2/record.ts';
 
 const gatewayCount = 6;
-const upstreamCount = 22;
+const upstreamCount = 24;
 /** Length of the cut, in milliseconds; the site allows 5,500. */
 const cutMilliseconds = 4800;
-/** Times after the end of the cut at which an upstream leaves, in milliseconds; the site allows a share of 0.13 of 22. */
+/** Times after the end of the cut at which an upstream leaves, in milliseconds; the site allows a share of 0.13, and three of 24 are 0.125. */
 const leavesAfterMilliseconds = [950, 1100, 1250];
 const drainMilliseconds = 2000;
 const stableMilliseconds = 3000;
-/** Time for which an upstream that has left serves on, in milliseconds. */
+/** Time for which an upstream that has left serves on before it ends, in milliseconds. */
 const servesOnMilliseconds = 5000;
 const cycles = 8;
 /** Time between two cuts, beside the time in which the reader is found, in milliseconds. */
-const betweenMilliseconds = 3500;
+const betweenMilliseconds = 3400;
 const requestIntervalMilliseconds = 16;
 const workMilliseconds = 140;
 
@@ -46,14 +46,17 @@
 		name: `edge-${index + 1}`, zone: platform.zones[index % platform.zones.length]!, host, storeAddress: storeLinks[index]!.address, seeds, folder, ports: ports[index]!,
 	}));
 	const traffic = {isOver: false};
+	const sentAt = new Map<string, number>();
 	let sent = 0;
 	let served = 0;
 
 	async function send(gatewayIndex: number): Promise<void> {
 		const connection = await clients.openConnection(fleet[gatewayIndex]!.front);
 		const isRead = ++sent % 3 > 0;
+		const id = `${fleet[gatewayIndex]!.name}/${sent}`;
+		sentAt.set(id, performance.now());
 		const {status} = await connection.send({
-			method: isRead ? 'GET' : 'POST', path: isRead ? '/read/a' : '/write/a', id: `${fleet[gatewayIndex]!.name}/${sent}`, deadlineMilliseconds: 3000, bodyBytes: 400,
+			method: isRead ? 'GET' : 'POST', path: isRead ? '/read/a' : '/write/a', id, deadlineMilliseconds: 3000, bodyBytes: 400,
 		});
 		connection.close();
 		served += status === 200 ? 1 : 0;
@@ -109,6 +112,9 @@
 			await records.sleep(cut.to + milliseconds - performance.now());
 			const upstream = upstreams.find(candidate => candidate.zone === zone && !left.has(candidate.standIn.id))!;
 			left.set(upstream.standIn.id, upstream.remove());
+			setTimeout(() => {
+				void upstream.standIn.close();
+			}, servesOnMilliseconds);
 			record.write(`the store acknowledges that ${upstream.standIn.id} has left`);
 			// Another one takes its place, so that the service keeps its size.
 			upstreams.push(await platform.startUpstream(store, `i-${upstreams.length + 1}`, zone, workMilliseconds));
@@ -120,7 +126,7 @@
 		return !cuts.some(cut => cut.gateway === gateway && at >= cut.from && at <= cut.to + stableMilliseconds);
 	}
 
-	await records.sleep(servesOnMilliseconds);
+	await records.sleep(servesOnMilliseconds + 500);
 	await stop();
 	await Promise.all(senders);
 	let late = 0;
@@ -129,7 +135,8 @@
 		const after = upstream.standIn.receivedRequests.filter(({receivedAt}) => receivedAt > leftAt);
 		record.write(`${upstream.standIn.id}: ${after.length} requests after it left, the latest after ${Math.round(Math.max(0, ...after.map(({receivedAt}) => receivedAt - leftAt)))} ms`);
 		for (const {requestId, receivedAt, hasRun} of after.filter(request => request.receivedAt - leftAt > drainMilliseconds)) {
-			const isInTouch = wasInTouch(requestId.split('/')[0]!, receivedAt);
+			const gateway = requestId.split('/')[0]!;
+			const isInTouch = wasInTouch(gateway, sentAt.get(requestId)!) && wasInTouch(gateway, receivedAt);
 			late += isInTouch ? 1 : 0;
 			record.write(`${upstream.standIn.id}: ${requestId} ${hasRun ? 'runs' : 'is rejected'} ${Math.round(receivedAt - leftAt)} ms after the acknowledgement, ${isInTouch ? 'from a gateway in touch' : 'from the gateway that was cut off'}`);
 		}
@@ -137,5 +144,9 @@
 
 	const hasEnded = fleet.some(gateway => gateway.hasEnded());
 	record.write(`${sent} requests, ${served} served, ${late} late at an upstream that has left${hasEnded ? ', a gateway has ended' : ''}`);
-	return late > 0 || hasEnded ? 'broken' : 'held';
+	if (late > 0) {
+		return 'broken';
+	}
+
+	return hasEnded ? 'not-run' : 'held';
 });
