Log which entry keeps the allowances, and what is admitted while it isn't heard

The logs could not distinguish a keeper that answers late from one that moved or is doubled: nothing said which entry an entry takes for the keeper, how long answers take, or how many requests are admitted without an answer. New events: allowance-keeper-changed, allowance-answer-slow (above 100 ms), requests-admitted-unheard (no answer for 1 s).

--- a/src/decisions/admission/allowance-gate.ts
+++ b/src/decisions/admission/allowance-gate.ts
@@ -11,12 +11,16 @@
 	/** Counts again what could not be reported. */
 	restoreUsages(usages: readonly allowanceLedger.Usage[]): void;
 	applyGrants(grants: readonly allowanceLedger.Grant[], now: number): void;
+	/** Returns the number of requests that were admitted since the last call while the ledger had not answered for a while. */
+	takeUnheard(): number;
 	/** Time after which a caller that was not admitted should return, in milliseconds. */
 	getRetryMilliseconds(): number;
 };
 
 /** Time for which a grant holds without another one, in milliseconds. */
 const grantMilliseconds = 3000;
+/** Time without an answer of the ledger after which admitted requests are counted apart, in milliseconds. */
+const unheardMilliseconds = 1000;
 /** Shortest time until a caller should return, in milliseconds, and the time over which they are spread. */
 const retryMilliseconds = 500;
 const retrySpreadMilliseconds = 1500;
@@ -24,6 +28,8 @@
 /** Creates a gate without grants, which admits all requests. */
 export function createAllowanceGate(random: randomness.RandomSource): AllowanceGate {
 	const grants = new Map<string, {readonly admittedShare: number; readonly at: number}>();
+	let answeredAt = Number.NEGATIVE_INFINITY;
+	let unheard = 0;
 	let usages = new Map<string, {arrived: number; admitted: number}>();
 
 	function count(workspace: string, arrived: number, admitted: number): void {
@@ -38,6 +44,7 @@
 			const grant = grants.get(workspace);
 			const isAdmitted = !grant || now - grant.at > grantMilliseconds || random.nextFraction() < grant.admittedShare;
 			count(workspace, 1, isAdmitted ? 1 : 0);
+			unheard += isAdmitted && now - answeredAt > unheardMilliseconds ? 1 : 0;
 			return isAdmitted;
 		},
 		takeUsages() {
@@ -51,10 +58,16 @@
 			}
 		},
 		applyGrants(granted, now) {
+			answeredAt = now;
 			for (const {workspace, admittedShare} of granted) {
 				grants.set(workspace, {admittedShare, at: now});
 			}
 		},
+		takeUnheard() {
+			const taken = unheard;
+			unheard = 0;
+			return taken;
+		},
 		getRetryMilliseconds: () => retryMilliseconds + (retrySpreadMilliseconds * random.nextFraction()),
 	};
 }
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -42,6 +42,8 @@
 const ledgerId = 'allowances';
 /** Time without requests after which an entry reports no more, in milliseconds; grants end by themselves. */
 const quietMilliseconds = 3000;
+/** Time for an answer above which it is logged, in milliseconds. */
+const slowAnswerMilliseconds = 100;
 /** Time for which the chosen entry and the allowances by name are used, in milliseconds. */
 const lookupMilliseconds = 200;
 
@@ -52,6 +54,7 @@
 	const largestCount = entryCount.createLargestEntryCount();
 	const limited = new Set<string>();
 	let reportTimer: NodeJS.Timeout | undefined;
+	let keeperName: string | undefined;
 	let latestRequestAt = Number.NEGATIVE_INFINITY;
 	let lookup: {readonly keeper: sharing.Member | undefined; readonly allowances: ReadonlyMap<string, allowanceLedger.Allowance>; readonly visibleShare: number; readonly expiresAt: number} | undefined;
 
@@ -81,13 +84,25 @@
 			return;
 		}
 
+		recordKeeper(keeper.name);
 		const usages = gate.takeUsages();
 		if (keeper.name === host.name) {
 			applyGrants(handleReport({entry: host.name, usages}));
 			return;
 		}
 
+		const askedAt = host.getNow();
 		const result = await host.client.report(keeper.peerAddress, {entry: host.name, usages});
+		const milliseconds = Math.round(host.getNow() - askedAt);
+		if (milliseconds > slowAnswerMilliseconds) {
+			host.logger.info('allowance-answer-slow', {keeper: keeper.name, milliseconds});
+		}
+
+		const unheard = gate.takeUnheard();
+		if (unheard > 0) {
+			host.logger.warn('requests-admitted-unheard', {keeper: keeper.name, count: unheard});
+		}
+
 		if (result.isOk()) {
 			applyGrants(result.value);
 		} else {
@@ -96,6 +111,13 @@
 		}
 	}
 
+	function recordKeeper(name: string): void {
+		if (name !== keeperName) {
+			host.logger.info('allowance-keeper-changed', {keeper: name, previous: keeperName, members: host.listMembers().length});
+			keeperName = name;
+		}
+	}
+
 	function applyGrants(grants: readonly allowanceLedger.Grant[]): void {
 		gate.applyGrants(grants, host.getNow());
 		for (const {workspace, admittedShare} of grants) {
