--- a/src/decisions/admission/allowance-fleet.test.ts
+++ b/src/decisions/admission/allowance-fleet.test.ts
@@ -15,20 +15,26 @@
 	readonly entries: number;
 	readonly allowance: allowanceLedger.Allowance;
 	readonly milliseconds: number;
-	/** Times at which the entry with the ledger is lost; another one takes over after `takeoverMilliseconds`. */
+	/** Times at which the entry with the ledger is lost; another one is known to the others after `takeoverMilliseconds`. */
 	readonly lossesAt?: readonly number[];
+	readonly takeoverMilliseconds?: number;
+	/** Number of entries that each take themselves for the only one with the ledger. */
+	readonly ledgerCount?: number;
 	/** Share of the entries that restart, spread over the run. */
 	readonly restartShare?: number;
+	/** Whether a report of an entry is answered, by the number of the entry and a random fraction; all are by default. */
+	isAnswered?(entry: number, fraction: number, now: number): boolean;
 	/** Requests per second over all entries at a time. */
 	getDemand(now: number): number;
 };
 
-/** Time until the other entries report to a new ledger. */
-const takeoverMilliseconds = 1000;
-
-function runFleet({seed, entries: count, allowance, milliseconds, getDemand, lossesAt = [], restartShare = 0}: FleetOptions) {
+function runFleet({
+	seed, entries: count, allowance, milliseconds, getDemand, lossesAt = [], takeoverMilliseconds = 1000, ledgerCount = 1, isAnswered = () => true, restartShare = 0,
+}: FleetOptions) {
 	const random = randomness.createRandomSource(seed);
-	let ledger = allowanceLedger.createAllowanceLedger();
+	const answers = randomness.createRandomSource(seed);
+	const createLedgers = () => Array.from({length: ledgerCount}, () => allowanceLedger.createAllowanceLedger());
+	let ledgers = createLedgers();
 	let reachableFrom = 0;
 	const createEntry = () => ({gate: allowanceGate.createAllowanceGate(random), reportAt: random.nextFraction() * reportMilliseconds, restartAt: random.nextFraction() < restartShare ? random.nextFraction() * milliseconds : Number.POSITIVE_INFINITY});
 	const entries = Array.from({length: count}, createEntry);
@@ -36,7 +42,7 @@
 	let arrived = 0;
 	for (let now = 0; now < milliseconds; now += stepMilliseconds) {
 		if (lossesAt.includes(now)) {
-			ledger = allowanceLedger.createAllowanceLedger();
+			ledgers = createLedgers();
 			reachableFrom = now + takeoverMilliseconds;
 		}
 
@@ -49,7 +55,7 @@
 			}
 		}
 
-		for (const entry of entries) {
+		for (const [index, entry] of entries.entries()) {
 			if (now >= entry.restartAt) {
 				entry.restartAt = Number.POSITIVE_INFINITY;
 				entry.gate = allowanceGate.createAllowanceGate(random);
@@ -58,12 +64,12 @@
 			if (now >= entry.reportAt) {
 				entry.reportAt += reportMilliseconds;
 				const usages = entry.gate.takeUsages();
-				if (now < reachableFrom) {
+				if (now < reachableFrom || !isAnswered(index, answers.nextFraction(), now)) {
 					entry.gate.restoreUsages(usages);
 					continue;
 				}
 
-				entry.gate.applyGrants(ledger.report(usages, () => allowance, 1, now), now);
+				entry.gate.applyGrants(ledgers[index % ledgerCount]!.report(usages, () => allowance, 1, now), now);
 			}
 		}
 	}
@@ -121,3 +127,38 @@
 		expect(getWorstWindow(admittedAt), `seed ${seed}`).toBeLessThanOrEqual(getAllowed(allowance));
 	}
 });
+
+const surge = {
+	allowance: {requestsPerSecond: 320, burst: 320}, entries: 126, milliseconds: 24_000, getDemand: (now: number) => isHot(now) ? 1240 : 200,
+};
+
+function expectWithinAllowance(options: Partial<FleetOptions>): void {
+	for (const seed of [1, 2, 3]) {
+		const {admittedAt} = runFleet({...surge, seed, ...options});
+		expect(getWorstWindow(admittedAt), `seed ${seed}`).toBeLessThanOrEqual(getAllowed(surge.allowance));
+	}
+}
+
+test('an allowance holds in a surge while nobody who counts it answers for 8 seconds', () => {
+	expectWithinAllowance({isAnswered: (_entry, _fraction, now) => now < 9000 || now >= 17_000});
+});
+
+test('an allowance holds in a surge while nine of ten questions about it get no answer', () => {
+	expectWithinAllowance({isAnswered: (_entry, fraction) => fraction < 0.1});
+});
+
+test('an allowance holds in a surge that begins when the entry that counts it ends', () => {
+	expectWithinAllowance({lossesAt: [8000], takeoverMilliseconds: 1500});
+});
+
+test('an allowance holds in a surge while another entry counts it every 2 seconds', () => {
+	expectWithinAllowance({lossesAt: [8000, 10_000, 12_000, 14_000], takeoverMilliseconds: 1200});
+});
+
+test('an allowance holds in a surge while two entries take themselves for the only one that counts it', () => {
+	expectWithinAllowance({ledgerCount: 2});
+});
+
+test('an allowance holds in a surge while a third of the entries gets no answer about it', () => {
+	expectWithinAllowance({isAnswered: (entry, _fraction, now) => now < 8000 || entry % 3 > 0});
+});
--- /dev/null
+++ b/test/allowances.test.ts
@@ -0,0 +1,55 @@
+/** Tests of the allowances of workspaces over several gateway processes. */
+import * as timers from 'node:timers/promises';
+import * as vitest from 'vitest';
+import * as platformUpstream from '../stand-ins/platform-upstream.ts';
+import * as storeStandIn from '../stand-ins/store.ts';
+import * as gatewayProcess from './support/gateway-process.ts';
+import * as gateways from './support/gateways.ts';
+
+const {afterEach, expect, test} = vitest;
+const allowance = {ratePerS: 10, burst: 5};
+/** Requests of a workspace that may run in any five seconds, from the rules. */
+const maximumInWindow = (((allowance.ratePerS * 5) + allowance.burst) * 1.1) + 20;
+const hosts = ['127.61.0.1', '127.61.0.2', '127.61.0.3'];
+
+afterEach(gatewayProcess.close);
+
+async function startFleet() {
+	const store = await storeStandIn.startStore();
+	const upstream = await platformUpstream.startPlatformUpstream('i-1', 1000);
+	gatewayProcess.addCleanup(store.close);
+	gatewayProcess.addCleanup(upstream.close);
+	store.put('keyed.op', 'config', {...gateways.createConfiguration(4), tenants: [{name: 'club', apiKeys: ['club-key'], ...allowance}]});
+	gateways.register(store, upstream, {slots: 1000});
+	const processes = hosts.map(host => gatewayProcess.start({host, storeAddress: store.address, seeds: hosts.map(seed => `${seed}:8146`)}));
+	for (const process of processes) {
+		await gateways.waitUntil(async () => gateways.isReady(process).catch(() => false));
+	}
+
+	return {upstream, processes};
+}
+
+// Guards against limits that open when the entries that count are not heard.
+test('an entry that hears none of the others admits no more than the allowance', async () => {
+	const {upstream, processes} = await startFleet();
+	for (const alone of processes) {
+		await timers.setTimeout(3000);
+		const others = processes.filter(process => process !== alone);
+		const before = upstream.executedRequestIds.length;
+		for (const other of others) {
+			other.signal('SIGSTOP');
+		}
+
+		const answers: Array<Promise<unknown>> = [];
+		for (let round = 0; round < 50; round++) {
+			answers.push(...Array.from({length: 15}, async () => gateways.send(alone.front, '/price/1', 'GET', '', {authorization: 'Bearer club-key'})));
+			await timers.setTimeout(80);
+		}
+
+		await Promise.all(answers);
+		expect(upstream.executedRequestIds.length - before).toBeLessThanOrEqual(maximumInWindow);
+		for (const other of others) {
+			other.signal('SIGCONT');
+		}
+	}
+});
