Choose the coordinators of workspaces among at most 16 entries

In a fleet of equal entries nearly all of them would have counted some workspace, and each entry would have kept a connection to each other one. Up to 16 of the largest entries are candidates now; a fleet with one large entry still has four.

--- a/src/decisions/admission/allowance-fleet.test.ts
+++ b/src/decisions/admission/allowance-fleet.test.ts
@@ -45,7 +45,7 @@
 function createCoordinatorChoice() {
 	const coordinatorsByView = new WeakMap<readonly sharing.Member[], readonly sharing.Member[]>();
 	return (view: readonly sharing.Member[]) => {
-		const coordinators = coordinatorsByView.get(view) ?? allowanceRoles.chooseCoordinators(workspace, view);
+		const coordinators = coordinatorsByView.get(view) ?? allowanceRoles.chooseCoordinators(workspace, allowanceRoles.chooseCandidates(view));
 		coordinatorsByView.set(view, coordinators);
 		return coordinators;
 	};
--- a/src/decisions/admission/allowance-roles.ts
+++ b/src/decisions/admission/allowance-roles.ts
@@ -1,26 +1,34 @@
 /**
 Chooses the coordinators of a workspace, which count its requests and issue the admissions of its allowance.
 
-The choice is made by rendezvous hashing among the entries with the largest processor capacity, so that all entries agree
-on it without a message, and so that coordinators can answer quickly. They are in different failure domains if possible.
+A few entries with the largest processor capacity are candidates, so that they can answer quickly and each entry needs
+connections to a few others only. The coordinators are chosen among them by rendezvous hashing, so all entries agree on
+them without a message. Both choices take different failure domains first.
 */
 import * as hash from '../hash.ts';
 import type * as sharing from '../sharing/types.ts';
 
 /** Number of coordinators of a workspace; a workspace that uses less than three fourths of its allowance can do without one of them. */
 export const maximumCoordinators = 4;
+const maximumCandidates = 16;
 /** Share of the largest processor capacity from which on an entry is preferred. */
 const preferredCapacityShare = 0.5;
+/** Identifier by which the candidates are ranked. */
+const candidatesId = 'allowances';
 
-/** Chooses the coordinators among the entries that are known, in no particular order. */
-export function chooseCoordinators(workspace: string, members: readonly sharing.Member[]): readonly sharing.Member[] {
-	const candidates = members.filter(({isReady, isCutOff}) => isReady && !isCutOff);
-	const largestCapacity = Math.max(...candidates.map(({cores}) => cores));
+/** Chooses the entries that may be coordinators. */
+export function chooseCandidates(members: readonly sharing.Member[]): readonly sharing.Member[] {
+	const usable = members.filter(({isReady, isCutOff}) => isReady && !isCutOff);
+	const largestCapacity = Math.max(...usable.map(({cores}) => cores));
 	const isPreferred = ({cores}: sharing.Member) => cores >= preferredCapacityShare * largestCapacity;
-	const preferred = rank(workspace, candidates.filter(member => isPreferred(member)));
-	const firstOfDomains = preferred.filter((member, index) => preferred.findIndex(({failureDomain}) => failureDomain === member.failureDomain) === index);
-	const others = preferred.length < maximumCoordinators ? rank(workspace, candidates.filter(member => !isPreferred(member))) : [];
-	return [...new Set([...firstOfDomains, ...preferred, ...others])].slice(0, maximumCoordinators);
+	const preferred = spread(rank(candidatesId, usable.filter(member => isPreferred(member))));
+	const others = preferred.length < maximumCoordinators ? rank(candidatesId, usable.filter(member => !isPreferred(member))).slice(0, maximumCoordinators - preferred.length) : [];
+	return [...preferred, ...others].slice(0, maximumCandidates);
+}
+
+/** Chooses the coordinators of a workspace among the candidates, in no particular order. */
+export function chooseCoordinators(workspace: string, candidates: readonly sharing.Member[]): readonly sharing.Member[] {
+	return spread(rank(workspace, candidates)).slice(0, maximumCoordinators);
 }
 
 /** Orders the coordinators of a workspace for an entry: those of its own failure domain first, the others differently for each entry. */
@@ -30,6 +38,13 @@
 	return [...ranked.filter(member => isNear(member)), ...ranked.filter(member => !isNear(member))];
 }
 
+/** Puts the first entry of each failure domain before the others. */
+function spread(ranked: readonly sharing.Member[]): readonly sharing.Member[] {
+	const firstByDomain = new Map(ranked.toReversed().map(member => [member.failureDomain, member]));
+	const isFirst = (member: sharing.Member) => firstByDomain.get(member.failureDomain) === member;
+	return [...ranked.filter(member => isFirst(member)), ...ranked.filter(member => !isFirst(member))];
+}
+
 function rank(id: string, members: readonly sharing.Member[]): readonly sharing.Member[] {
 	const idHash = hash.hashText(id);
 	const scored = members.map(member => ({member, score: hash.mixHashes(hash.hashText(member.name), idHash)}));
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -75,16 +75,17 @@
 	const coordinatorsByWorkspace = new Map<string, Cached<readonly sharing.Member[]>>();
 	/** Times of the latest refusals of workspaces that are limited. */
 	const limitedAt = new Map<string, number>();
-	let members: Cached<readonly sharing.Member[]> = {value: [], expiresAt: Number.NEGATIVE_INFINITY};
+	let candidates: Cached<{readonly members: readonly sharing.Member[]; readonly entries: number}> = {value: {members: [], entries: 0}, expiresAt: Number.NEGATIVE_INFINITY};
 	let partsExpireAt = Number.NEGATIVE_INFINITY;
 	let coordinated = 0;
 
-	function listMembers(now: number): readonly sharing.Member[] {
-		if (now >= members.expiresAt) {
-			members = {value: host.listMembers(), expiresAt: now + rolesLifetimeMilliseconds};
+	function getCandidates(now: number) {
+		if (now >= candidates.expiresAt) {
+			const members = host.listMembers();
+			candidates = {value: {members: allowanceRoles.chooseCandidates(members), entries: members.length}, expiresAt: now + rolesLifetimeMilliseconds};
 		}
 
-		return members.value;
+		return candidates.value;
 	}
 
 	function listCoordinators(workspace: string, now: number): readonly sharing.Member[] {
@@ -93,7 +94,7 @@
 			return cached.value;
 		}
 
-		const coordinators = allowanceRoles.orderForEntry(host, allowanceRoles.chooseCoordinators(workspace, listMembers(now)));
+		const coordinators = allowanceRoles.orderForEntry(host, allowanceRoles.chooseCoordinators(workspace, getCandidates(now).members));
 		coordinatorsByWorkspace.set(workspace, {value: coordinators, expiresAt: now + rolesLifetimeMilliseconds});
 		return coordinators;
 	}
@@ -105,7 +106,7 @@
 		}
 
 		partsExpireAt = now + rolesLifetimeMilliseconds;
-		const entries = listMembers(now).length;
+		const {entries} = getCandidates(now);
 		const visibleShare = entries / largestCount.observe(entries, now);
 		const parts = new Map<string, allowanceIssuer.Allowance>();
 		for (const {name, allowance} of host.listWorkspaces()) {
