Handle nothing on a connection that was refused as a whole

Cause: the status for a late or malformed head ended the write side only. The parser read on, and a request that arrived later was handled. Node.js counts the time for a head from the accept, so a connection without a byte got 408 as well, e.g. while its caller was cut off. A late head also destroyed the connection together with the request in progress.

A request in progress keeps its response, the status follows it. Logged as head-late and malformed-request.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers and operators. It limits the size of requests and hands valid calls to its host. */
 import * as http from 'node:http';
-import type * as stream from 'node:stream';
+import type * as net from 'node:net';
 import * as smallChunks from '../decisions/admission/small-chunks.ts';
 import {type TableView} from '../decisions/table/service-view.ts';
 import {type KeyHistory, resolveOutcome} from '../decisions/outcomes/resolve-outcome.ts';
@@ -16,6 +16,7 @@
 import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive-body.ts';
 import * as callerReading from './caller-reading.ts';
 import * as exchangesModule from './exchanges.ts';
+import * as refusedConnectionsModule from './refused-connections.ts';
 import {type CallExecution} from './service-runner.ts';
 
 /** Answer of a route that the entry itself serves, e.g. the entry list or the metrics. */
@@ -87,15 +88,28 @@
 	const bodyReceiver = {
 		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
 	};
-	server.on('clientError', answerClientError);
+	const refusedConnections = refusedConnectionsModule.createRefusedConnections(exchanges);
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		refusedConnections.refuse(socket, createSocketAnswer(clientErrorKinds[error.code ?? ''] ?? 'malformed-request'));
+	});
 	server.on('upgrade', (_request, socket) => {
-		answerOnSocket(socket, 'malformed-request');
+		socket.end(createSocketAnswer('malformed-request'));
 	});
 	server.on('connect', (_request, socket) => {
-		answerOnSocket(socket, 'malformed-request');
+		socket.end(createSocketAnswer('malformed-request'));
 	});
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+		if (refusedConnections.isRefused(request.socket)) {
+			request.resume();
+			return;
+		}
+
 		const exchange = exchanges.begin(request, response);
 		const path = getPath(request.url ?? '');
 		const route = host.builtInRoutes.get(path);
@@ -249,24 +263,14 @@
 	return index === -1 ? url : url.slice(0, index);
 }
 
-/** Answers a request that could not be parsed or was not received before its timeout. */
-function answerClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
-	if (error.code === 'ECONNRESET' || !socket.writable) {
-		socket.destroy();
-		return;
-	}
-
-	answerOnSocket(socket, clientErrorKinds[error.code ?? ''] ?? 'malformed-request');
-}
-
 /** Problem kinds by the error code of Node.js. */
 const clientErrorKinds: Readonly<Record<string, ProblemKind>> = {
 	HPE_HEADER_OVERFLOW: 'headers-too-large', // eslint-disable-line @typescript-eslint/naming-convention
 	ERR_HTTP_REQUEST_TIMEOUT: 'request-timeout', // eslint-disable-line @typescript-eslint/naming-convention
 };
 
-/** Writes a problem to a socket that has no response object, and ends the connection. */
-function answerOnSocket(socket: stream.Duplex, kind: ProblemKind): void {
+/** Creates the answer with a problem for a connection without a response object; the connection ends with it. */
+function createSocketAnswer(kind: ProblemKind): string {
 	const {head, body} = createProblemAnswer(createRefusal(kind, {kind: 'unsettled'}));
 	const lines = [
 		`HTTP/1.1 ${head.statusCode} ${http.STATUS_CODES[head.statusCode] ?? ''}`,
@@ -274,6 +278,5 @@
 		`${headerNames.outcome}: ${head.outcome}`,
 		'connection: close',
 	];
-	socket.write(`${lines.join('\r\n')}\r\n\r\n`);
-	socket.end(body);
+	return `${lines.join('\r\n')}\r\n\r\n${new TextDecoder().decode(body)}`;
 }
--- /dev/null
+++ b/src/entry/refused-connections.ts
@@ -0,0 +1,70 @@
+/**
+Refuses connections of an HTTP server as a whole, because what arrives on them is no request or comes too slowly.
+
+The answer to such a connection promises that nothing has run, so nothing that arrives on it afterwards may be handled:
+the parser still reads a request that was on its way. Requests before it keep their responses.
+*/
+import type * as net from 'node:net';
+import type * as exchangesModule from './exchanges.ts';
+
+/** Connections of one server that were refused. */
+export type RefusedConnections = {
+	/** Whether nothing that arrives on a connection may be handled any more. */
+	isRefused(socket: net.Socket): boolean;
+	/** Refuses a connection: writes an answer behind the responses that are not complete yet, and closes it soon. */
+	refuse(socket: net.Socket, answer: string): void;
+};
+
+/** Time after the answer until the connection is closed, in milliseconds; closed at once, it would reset a caller that still sends, which might lose the answer. */
+const lingerMilliseconds = 5000;
+
+/** Creates the refused connections of a server with these exchanges. */
+export function createRefusedConnections(exchanges: Pick<exchangesModule.Exchanges, 'listOn'>): RefusedConnections {
+	const refused = new WeakSet<net.Socket>();
+
+	function answerAndClose(socket: net.Socket, answer: string): void {
+		if (!socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		socket.end(answer);
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMilliseconds);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
+	return {
+		isRefused: socket => refused.has(socket),
+		refuse(socket, answer) {
+			if (refused.has(socket)) {
+				return;
+			}
+
+			refused.add(socket);
+			const open = exchanges.listOn(socket);
+			if (open.some(({request}) => !request.complete)) {
+				// The rest of its body can't be told from what follows.
+				socket.destroy();
+				return;
+			}
+
+			if (open.length === 0) {
+				answerAndClose(socket, answer);
+			}
+
+			for (const exchange of open) {
+				exchange.onEnd(end => {
+					if (end === 'caller-left') {
+						socket.destroy();
+					} else if (open.every(({hasEnded}) => hasEnded())) {
+						answerAndClose(socket, answer);
+					}
+				});
+			}
+		},
+	};
+}
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -8,6 +8,7 @@
 /** Connections of callers to one server. */
 export type CallerConnections = {
 	readonly reading: callerReading.CallerReading;
+	readonly exchanges: Pick<exchangesModule.Exchanges, 'listOn'>;
 	beginExchange(request: http.IncomingMessage, response: http.ServerResponse): exchangesModule.Exchange;
 	/** Number of exchanges that have not ended. */
 	countExchanges(): number;
@@ -46,6 +47,7 @@
 
 	return {
 		reading: callerReading.createCallerReading(server, exchanges, getNow),
+		exchanges,
 		beginExchange(request, response) {
 			const {socket} = request;
 			const exchange = exchanges.begin(request, response);
--- a/src/gateway/front-refusals.ts
+++ b/src/gateway/front-refusals.ts
@@ -2,10 +2,10 @@
 import type * as types from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'allowance-undecided' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'deadline-passed';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'allowance-undecided' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'deadline-passed' | 'head-late' | 'malformed-request';
 
 /** Refusals that get a response. */
-export type AnsweredRefusal = Exclude<FrontRefusal, 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken'>;
+export type AnsweredRefusal = Exclude<FrontRefusal, 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'head-late' | 'malformed-request'>;
 
 /** Dependencies of the headers of refusals. */
 export type RefusalHeadersHost = {
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -16,6 +16,7 @@
 import type * as allowances from './allowances.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
 import * as frontRefusals from './front-refusals.ts';
+import * as badConnectionsModule from './bad-connections.ts';
 import * as callStarter from './call-starter.ts';
 import * as callerConnections from './caller-connections.ts';
 import {type ActiveConfiguration} from './platform-state.ts';
@@ -77,14 +78,6 @@
 const maximumRelayedRequests = 64;
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
-/** Status codes for requests that can't be parsed, by the error code of Node.js. */
-const clientErrorStatuses: Readonly<Record<string, number>> = {
-	HPE_HEADER_OVERFLOW: 431, // eslint-disable-line @typescript-eslint/naming-convention
-	HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, // eslint-disable-line @typescript-eslint/naming-convention
-	ERR_HTTP_REQUEST_TIMEOUT: 408, // eslint-disable-line @typescript-eslint/naming-convention
-};
-const malformedStatus = 400;
-
 type IdentifiedCaller
 	= | {readonly kind: 'identified'; readonly workspace: configuration.Workspace | undefined}
 		| {readonly kind: 'refused'; readonly reason: 'key-unreadable' | 'key-unknown' | 'key-undecided'};
@@ -101,18 +94,14 @@
 	}, handleRequest);
 	const connections = callerConnections.trackConnections(server, host.ports.limitPort(server, 'callers'), host.getNow);
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
-	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
-		// A status would be taken for the response to the first request that is not answered yet, which may have run.
-		if (error.code === 'ECONNRESET' || !socket.writable || connections.countExchangesOn(socket) > 0) {
-			socket.destroy();
+	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges});
+
+	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+		if (badConnections.isRefused(request.socket)) {
+			request.resume();
 			return;
 		}
 
-		const statusCode = clientErrorStatuses[error.code ?? ''] ?? malformedStatus;
-		socket.end(`HTTP/1.1 ${statusCode} ${http.STATUS_CODES[statusCode] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-	});
-
-	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const receivedAt = host.getNow();
 		const exchange = connections.beginExchange(request, response);
 		if (connections.countExchangesOn(request.socket) > maximumRequestsPerConnection) {
@@ -384,6 +373,7 @@
 			server.headersTimeout = limits.headerTimeoutMilliseconds;
 			server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
 			reception.setIdleTimeout(limits.idleTimeoutMilliseconds);
+			badConnections.setIdleTimeout(limits.idleTimeoutMilliseconds);
 		},
 	};
 }
