Hold removals back after an outage of the store only, not after a cut of the reader

Change: an outage is a gap of more than 1.9 s in what an entry knows, from the store or from others; while only a link is cut, others read on. An entry with such a gap asks three others for their state before it holds anything back. That an outage has ended is part of the state and passed on with the news, so an entry that only followed through it holds removals back for the same time.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -197,6 +197,7 @@
 		onReachabilityChange() {
 			sharing.announce();
 		},
+		catchUp: async () => sharing.catchUp(),
 	});
 	const sharing = createSharingLoop({
 		logger,
--- a/src/gateway/follower-updates.test.ts
+++ b/src/gateway/follower-updates.test.ts
@@ -63,7 +63,7 @@
 	let bytes = 0;
 	for (let count = 0; count < followers; count++) {
 		const message = codec.toUpdateMessage({
-			ageMilliseconds: 0, configuration: configurationInForce, registryUpdate: updates.getRegistryUpdate(-1), evacuations: undefined, membersSource: 's', memberUpdate: updates.getMemberUpdate(-1), statementsRevision: 0, statements: [],
+			ageMilliseconds: 0, recoveryMilliseconds: 0, configuration: configurationInForce, registryUpdate: updates.getRegistryUpdate(-1), evacuations: undefined, membersSource: 's', memberUpdate: updates.getMemberUpdate(-1), statementsRevision: 0, statements: [],
 		}, true);
 		bytes += protobuf.toBinary(generated.FollowResponseSchema, message).length;
 	}
@@ -75,7 +75,7 @@
 	const {registry, members} = createFleetState();
 	const updates = followerUpdates.createFollowerUpdates({registry, members, getNow: () => 0});
 	const update: codec.SharingUpdate = {
-		ageMilliseconds: 3, configuration: createConfiguration(), registryUpdate: updates.getRegistryUpdate(-1), evacuations: undefined, membersSource: 's', memberUpdate: updates.getMemberUpdate(-1), statementsRevision: 0, statements: [],
+		ageMilliseconds: 3, recoveryMilliseconds: 1500, configuration: createConfiguration(), registryUpdate: updates.getRegistryUpdate(-1), evacuations: undefined, membersSource: 's', memberUpdate: updates.getMemberUpdate(-1), statementsRevision: 0, statements: [],
 	};
 	const bytes = protobuf.toBinary(generated.FollowResponseSchema, codec.toUpdateMessage(update, isCompressed));
 	expect(codec.toSharingUpdate(protobuf.fromBinary(generated.FollowResponseSchema, bytes))).toEqual(update);
--- a/src/gateway/platform-state.ts
+++ b/src/gateway/platform-state.ts
@@ -40,6 +40,12 @@
 	handleEvacuationChange(origin: UpdateOrigin): void;
 	/** Records that everything published up to a time has been received and applied. Lets removals that were held back until then take effect. */
 	confirmUpTo(part: 'configuration' | 'registry', upTo: number): void;
+	/** Records that an outage of the store has ended, and for how long removals are held back from now on. */
+	recordRecovery(milliseconds: number): void;
+	/** Gets the time until which removals are held back, because upstreams that lapsed in an outage may register again; undefined if there was none lately. */
+	getRecoveryEnd(now: number): number | undefined;
+	/** Whether the store may have been unreachable to all entries until now, by the time since the registry was last confirmed; false before it was. */
+	mayFollowOutage(now: number): boolean;
 	/** Age of the older of the two parts, in milliseconds; infinite until both were received. */
 	getAge(now: number): number;
 	/** Resolves at the next change, or after the given time. */
@@ -64,6 +70,7 @@
 	const waiters = new Set<() => void>();
 	let activeConfiguration: ActiveConfiguration | undefined;
 	let removalTimer: NodeJS.Timeout | undefined;
+	let recoveryEndsAt = Number.NEGATIVE_INFINITY;
 
 	function wakeWaiters(): void {
 		for (const resolve of waiters) {
@@ -148,6 +155,11 @@
 				confirmRemovals(previous, confirmedAt.registry);
 			}
 		},
+		recordRecovery(milliseconds) {
+			recoveryEndsAt = Math.max(recoveryEndsAt, host.getNow() + milliseconds);
+		},
+		getRecoveryEnd: now => now < recoveryEndsAt ? recoveryEndsAt : undefined,
+		mayFollowOutage: now => Number.isFinite(confirmedAt.registry) && now - confirmedAt.registry > outageMilliseconds,
 		getAge: now => now - Math.min(confirmedAt.configuration, confirmedAt.registry),
 		async waitForChange(milliseconds) {
 			return new Promise(resolve => {
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -39,6 +39,8 @@
 	start(): void;
 	/** Responds to an entry that follows this one, as soon as there is an update or the wait of the request is over. */
 	respond(request: codec.SharingRequest): Promise<codec.SharingUpdate>;
+	/** Asks the other entries that rank highest for their state, which may be newer. */
+	catchUp(): Promise<void>;
 	/** Sends the changed state of this entry to the other entries at once. */
 	announce(): void;
 	stop(): void;
@@ -66,6 +68,9 @@
 response to each follower, and callers keep addresses for at least a second anyway.
 */
 const announceIntervalMilliseconds = 200;
+/** Number of entries that are asked for their state after a gap in the own knowledge, and the time for their answers in milliseconds. */
+const catchUpSources = 3;
+const catchUpMilliseconds = 300;
 const noVersion = {source: '', membersRevision: -1, statementsRevision: -1};
 
 /** Creates the loop of an entry; call `start` to begin. */
@@ -115,6 +120,7 @@
 
 	function applyPublishedData(update: codec.SharingUpdate, origin: string): void {
 		const currentAt = host.getNow() - update.ageMilliseconds;
+		platformState.recordRecovery(update.recoveryMilliseconds);
 		if (update.configuration) {
 			platformState.applyConfiguration(update.configuration, origin);
 		}
@@ -275,6 +281,16 @@
 		applyPublishedData(result.value, address);
 	}
 
+	async function catchUp(): Promise<void> {
+		const others = members.list().filter(({name}) => name !== self.name).toSorted(sourceSelection.compareCandidates).slice(0, catchUpSources);
+		await Promise.all(others.map(async ({peerAddress}) => {
+			const result = await client.follow(peerAddress, createRequest(0), AbortSignal.timeout(catchUpMilliseconds));
+			if (result.isOk()) {
+				applyPublishedData(result.value, peerAddress);
+			}
+		}));
+	}
+
 	async function expireMembers(): Promise<void> {
 		while (!stopping.signal.aborted) {
 			const expired = members.removeSilentMembers(host.getNow());
@@ -319,6 +335,7 @@
 
 	return {
 		members,
+		catchUp,
 		start() {
 			void follow();
 			void readWhileStale();
@@ -344,6 +361,7 @@
 			const activeConfiguration = platformState.getActiveConfiguration();
 			return {
 				ageMilliseconds: Math.max(0, platformState.getAge(host.getNow())),
+				recoveryMilliseconds: Math.max(0, (platformState.getRecoveryEnd(host.getNow()) ?? 0) - host.getNow()),
 				configuration: activeConfiguration && activeConfiguration.configuration.version > request.configurationVersion ? activeConfiguration.configuration : undefined,
 				registryUpdate: updates.getRegistryUpdate(request.registryPosition),
 				evacuations: getEvacuations(request.evacuationsVersion),
--- a/src/gateway/store-reader.test.ts
+++ b/src/gateway/store-reader.test.ts
@@ -86,17 +86,60 @@
 	});
 }
 
-function createReader(store: types.StoreHost, platformState: platformStates.PlatformState): storeReaders.StoreReader {
+function createReader(store: types.StoreHost, platformState: platformStates.PlatformState, catchUp = async () => undefined): storeReaders.StoreReader {
 	return storeReaders.createStoreReader({
-		store, platformState, logger: silentLogger, getNow, onReachabilityChange: () => undefined,
+		store, platformState, logger: silentLogger, getNow, onReachabilityChange: () => undefined, catchUp,
 	});
 }
 
+/** Starts two readers, of which the first is cut off from the store while the other reads on. */
+async function startWithCutLink({canHearOther}: {readonly canHearOther: boolean}) {
+	const store = createStore();
+	const link = {isCut: false};
+	const cutOff = async () => neverthrow.err({kind: 'lost' as const, message: 'cut off'});
+	const firstState = createState();
+	const secondState = createState();
+	const first = createReader({
+		configuration: {
+			readNewest: async milliseconds => link.isCut ? cutOff() : store.host.configuration.readNewest(milliseconds),
+			read: async (position, options) => link.isCut ? cutOff() : store.host.configuration.read(position, options),
+		},
+		registry: {
+			readNewest: async milliseconds => link.isCut ? cutOff() : store.host.registry.readNewest(milliseconds),
+			read: async (position, options) => link.isCut ? cutOff() : store.host.registry.read(position, options),
+		},
+	}, firstState, async () => {
+		follow(firstState, secondState);
+		return undefined;
+	});
+	const second = createReader(store.host, secondState);
+	store.register(createRegistration('a'));
+	store.register(createRegistration('b'));
+
+	async function read(milliseconds: number): Promise<void> {
+		for (let elapsed = 0; elapsed < milliseconds; elapsed += readIntervalMilliseconds) {
+			await vi.advanceTimersByTimeAsync(readIntervalMilliseconds);
+			await Promise.all([first.readOnce(), second.readOnce()]);
+			if (link.isCut && canHearOther) {
+				follow(firstState, secondState);
+			}
+		}
+	}
+
+	await read(1000);
+	link.isCut = true;
+	await read(5000);
+	return {
+		store, link, firstState, read,
+	};
+}
+
 const listIds = ({registry: {list}}: platformStates.PlatformState) => list().map(({id}) => id).toSorted((left, right) => left.localeCompare(right));
 
 /** Gives a follower what its source has, as `sharing-loop.ts` does. */
 function follow(follower: platformStates.PlatformState, source: platformStates.PlatformState): void {
 	const update = source.registry.getUpdate(follower.registry.getPosition(), getNow());
+	follower.recordRecovery(Math.max(0, (source.getRecoveryEnd(getNow()) ?? 0) - getNow()));
 	follower.handleRegistryEvents(follower.registry.applyUpdate(update, getNow()), 'source');
 	source.confirmUpTo('configuration', getNow());
 	follower.confirmUpTo('registry', getNow() - source.getAge(getNow()));
@@ -193,6 +236,45 @@
 	expect(listIds(following)).toEqual(['a', 'b']);
 });
 
+// Guards against requests to an upstream that has left after the reader's own link was cut: the store has served the upstreams meanwhile, so none of them lapsed.
+test.each([true, false])('a removal after a cut of the reader takes effect at once if others have read on, whether it heard them meanwhile: %s', async canHearOther => {
+	const {store, link, firstState, read} = await startWithCutLink({canHearOther});
+	link.isCut = false;
+	store.remove('a');
+	await read(2000);
+	expect(listIds(firstState)).toEqual(['b']);
+	expect(firstState.registry.getNextRemovalAt()).toBeUndefined();
+});
+
+// Guards against giving up sound upstreams: the entry that reads next has not read during the outage itself.
+test('a removal soon after an outage is held back by an entry that only followed through it', async () => {
+	const {store, following, read} = await startAfterOutage();
+	await read(500);
+	store.remove('a');
+	const nextReader = createReader(store.host, following);
+	await nextReader.readOnce();
+	expect(listIds(following)).toEqual(['a', 'b']);
+	store.register(createRegistration('a', {sequence: 2}));
+	for (let count = 0; count < 6; count++) {
+		await vi.advanceTimersByTimeAsync(readIntervalMilliseconds);
+		await nextReader.readOnce();
+	}
+
+	expect(listIds(following)).toEqual(['a', 'b']);
+});
+
+test('a removal while the reader is cut off twice takes effect at once if others have read on', async () => {
+	const {store, link, firstState, read} = await startWithCutLink({canHearOther: true});
+	link.isCut = false;
+	await read(500);
+	link.isCut = true;
+	store.remove('a');
+	await read(3000);
+	link.isCut = false;
+	await read(1000);
+	expect(listIds(firstState)).toEqual(['b']);
+});
+
 // Guards against a removed upstream coming back: the answer to an earlier read arrives after that to a later one.
 test('two reads whose answers cross leave a removed upstream removed', async () => {
 	const store = createStore();
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -17,6 +17,8 @@
 	getNow(): number;
 	/** The store became reachable or unreachable. */
 	onReachabilityChange(): void;
+	/** Takes over what another entry knows, if that is newer. */
+	catchUp(): Promise<void>;
 };
 
 /** Reads from the store into the platform state. */
@@ -47,7 +49,6 @@
 	const {store, platformState, logger} = host;
 	let configurationPosition = -1;
 	let isReachable: boolean | undefined;
-	let recoveredAt = Number.NEGATIVE_INFINITY;
 	let registryRead: Promise<boolean> | undefined;
 	let pauseMilliseconds = initialPauseMilliseconds;
 	let nextReadAt = Number.NEGATIVE_INFINITY;
@@ -67,7 +68,6 @@
 		}
 
 		if (isReachableNow) {
-			recoveredAt = isReachable === undefined ? Number.NEGATIVE_INFINITY : now;
 			logger.info('store-regained');
 		} else {
 			logger.warn('store-lost', {kind: error.kind, reason: error.message});
@@ -167,6 +167,7 @@
 			return false;
 		}
 
+		await recognizeOutage();
 		const {position, records, endPosition, isComplete} = result.value;
 		for (const record of records) {
 			if (record.kind === 'unusable') {
@@ -174,7 +175,7 @@
 			}
 		}
 
-		const removalsDueAt = getRemovalsDueAt();
+		const removalsDueAt = platformState.getRecoveryEnd(host.getNow());
 		const events = isComplete
 			? registry.applySnapshot({from: position, to: endPosition}, records, removalsDueAt)
 			: registry.applyRecords({from, to: position}, records, removalsDueAt);
@@ -192,10 +193,16 @@
 		return true;
 	}
 
-	/** Gets the time until which removals are held back, because the store may have made them for an outage and the upstreams may register again. */
-	function getRemovalsDueAt(): number | undefined {
-		const dueAt = recoveredAt + platformStates.recoveryMilliseconds;
-		return host.getNow() < dueAt ? dueAt : undefined;
+	/** Recognizes the end of an outage of the store. While only the link of this entry is cut, others read on; only an outage lets registrations lapse. */
+	async function recognizeOutage(): Promise<void> {
+		if (!platformState.mayFollowOutage(host.getNow())) {
+			return;
+		}
+
+		await host.catchUp();
+		if (platformState.mayFollowOutage(host.getNow())) {
+			platformState.recordRecovery(platformStates.recoveryMilliseconds);
+		}
 	}
 
 	async function readRepeatedly(read: () => Promise<boolean>, pauseMilliseconds: number, shouldContinue: () => boolean): Promise<void> {
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -42,6 +42,8 @@
 export type SharingUpdate = {
 	/** Age of the responder's data. */
 	readonly ageMilliseconds: number;
+	/** Remaining time in which removals are held back after an outage of the store; 0 if there was none lately. */
+	readonly recoveryMilliseconds: number;
 	readonly configuration: configuration.Configuration | undefined;
 	readonly registryUpdate: RegistryUpdate | undefined;
 	/** Set of evacuated failure domains; undefined if the follower's is current. */
@@ -213,6 +215,7 @@
 export function toUpdateMessage(update: SharingUpdate, isCompressed: boolean): generated.FollowResponse {
 	return protobuf.create(generated.FollowResponseSchema, {
 		ageMilliseconds: Math.round(Math.min(maximumAgeMilliseconds, update.ageMilliseconds)),
+		recoveryMilliseconds: Math.ceil(update.recoveryMilliseconds),
 		...toConfigurationPart(update.configuration, isCompressed),
 		...toRegistryPart(update.registryUpdate, isCompressed),
 		...toMembersPart(update.memberUpdate, isCompressed),
@@ -242,6 +245,7 @@
 export function toSharingUpdate(message: generated.FollowResponse): SharingUpdate {
 	return {
 		ageMilliseconds: message.ageMilliseconds,
+		recoveryMilliseconds: message.recoveryMilliseconds,
 		configuration: parseText(readText(message.configuration, message.compressedConfiguration), configuration.configurationSchema),
 		registryUpdate: parseText(readText(message.registryUpdate, message.compressedRegistryUpdate), registryUpdateSchema),
 		evacuations: message.evacuations && {version: Number(message.evacuations.version), failureDomains: message.evacuations.failureDomains},
