--- a/src/gateway/store-reader.test.ts
+++ b/src/gateway/store-reader.test.ts
@@ -1,19 +1,13 @@
 /** Replays of outages of the store, with the order of its answers and all times under control. */
 import * as neverthrow from 'neverthrow';
 import * as vitest from 'vitest';
-import type * as registry from '../decisions/registry/types.ts';
-import type * as logger from '../observability/logger.ts';
-import * as platformStates from './platform-state.ts';
-import * as storeReaders from './store-reader.ts';
+import * as storeReplay from '../../test/support/store-replay.ts';
 import type * as types from './types.ts';
 
 const {afterEach, beforeEach, expect, test, vi} = vitest;
 
 const readIntervalMilliseconds = 500;
-const silentLogger: logger.Logger = {
-	error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined,
-};
-const getNow = () => Date.now();
+const {createReader, createRegistration, createState, createStore, follow, getNow, listIds} = storeReplay;
 
 beforeEach(() => {
 	vi.useFakeTimers({now: 1_000_000});
@@ -23,94 +17,14 @@
 	vi.useRealTimers();
 });
 
-function createRegistration(id: string, changes: Partial<registry.Registration> = {}): registry.Registration {
-	return {
-		id, service: 'desk', address: '127.0.0.1:1', failureDomain: 'here', slots: 4, state: 'ready', warmUpMilliseconds: 0, incarnation: 1, sequence: 1, ...changes,
-	};
-}
-
-type RegistryPage = types.StorePage<registry.RegistryRecord>;
-
-/** A store whose records and availability the test controls. While `delays` has entries, each read is answered after the next of them. */
-function createStore() {
-	const log: registry.RegistryRecord[] = [];
-	const newest = new Map<string, registry.Registration>();
-	const delays: number[] = [];
-	const state = {isDown: false, isCutShort: false};
-
-	async function answer(createPage: () => RegistryPage): Promise<neverthrow.Result<RegistryPage, types.StoreError>> {
-		if (state.isDown) {
-			return neverthrow.err({kind: 'lost', message: 'down'});
-		}
-
-		const page = createPage();
-		const delay = delays.shift();
-		if (delay !== undefined) {
-			await new Promise<void>(resolve => {
-				setTimeout(resolve, delay);
-			});
-		}
-
-		return neverthrow.ok(page);
-	}
-
-	const host: types.StoreHost = {
-		configuration: {
-			readNewest: async () => state.isDown ? neverthrow.err({kind: 'lost', message: 'down'}) : neverthrow.ok({position: 0, records: [], endPosition: 0}),
-			read: async () => state.isDown ? neverthrow.err({kind: 'lost', message: 'down'}) : neverthrow.ok({position: 0, records: [], endPosition: 0}),
-		},
-		registry: {
-			readNewest: async () => answer(() => ({position: log.length, endPosition: log.length, records: [...newest.values()].map(registration => ({kind: 'registered', id: registration.id, registration}))})),
-			read: async position => answer(() => {
-				const records = log.slice(position, state.isCutShort ? position : undefined);
-				return {position: position + records.length, endPosition: log.length, records};
-			}),
-		},
-	};
-	return {
-		host, state, delays,
-		register(registration: registry.Registration) {
-			log.push({kind: 'registered', id: registration.id, registration});
-			newest.set(registration.id, registration);
-		},
-		remove(id: string) {
-			log.push({kind: 'removed', id});
-			newest.delete(id);
-		},
-	};
-}
-
-function createState(): platformStates.PlatformState {
-	return platformStates.createPlatformState({
-		logger: silentLogger, getNow, onConfiguration: () => undefined, onUpstreams: () => undefined, onEvacuations: () => undefined,
-	});
-}
-
-function createReader(store: types.StoreHost, platformState: platformStates.PlatformState, catchUp = async () => undefined): storeReaders.StoreReader {
-	return storeReaders.createStoreReader({
-		store, platformState, logger: silentLogger, getNow, onReachabilityChange: () => undefined, catchUp,
-	});
-}
-
 /** Starts two readers, of which the first is cut off from the store while the other reads on. */
 async function startWithCutLink({canHearOther}: {readonly canHearOther: boolean}) {
 	const store = createStore();
 	const link = {isCut: false};
-	const cutOff = async () => neverthrow.err({kind: 'lost' as const, message: 'cut off'});
 	const firstState = createState();
 	const secondState = createState();
-	const first = createReader({
-		configuration: {
-			readNewest: async milliseconds => link.isCut ? cutOff() : store.host.configuration.readNewest(milliseconds),
-			read: async (position, options) => link.isCut ? cutOff() : store.host.configuration.read(position, options),
-		},
-		registry: {
-			readNewest: async milliseconds => link.isCut ? cutOff() : store.host.registry.readNewest(milliseconds),
-			read: async (position, options) => link.isCut ? cutOff() : store.host.registry.read(position, options),
-		},
-	}, firstState, async () => {
+	const first = createReader(storeReplay.createCuttableHost(store.host, link), firstState, async () => {
 		follow(firstState, secondState);
-		return undefined;
 	});
 	const second = createReader(store.host, secondState);
 	store.register(createRegistration('a'));
@@ -134,17 +48,6 @@
 	};
 }
 
-const listIds = ({registry: {list}}: platformStates.PlatformState) => list().map(({id}) => id).toSorted((left, right) => left.localeCompare(right));
-
-/** Gives a follower what its source has, as `sharing-loop.ts` does. */
-function follow(follower: platformStates.PlatformState, source: platformStates.PlatformState): void {
-	const update = source.registry.getUpdate(follower.registry.getPosition(), getNow());
-	follower.recordRecovery(Math.max(0, (source.getRecoveryEnd(getNow()) ?? 0) - getNow()));
-	follower.handleRegistryEvents(follower.registry.applyUpdate(update, getNow()), 'source');
-	source.confirmUpTo('configuration', getNow());
-	follower.confirmUpTo('registry', getNow() - source.getAge(getNow()));
-}
-
 /** Starts a reader and a follower that know the upstreams `a` and `b`, and lets an outage of the store end. */
 async function startAfterOutage() {
 	const store = createStore();
