--- a/src/entry/refused-connections.ts
+++ b/src/entry/refused-connections.ts
@@ -4,25 +4,29 @@
 The answer to such a connection promises that nothing has run, so nothing that arrives on it afterwards may be handled:
 the parser still reads a request that was on its way. Requests before it keep their responses.
 */
-import type * as net from 'node:net';
+import type * as http from 'node:http';
+import type * as stream from 'node:stream';
 import type * as exchangesModule from './exchanges.ts';
 
+/** What is needed of an exchange. */
+export type OpenExchange = Pick<exchangesModule.Exchange, 'onEnd' | 'hasEnded'> & {readonly request: Pick<http.IncomingMessage, 'complete'>};
+
 /** Connections of one server that were refused. */
-export type RefusedConnections = {
+export type RefusedConnections<Socket> = {
 	/** Whether nothing that arrives on a connection may be handled any more. */
-	isRefused(socket: net.Socket): boolean;
+	isRefused(socket: Socket): boolean;
 	/** Refuses a connection: writes an answer behind the responses that are not complete yet, and closes it soon. */
-	refuse(socket: net.Socket, answer: string): void;
+	refuse(socket: Socket, answer: string): void;
 };
 
 /** Time after the answer until the connection is closed, in milliseconds; closed at once, it would reset a caller that still sends, which might lose the answer. */
 const lingerMilliseconds = 5000;
 
 /** Creates the refused connections of a server with these exchanges. */
-export function createRefusedConnections(exchanges: Pick<exchangesModule.Exchanges, 'listOn'>): RefusedConnections {
-	const refused = new WeakSet<net.Socket>();
+export function createRefusedConnections<Socket extends stream.Duplex>(exchanges: {listOn(socket: Socket): readonly OpenExchange[]}): RefusedConnections<Socket> {
+	const refused = new WeakSet<Socket>();
 
-	function answerAndClose(socket: net.Socket, answer: string): void {
+	function answerAndClose(socket: Socket, answer: string): void {
 		if (!socket.writable) {
 			socket.destroy();
 			return;
