Divide retries and load checks among the entries that were known lately

Upstreams could get several times the retries of the fleet: an entry that loses sight of the others divided the budget by the entries that it still knew, and took the whole of it when alone. Found by looking for the cause of the exceeded allowances elsewhere.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -25,6 +25,7 @@
 import * as callLog from './call-log.ts';
 import {startCall} from './call-runner.ts';
 import {createDirectory, type Directory} from './directory.ts';
+import * as fleetSize from './fleet-size.ts';
 import {createFrontServer} from './front-server.ts';
 import type * as loadCheck from './load-check.ts';
 import * as latenessWatch from './lateness-watch.ts';
@@ -236,12 +237,12 @@
 		getNow,
 		recordAdmissions: metrics.recordAdmissions,
 	});
-	const countEntries = () => sharing.members.count();
+	const size = fleetSize.createFleetSize({countMembers: () => sharing.members.count(), getNow});
 	let checkShare = {value: 0, expiresAt: Number.NEGATIVE_INFINITY};
 	/** Gets the part of the fleet's load checks that this entry may make. */
 	function getCheckShare(now: number): number {
 		if (now >= checkShare.expiresAt) {
-			checkShare = {value: entrySelection.getBudgetShare(settings.name, sharing.members.list()), expiresAt: now + shareLifetimeMilliseconds};
+			checkShare = {value: size.getVisibleShare() * entrySelection.getBudgetShare(settings.name, sharing.members.list()), expiresAt: now + shareLifetimeMilliseconds};
 		}
 
 		return checkShare.value;
@@ -311,7 +312,7 @@
 		recordStatements: recorder.recordResponse,
 		learner: createWorkEstimator(),
 		budget: createFleetRetryBudget(settings.retries, getNow()),
-		countEntries,
+		countEntries: size.count,
 		observeAttempt: reachability.recordAttempt,
 		getNow,
 		beginCall: runningCalls.begin,
@@ -378,7 +379,7 @@
 		const text = await metrics.getText({
 			configurationVersion: platformState.getActiveConfiguration()?.configuration.version ?? -1,
 			knowledgeAgeMilliseconds: getRoundedAge(),
-			members: countEntries(),
+			members: sharing.members.count(),
 			openRequests: frontServer.countOpen(),
 			runningCalls: runningCalls.count(),
 			connections: ports.countConnections(),
@@ -417,6 +418,7 @@
 		relays.closeIdle();
 		permits.observeEntries();
 		allowances.maintain();
+		size.count();
 		runningCalls.logOverdue();
 	}, maintenanceIntervalMilliseconds);
 	logger.info('gateway-started', {
--- /dev/null
+++ b/src/gateway/fleet-size.test.ts
@@ -0,0 +1,30 @@
+/** Tests of the division of the fleet's budgets while entries lose sight of each other. */
+import * as vitest from 'vitest';
+import * as fleetRetryBudget from '../decisions/retries/fleet-retry-budget.ts';
+import * as fleetSize from './fleet-size.ts';
+
+const {expect, test} = vitest;
+
+// Guards against entries that each take the retries of the whole fleet while they don't hear each other.
+test('entries that have lost sight of each other send no more retries than the fleet may', () => {
+	const entries = 40;
+	const limits = {ratio: 0, windowMilliseconds: 10_000, slack: 200};
+	const clock = {now: 20_000, members: entries};
+	const fleet = Array.from({length: entries}, () => ({
+		size: fleetSize.createFleetSize({countMembers: () => clock.members, getNow: () => clock.now}),
+		budget: fleetRetryBudget.createFleetRetryBudget(limits, 0),
+	}));
+	expect(fleet.map(({size}) => size.count())).toEqual(fleet.map(() => entries));
+	clock.members = 1;
+	let retries = 0;
+	for (; clock.now < 30_000; clock.now += 500) {
+		for (const {size, budget} of fleet) {
+			retries += budget.tryCharge('desk', size.count(), clock.now) ? 1 : 0;
+		}
+	}
+
+	expect(retries).toBeLessThanOrEqual(limits.slack);
+	expect(fleet[0]!.size.getVisibleShare()).toBe(1 / entries);
+	clock.now += 20_000;
+	expect(fleet[0]!.size.count()).toBe(1);
+});
