Leave most of the fleet's budgets to others while an entry knows nobody

An entry that knows no other one, though its settings name some, assumes a fleet of 16 (lonely-entry.ts). One owner of the size of the fleet (fleet-size.ts) now serves permits, allowances, retries and load checks; the permit issuer takes the visible share in place of a count. The test of six such entries fails without the assumption (they take six times the budgets). Entries still don't find each other through the store.

--- a/src/decisions/backpressure/permit-fleet.test.ts
+++ b/src/decisions/backpressure/permit-fleet.test.ts
@@ -1,6 +1,7 @@
 /** Model of a fleet whose entries share the rate limit of one upstream, in virtual time with seeded events. */
 import * as vitest from 'vitest';
 import * as randomness from '../random.ts';
+import * as entryCount from '../sharing/entry-count.ts';
 import type * as sharing from '../sharing/types.ts';
 import * as permitIssuer from './permit-issuer.ts';
 import * as permitRoles from './permit-roles.ts';
@@ -38,6 +39,8 @@
 	issuer: permitIssuer.PermitIssuer;
 	wallet: permitWallet.PermitWallet;
 	members: readonly sharing.Member[];
+	largestCount: entryCount.LargestEntryCount;
+	visibleShare: number;
 	viewAt: number;
 };
 
@@ -74,7 +77,7 @@
 			name: `edge-${index}`, incarnation: '', startedAt: 0, failureDomain: '', region: '', callerAddress: '', peerAddress: '', isReady: true, canRead: true, isCutOff: false, linkMegabits: 1, cores: 1, requestsPerSecond: index < usedEntries ? 5 : 0,
 		};
 		return {
-			index, member, startedAt, knowsLimitAt: Math.max(startedAt, statedAt) + (newsMilliseconds * random.nextFraction()), stoppedAt: Number.POSITIVE_INFINITY, pausedUntil: 0, issuer: permitIssuer.createPermitIssuer(random), wallet: permitWallet.createPermitWallet(), members: [], viewAt: Number.NEGATIVE_INFINITY,
+			index, member, startedAt, knowsLimitAt: Math.max(startedAt, statedAt) + (newsMilliseconds * random.nextFraction()), stoppedAt: Number.POSITIVE_INFINITY, pausedUntil: 0, issuer: permitIssuer.createPermitIssuer(random), wallet: permitWallet.createPermitWallet(), members: [], largestCount: entryCount.createLargestEntryCount(), visibleShare: 1, viewAt: Number.NEGATIVE_INFINITY,
 		};
 	}
 
@@ -97,7 +100,7 @@
 
 		entry.viewAt = now;
 		entry.members = entries.filter(other => isListed(entry, other)).map(({member}) => member);
-		entry.issuer.observeEntries(entry.members.length, now);
+		entry.visibleShare = entry.members.length / entry.largestCount.observe(entry.members.length, now);
 	}
 
 	function ask(entry: Entry): void {
@@ -120,7 +123,7 @@
 		answeredByEntry.set(coordinator.index, (answeredByEntry.get(coordinator.index) ?? 0) + 1);
 		const own = permitRoles.getPermitRoles(`edge-${coordinator.index}`, upstream.id, requestsPerSecond, coordinator.members);
 		const response = coordinator.issuer.request({upstreamId: upstream.id, incarnation: 1, requester: `edge-${entry.index}`}, {
-			requestsPerSecond, isCoordinator: own.coordinator?.name === `edge-${coordinator.index}`, entries: coordinator.members.length,
+			requestsPerSecond, isCoordinator: own.coordinator?.name === `edge-${coordinator.index}`, visibleShare: coordinator.visibleShare,
 		}, now);
 		answers.push({
 			at: now + delay, entry, askedAt: now, wallet: entry.wallet, response,
@@ -145,6 +148,7 @@
 				// The process starts again with an empty memory, before the others have noticed that it was lost.
 				entry.startedAt = now + 500;
 				entry.issuer = permitIssuer.createPermitIssuer(random);
+				entry.largestCount = entryCount.createLargestEntryCount();
 				entry.wallet = permitWallet.createPermitWallet();
 				break;
 			}
--- a/src/decisions/backpressure/permit-issuer.ts
+++ b/src/decisions/backpressure/permit-issuer.ts
@@ -7,7 +7,6 @@
 if it has lost sight of other entries, because these may have a coordinator of their own.
 */
 import type * as randomness from '../random.ts';
-import * as entryCount from '../sharing/entry-count.ts';
 
 /** Request for a permit. */
 export type PermitRequest = {
@@ -28,16 +27,14 @@
 	readonly requestsPerSecond: number | undefined;
 	/** Whether this entry ranks first among the entries that it knows. */
 	readonly isCoordinator: boolean;
-	/** Number of entries that this entry knows, itself included. */
-	readonly entries: number;
+	/** Part of the fleet that this entry sees, from 0 to 1. */
+	readonly visibleShare: number;
 };
 
 /** Issues permits as the coordinator of upstreams. */
 export type PermitIssuer = {
 	/** Grants a permit, or tells when to ask again. */
 	request(request: PermitRequest, state: IssuerState, now: number): PermitResponse;
-	/** Observes the number of entries that this entry knows, also while nobody asks. */
-	observeEntries(entries: number, now: number): void;
 	/** Forgets the upstreams that are no longer registered. */
 	retain(isRegistered: (id: string) => boolean): void;
 };
@@ -67,7 +64,6 @@
 /** Creates an issuer that has issued no permits. */
 export function createPermitIssuer(random: randomness.RandomSource): PermitIssuer {
 	const permitsByUpstream = new Map<string, UpstreamPermits>();
-	const largestCount = entryCount.createLargestEntryCount();
 
 	function getUpstreamPermits({upstreamId, incarnation}: PermitRequest, now: number): UpstreamPermits {
 		const existing = permitsByUpstream.get(upstreamId);
@@ -93,14 +89,12 @@
 	}
 
 	return {
-		request(request, {requestsPerSecond, isCoordinator, entries}, now) {
-			const largestEntries = largestCount.observe(entries, now);
+		request(request, {requestsPerSecond, isCoordinator, visibleShare}, now) {
 			if (!isCoordinator || requestsPerSecond === undefined) {
 				permitsByUpstream.delete(request.upstreamId);
 				return {kind: 'denied', retryAfterMilliseconds: minimumRetryMilliseconds};
 			}
 
-			const visibleShare = entries / largestEntries;
 			const intervalMilliseconds = millisecondsPerSecond / (issuedShare * visibleShare * requestsPerSecond);
 			const permits = getUpstreamPermits(request, now);
 			const requesters = countRequesters(permits, request.requester, now);
@@ -113,9 +107,6 @@
 			permits.nextStartAt = startsAt + intervalMilliseconds;
 			return {kind: 'granted', startsInMilliseconds: startsAt - now, validMilliseconds: permitMilliseconds};
 		},
-		observeEntries(entries, now) {
-			largestCount.observe(entries, now);
-		},
 		retain(isRegistered) {
 			for (const id of permitsByUpstream.keys()) {
 				if (!isRegistered(id)) {
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -9,7 +9,6 @@
 import * as allowanceWallet from '../decisions/admission/allowance-wallet.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
 import type * as randomness from '../decisions/random.ts';
-import * as entryCount from '../decisions/sharing/entry-count.ts';
 import type * as sharing from '../decisions/sharing/types.ts';
 import type * as logger from '../observability/logger.ts';
 import type * as peerAllowances from '../peers/allowances.ts';
@@ -31,6 +30,8 @@
 	/** Lists the workspaces of the configuration in force. */
 	listWorkspaces(): readonly configuration.Workspace[];
 	listMembers(): readonly sharing.Member[];
+	/** Gets the part of the fleet that this entry sees, from 0 to 1. */
+	getVisibleShare(): number;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Records the result of a question that this entry asked or answered, and the time that it took. */
@@ -70,7 +71,6 @@
 export function createAllowances(host: AllowancesHost): Allowances {
 	const issuer = allowanceIssuer.createAllowanceIssuer(host.random);
 	const wallet = allowanceWallet.createAllowanceWallet();
-	const largestCount = entryCount.createLargestEntryCount();
 	const queues = new Map<string, Queue>();
 	const coordinatorsByWorkspace = new Map<string, Cached<readonly sharing.Member[]>>();
 	/** Times of the latest refusals of workspaces that are limited. */
@@ -107,7 +107,7 @@
 
 		partsExpireAt = now + rolesLifetimeMilliseconds;
 		const {entries} = getCandidates(now);
-		const visibleShare = entries / largestCount.observe(entries, now);
+		const visibleShare = host.getVisibleShare();
 		const parts = new Map<string, allowanceIssuer.Allowance>();
 		for (const {name, allowance} of host.listWorkspaces()) {
 			const coordinators = allowance ? listCoordinators(name, now) : [];
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -216,6 +216,11 @@
 		},
 	});
 	const lateness = latenessWatch.createLatenessWatch({logger, countOpen: () => frontServer.countOpen()});
+	const size = fleetSize.createFleetSize({
+		countMembers: () => sharing.members.count(),
+		hasOtherSeeds: () => seeds.some(seed => seed !== settings.listen.peers),
+		getNow,
+	});
 	const permits = permitsModule.createPermits({
 		client: peerPermits.createPermitClient(),
 		recorder,
@@ -223,6 +228,7 @@
 		name: settings.name,
 		listByPermit: upstreams.listByPermit,
 		listMembers: sharing.members.list,
+		getVisibleShare: size.getVisibleShare,
 		getNow,
 		recordPermit: metrics.recordPermit,
 	});
@@ -234,10 +240,10 @@
 		failureDomain: settings.failureDomain,
 		listWorkspaces: () => platformState.getActiveConfiguration()?.configuration.workspaces ?? [],
 		listMembers: sharing.members.list,
+		getVisibleShare: size.getVisibleShare,
 		getNow,
 		recordAdmissions: metrics.recordAdmissions,
 	});
-	const size = fleetSize.createFleetSize({countMembers: () => sharing.members.count(), getNow});
 	let checkShare = {value: 0, expiresAt: Number.NEGATIVE_INFINITY};
 	/** Gets the part of the fleet's load checks that this entry may make. */
 	function getCheckShare(now: number): number {
@@ -416,7 +422,6 @@
 	const maintenanceTimer = setInterval(() => {
 		upstreams.closeIdle();
 		relays.closeIdle();
-		permits.observeEntries();
 		allowances.maintain();
 		size.count();
 		runningCalls.logOverdue();
--- a/src/gateway/fleet-size.test.ts
+++ b/src/gateway/fleet-size.test.ts
@@ -11,7 +11,7 @@
 	const limits = {ratio: 0, windowMilliseconds: 10_000, slack: 200};
 	const clock = {now: 20_000, members: entries};
 	const fleet = Array.from({length: entries}, () => ({
-		size: fleetSize.createFleetSize({countMembers: () => clock.members, getNow: () => clock.now}),
+		size: fleetSize.createFleetSize({countMembers: () => clock.members, hasOtherSeeds: () => false, getNow: () => clock.now}),
 		budget: fleetRetryBudget.createFleetRetryBudget(limits, 0),
 	}));
 	expect(fleet.map(({size}) => size.count())).toEqual(fleet.map(() => entries));
@@ -28,3 +28,12 @@
 	clock.now += 20_000;
 	expect(fleet[0]!.size.count()).toBe(1);
 });
+
+// Guards against entries that nobody introduces to one another, of which each takes the budgets of the whole fleet.
+test('entries that only know seeds that are gone leave most of the budgets to others, and one without seeds uses all of them', () => {
+	const createSize = (hasOtherSeeds: boolean) => fleetSize.createFleetSize({countMembers: () => 1, hasOtherSeeds: () => hasOtherSeeds, getNow: () => 0});
+	const lonely = Array.from({length: 6}, () => createSize(true).getVisibleShare());
+	expect(lonely.reduce((sum, share) => sum + share, 0)).toBeLessThanOrEqual(0.5);
+	expect(createSize(true).count()).toBe(16);
+	expect(createSize(false).getVisibleShare()).toBe(1);
+});
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -27,6 +27,8 @@
 	/** Lists the upstreams of a service that need a permit for each request. */
 	listByPermit(service: string): readonly upstreams.Upstream[];
 	listMembers(): readonly sharing.Member[];
+	/** Gets the part of the fleet that this entry sees, from 0 to 1. */
+	getVisibleShare(): number;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Records the result of a request for a permit that this entry made (`asked`) or answered (`issued`). */
@@ -43,8 +45,6 @@
 	getWaitMilliseconds(service: string): number;
 	/** Answers another entry that asks for a permit. */
 	handleRequest(request: peerPermits.SharedPermitRequest): permitIssuer.PermitResponse;
-	/** Observes the number of known entries. */
-	observeEntries(): void;
 	/** Forgets the upstreams that are no longer registered. */
 	retain(isRegistered: (id: string) => boolean): void;
 	close(): void;
@@ -95,7 +95,7 @@
 		const now = host.getNow();
 		const requestsPerSecond = getLimit({id: request.upstreamId, incarnation: request.incarnation}, now)?.requestsPerSecond;
 		const coordinator = requestsPerSecond === undefined ? undefined : getRoles(request.upstreamId, requestsPerSecond, now).coordinator;
-		const response = issuer.request(request, {requestsPerSecond, isCoordinator: coordinator?.name === host.name, entries: listMembers(now).length}, now);
+		const response = issuer.request(request, {requestsPerSecond, isCoordinator: coordinator?.name === host.name, visibleShare: host.getVisibleShare()}, now);
 		host.recordPermit('issued', response.kind);
 		return response;
 	}
@@ -173,10 +173,6 @@
 				}], request.requester);
 			return issue(request);
 		},
-		observeEntries() {
-			const now = host.getNow();
-			issuer.observeEntries(listMembers(now).length, now);
-		},
 		retain(isRegistered) {
 			issuer.retain(isRegistered);
 			wallet.retain(isRegistered);
