--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -88,7 +88,7 @@
 	const bodyReceiver = {
 		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
 	};
-	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>(exchanges);
+	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, answersIncomplete: true});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
--- a/src/entry/refused-connections.test.ts
+++ b/src/entry/refused-connections.test.ts
@@ -37,6 +37,7 @@
 			open.push({
 				exchange: {
 					request,
+					response: {headersSent: false},
 					onEnd(listener) {
 						listeners.push(listener);
 					},
@@ -61,7 +62,7 @@
 	fc.assert(fc.property(actions, order => {
 		const connection = createConnection();
 		const {socket, open, written} = connection;
-		const refused = refusedConnections.createRefusedConnections({listOn: () => open.map(({exchange}) => exchange)});
+		const refused = refusedConnections.createRefusedConnections({listOn: () => open.map(({exchange}) => exchange), answersIncomplete: false});
 		let isRefused = false;
 		let hasLeft = false;
 		for (const action of order) {
--- a/src/entry/refused-connections.ts
+++ b/src/entry/refused-connections.ts
@@ -9,7 +9,10 @@
 import type * as exchangesModule from './exchanges.ts';
 
 /** What is needed of an exchange. */
-export type OpenExchange = Pick<exchangesModule.Exchange, 'onEnd' | 'hasEnded'> & {readonly request: Pick<http.IncomingMessage, 'complete'>};
+export type OpenExchange = Pick<exchangesModule.Exchange, 'onEnd' | 'hasEnded'> & {
+	readonly request: Pick<http.IncomingMessage, 'complete'>;
+	readonly response: Pick<http.ServerResponse, 'headersSent'>;
+};
 
 /** Connections of one server that were refused. */
 export type RefusedConnections<Socket> = {
@@ -22,8 +25,15 @@
 /** Time after the answer until the connection is closed, in milliseconds; closed at once, it would reset a caller that still sends, which might lose the answer. */
 const lingerMilliseconds = 5000;
 
-/** Creates the refused connections of a server with these exchanges. */
-export function createRefusedConnections<Socket extends stream.Duplex>(exchanges: {listOn(socket: Socket): readonly OpenExchange[]}): RefusedConnections<Socket> {
+/** Dependencies of the refused connections of a server. */
+export type RefusedConnectionsHost<Socket> = {
+	/** Whether an answer is true for a request whose body is incomplete and may have been passed on in part. */
+	readonly answersIncomplete: boolean;
+	listOn(socket: Socket): readonly OpenExchange[];
+};
+
+/** Creates the refused connections of a server. */
+export function createRefusedConnections<Socket extends stream.Duplex>(host: RefusedConnectionsHost<Socket>): RefusedConnections<Socket> {
 	const refused = new WeakSet<Socket>();
 
 	function answerAndClose(socket: Socket, answer: string): void {
@@ -49,15 +59,18 @@
 			}
 
 			refused.add(socket);
-			const open = exchanges.listOn(socket);
-			if (open.some(({request}) => !request.complete)) {
+			const open = host.listOn(socket);
+			const isIncomplete = open.some(({request}) => !request.complete);
+			const isAnswerable = open.length === 1 && host.answersIncomplete && !open[0]!.response.headersSent;
+			if (isIncomplete && !isAnswerable) {
 				// The rest of its body can't be told from what follows.
 				socket.destroy();
 				return;
 			}
 
-			if (open.length === 0) {
+			if (open.length === 0 || isIncomplete) {
 				answerAndClose(socket, answer);
+				return;
 			}
 
 			for (const exchange of open) {
--- a/src/gateway/bad-connections.ts
+++ b/src/gateway/bad-connections.ts
@@ -34,7 +34,7 @@
 
 /** Refuses the bad connections of a server from now on. */
 export function refuseBadConnections(server: http.Server, host: BadConnectionsHost): BadConnections {
-	const refused = refusedConnections.createRefusedConnections<net.Socket>(host.exchanges);
+	const refused = refusedConnections.createRefusedConnections<net.Socket>({listOn: host.exchanges.listOn, answersIncomplete: false});
 	const acceptedAt = new WeakMap<net.Socket, number>();
 	let idleTimeoutMilliseconds = Number.POSITIVE_INFINITY;
 
