--- a/src/decisions/outcomes/retry-decision.ts
+++ b/src/decisions/outcomes/retry-decision.ts
@@ -21,6 +21,8 @@
 	readonly kind: configuration.RequestKind;
 	/** Number of upstreams that may have executed the request. */
 	readonly possibleExecutions: number;
+	/** Number of upstreams that the request may still be sent to, because an attempt at them has begun, or they are being selected. */
+	readonly plannedExecutions: number;
 	/** Maximum number of upstreams that may execute the request, from its route. */
 	readonly maximumAttempts: number;
 };
@@ -29,18 +31,19 @@
 
 /** Returns whether the request may be sent to another upstream after an attempt that ended like this; the retry budget is checked separately. */
 export function canRetry(history: AttemptHistory, end: AttemptEnd): boolean {
+	const hasAttemptLeft = history.possibleExecutions + history.plannedExecutions < history.maximumAttempts;
 	switch (end.kind) {
 		case 'not-sent':
 		case 'not-run': {
-			return history.possibleExecutions === 0 || (history.kind === 'idempotent' && history.possibleExecutions < history.maximumAttempts);
+			return (history.possibleExecutions === 0 && history.plannedExecutions === 0) || (history.kind === 'idempotent' && hasAttemptLeft);
 		}
 
 		case 'answered': {
-			return end.statusCode >= lowestServerErrorStatus && history.kind === 'idempotent' && history.possibleExecutions < history.maximumAttempts;
+			return end.statusCode >= lowestServerErrorStatus && history.kind === 'idempotent' && hasAttemptLeft;
 		}
 
 		case 'broken': {
-			return history.kind === 'idempotent' && history.possibleExecutions < history.maximumAttempts;
+			return history.kind === 'idempotent' && hasAttemptLeft;
 		}
 
 		default: {
@@ -60,3 +63,24 @@
 
 	return reason === 'time-over' ? 504 : 502;
 }
+
+/** Describes the end of an attempt for logs and metrics. */
+export function describeEnd(end: AttemptEnd): string {
+	switch (end.kind) {
+		case 'answered': {
+			return String(end.statusCode);
+		}
+
+		case 'broken': {
+			return end.reason;
+		}
+
+		case 'not-sent': {
+			return end.reason === 'unreachable' ? end.kind : end.reason;
+		}
+
+		case 'not-run': {
+			return end.kind;
+		}
+	}
+}
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -97,7 +97,16 @@
 	/** Latest server error of an upstream, which the caller receives if no other attempt succeeds. */
 	let errorResponse: GatewayResponse | undefined;
 
-	const getHistory = (): retryDecision.AttemptHistory => ({kind: route.kind, possibleExecutions: mayHaveRunOn, maximumAttempts: route.maximumAttempts});
+	/** Executions that attempts which are not sent yet may lead to. */
+	const unsent = new Map<GatewayAttempt, number>();
+
+	function countPlanned(): number {
+		return [...unsent.values()].reduce((sum, executions) => sum + executions, cancelSelection ? 1 : 0);
+	}
+
+	const getHistory = (): retryDecision.AttemptHistory => ({
+		kind: route.kind, possibleExecutions: mayHaveRunOn, plannedExecutions: countPlanned(), maximumAttempts: route.maximumAttempts,
+	});
 
 	function selectUpstream(): void {
 		const objectiveEndsAt = request.receivedAt + route.objectiveMilliseconds;
@@ -168,13 +177,15 @@
 		const attempt = createGatewayAttempt(host, {...request, refusedOn, maximumExecutions}, selected, {
 			onSent() {
 				isCounted = true;
+				unsent.delete(attempt);
 				mayHaveRunOn += maximumExecutions;
 			},
 			onEnd(end, response) {
 				running.delete(attempt);
+				unsent.delete(attempt);
 				const now = host.getNow();
 				attempts.push({
-					upstream: id, end: describeEnd(end), expectedMilliseconds: Math.round(expectedMilliseconds), milliseconds: Math.round(now - sentAt),
+					upstream: id, end: retryDecision.describeEnd(end), expectedMilliseconds: Math.round(expectedMilliseconds), milliseconds: Math.round(now - sentAt),
 				});
 				if (isCounted && (end.kind === 'not-run' || end.kind === 'not-sent')) {
 					mayHaveRunOn -= maximumExecutions;
@@ -188,6 +199,7 @@
 			},
 		});
 		running.add(attempt);
+		unsent.set(attempt, maximumExecutions);
 		attempt.start();
 		if (route.kind === 'idempotent') {
 			clearTimeout(hedgeTimer);
@@ -201,14 +213,14 @@
 
 	/** Another entry gets all executions that are left, since it retries by itself. */
 	function getMaximumExecutions(upstream: upstreams.Upstream): number {
-		return upstream.kind === 'relay' ? Math.max(1, route.maximumAttempts - mayHaveRunOn) : 1;
+		return upstream.kind === 'relay' ? Math.max(1, route.maximumAttempts - mayHaveRunOn - countPlanned()) : 1;
 	}
 
 	/** Sends a hedged request: a second attempt in parallel to a late one. The first complete response is used. */
 	function startHedge(): void {
 		const now = host.getNow();
 		const shouldHedge = !isAnswered && running.size === 1 && !cancelSelection && now < request.deadlineAt && !host.selector.hasHeldRequests(service) && request.body.kind !== 'streamed';
-		if (shouldHedge && mayHaveRunOn < route.maximumAttempts && host.budget.tryCharge(service, host.countEntries(), now)) {
+		if (shouldHedge && mayHaveRunOn + countPlanned() < route.maximumAttempts && host.budget.tryCharge(service, host.countEntries(), now)) {
 			selectUpstream();
 		}
 	}
@@ -375,23 +387,3 @@
 		},
 	};
 }
-
-function describeEnd(end: retryDecision.AttemptEnd): string {
-	switch (end.kind) {
-		case 'answered': {
-			return String(end.statusCode);
-		}
-
-		case 'broken': {
-			return end.reason;
-		}
-
-		case 'not-sent': {
-			return end.reason === 'unreachable' ? end.kind : end.reason;
-		}
-
-		case 'not-run': {
-			return end.kind;
-		}
-	}
-}
