--- a/scripts/reference.ts
+++ b/scripts/reference.ts
@@ -39,6 +39,8 @@
 	'| memory for connections, requests and responses together | a fifth of the memory of the instance; 202 MB if it is not stated | what holds most and has not moved for a second gives way, else the largest: a request that was not sent gets 503 and may be sent again, a connection is closed | alone, a body holds 1 MiB at most, a streamed one 5 MiB |',
 	'| memory of requests that are complete | half of that; four fifths of it for those of more than 64 KiB | 503, not run | the same |',
 	'| connections of a port | of the descriptors less 200: callers 0.35, directory 0.1, other entries 0.3, readiness 0.02, metrics 0.02 | the connection that holds most and moves least is closed | callers use a few of many instances |',
+	'| time for a head, from its first byte | the header timeout of the configuration, checked once a second | 408, and nothing that follows on the connection is handled | the configuration allows no longer |',
+	'| time without any byte on a new connection | the idle timeout of the configuration | the connection is closed without a status | the same |',
 	'| time to receive a body | until the deadline of the request or the time limit of its route | 408, not run | the request could not be served any more |',
 	'| pause within a body | the idle timeout of the configuration | 408, not run | the configuration allows no longer pause between two requests |',
 	'| bodies in chunks of less than 64 bytes on average, after 4,096 chunks | one in any second | 503, not run | one alone is always received |',
