--- a/test/allowances.test.ts
+++ b/test/allowances.test.ts
@@ -11,7 +11,7 @@
 /** Requests of a workspace that may run in any five seconds, from the rules. */
 const maximumInWindow = (((allowance.ratePerS * 5) + allowance.burst) * 1.1) + 20;
 const windowMilliseconds = 5000;
-const hosts = ['127.61.0.1', '127.61.0.2', '127.61.0.3'];
+const hosts = Array.from({length: 3}, gatewayProcess.createHost);
 const seeds = hosts.map(host => `${host}:8146`);
 
 afterEach(gatewayProcess.close);
