Let a request that waits for an admission go with its caller

A request is withdrawn at the end of its exchange; what was issued for it serves another one. All that is issued goes through the wallet, so nothing is given out twice. New gauge fescuering_gateway_waiting_for_admission, 0 when quiet.

--- a/src/decisions/admission/allowance-fleet.test.ts
+++ b/src/decisions/admission/allowance-fleet.test.ts
@@ -26,6 +26,8 @@
 	readonly takeoverMilliseconds?: number;
 	/** Time for which the odd and the even entries don't know the coordinator that ranks first, and the one that takes its place, respectively. */
 	readonly disagreement?: {readonly from: number; readonly to: number};
+	/** Time from which two halves of the fleet don't know each other; both know that they see a half. */
+	readonly splitAt?: number;
 	/** Rank of a coordinator that answers no question. */
 	readonly silentRank?: number;
 	/** Share of the entries that restart, spread over the run. */
@@ -52,7 +54,7 @@
 }
 
 function runFleet({
-	seed, entries: count, allowance, milliseconds, getDemand, lossesAt = [], takeoverMilliseconds = 1000, disagreement, silentRank, isAnswered = () => true, restartShare = 0,
+	seed, entries: count, allowance, milliseconds, getDemand, lossesAt = [], takeoverMilliseconds = 1000, disagreement, splitAt, silentRank, isAnswered = () => true, restartShare = 0,
 }: FleetOptions) {
 	const random = randomness.createRandomSource(seed);
 	const answers = randomness.createRandomSource(seed);
@@ -80,6 +82,10 @@
 			views = [known, known];
 		}
 
+		if (splitAt === now) {
+			views = [members.filter((_member, index) => index % 2 === 0), members.filter((_member, index) => index % 2 === 1)];
+		}
+
 		if (disagreement?.from === now) {
 			const [first] = chooseCoordinators(known);
 			const odd = known.filter(member => member !== first);
@@ -138,9 +144,7 @@
 		}
 
 		state.question = undefined;
-		const admitted = state.wallet.recordResponse(question, question.response, now);
-		state.waiting -= admitted;
-		admittedAt.push(...Array.from({length: admitted}, () => now));
+		state.wallet.recordResponse(question, question.response, now);
 		ask(index, now);
 	}
 
@@ -289,6 +293,16 @@
 	expectWithinAllowance({disagreement: {from: 2000, to: 24_000}});
 });
 
+test('an allowance holds in a surge while two halves of the fleet don\'t know each other, and is used', () => {
+	expectWithinAllowance({splitAt: 7000});
+	const {admittedAt} = runFleet({...surge, seed: 1, splitAt: 7000});
+	expect(admittedAt.filter(at => isHot(at)).length).toBeGreaterThanOrEqual(0.8 * surge.allowance.requestsPerSecond * 8);
+});
+
+test('an allowance holds in a surge while entries start that know nothing of it', () => {
+	expectWithinAllowance({restartShare: 1});
+});
+
 test('an allowance holds in a surge while a third of the entries gets no answer about it', () => {
 	expectWithinAllowance({isAnswered: (entry, _fraction, now) => now < 8000 || entry % 3 > 0});
 });
--- a/src/decisions/admission/allowance-wallet.ts
+++ b/src/decisions/admission/allowance-wallet.ts
@@ -27,8 +27,8 @@
 	take(workspace: string, now: number): boolean;
 	/** Chooses among the coordinators of a workspace, listed in the order of preference, and records that the first suitable one is asked. */
 	chooseStep(workspace: string, coordinators: readonly string[], now: number): AdmissionStep;
-	/** Records the answer of a coordinator, undefined if there was none. Returns the number of admissions for the requests that waited; the others are kept. */
-	recordResponse(question: SentQuestion, response: allowanceIssuer.AdmissionResponse | undefined, now: number): number;
+	/** Records the answer of a coordinator, undefined if there was none, and keeps the admissions that it issued. */
+	recordResponse(question: SentQuestion, response: allowanceIssuer.AdmissionResponse | undefined, now: number): void;
 	/** Forgets workspaces and coordinators that matter no more. */
 	forget(now: number): void;
 };
@@ -111,32 +111,31 @@
 		recordResponse({workspace, coordinator, needed, askedAt}, response, now) {
 			if (!response) {
 				silentUntil.set(coordinator, now + silenceMilliseconds);
-				return 0;
+				return;
 			}
 
 			silentUntil.delete(coordinator);
 			const purse = getPurse(workspace, now);
 			switch (response.kind) {
 				case 'issued': {
-					const forWaiting = Math.min(response.count, needed);
-					if (forWaiting < needed) {
+					if (response.count < needed) {
 						purse.pauses.set(coordinator, {until: now + response.retryAfterMilliseconds, reason: 'limited'});
 					}
 
-					if (response.count > needed) {
-						purse.tokens = [...purse.tokens, {count: response.count - needed, expiresAt: askedAt + allowanceIssuer.admissionMilliseconds}];
+					if (response.count > 0) {
+						purse.tokens = [...purse.tokens, {count: response.count, expiresAt: askedAt + allowanceIssuer.admissionMilliseconds}];
 					}
 
-					return now < askedAt + allowanceIssuer.admissionMilliseconds ? forWaiting : 0;
+					break;
 				}
 
 				case 'not-counted': {
 					purse.pauses.set(coordinator, {until: now + response.retryAfterMilliseconds, reason: 'undecided'});
-					return 0;
+					break;
 				}
 
 				default: {
-					return exhaustiveness.assertNever(response);
+					exhaustiveness.assertNever(response);
 				}
 			}
 		},
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -40,8 +40,13 @@
 
 /** The allowances of an entry. */
 export type Allowances = {
-	/** Decides about a request of a workspace: at once if possible, otherwise when a coordinator has answered. The listener is called once. */
-	admit(workspace: configuration.Workspace, listener: (admission: Admission) => void): void;
+	/**
+	Decides about a request of a workspace: at once if possible, otherwise when a coordinator has answered. The listener is
+	called once, unless the returned function withdraws the request before; its admission then serves another one.
+	*/
+	admit(workspace: configuration.Workspace, listener: (admission: Admission) => void): () => void;
+	/** Number of requests that wait for an admission. */
+	countWaiting(): number;
 	/** Time after which a caller that was not admitted should return, in milliseconds. */
 	getRetryMilliseconds(): number;
 	/** Answers another entry that asks for admissions. */
@@ -63,6 +68,8 @@
 /** Time without a refusal after which a workspace isn't limited any more, in milliseconds. */
 const limitedMilliseconds = 3000;
 
+const ignore = () => undefined;
+
 type WaitingRequest = {readonly since: number; readonly listener: (admission: Admission) => void};
 type Queue = {waiting: readonly WaitingRequest[]; isAsking: boolean};
 type Cached<Value> = {readonly value: Value; readonly expiresAt: number};
@@ -161,6 +168,7 @@
 				settle(workspace, queue, 1, 'admitted');
 			}
 
+			settle(workspace, queue, queue.waiting.filter(({since}) => askedAt - since >= maximumWaitMilliseconds).length, 'undecided');
 			const needed = queue.waiting.length;
 			if (needed === 0) {
 				break;
@@ -177,11 +185,9 @@
 			const response = await ask(coordinators.find(({name}) => name === coordinator)!, {
 				workspace, entry: host.name, needed, ahead,
 			});
-			const now = host.getNow();
-			settle(workspace, queue, wallet.recordResponse({
+			wallet.recordResponse({
 				workspace, coordinator, needed, askedAt,
-			}, response, now), 'admitted');
-			settle(workspace, queue, queue.waiting.filter(({since}) => now - since >= maximumWaitMilliseconds).length, 'undecided');
+			}, response, host.getNow());
 		}
 
 		queue.isAsking = false;
@@ -212,7 +218,7 @@
 		admit({name, allowance}, listener) {
 			if (!allowance) {
 				listener('admitted');
-				return;
+				return ignore;
 			}
 
 			const now = host.getNow();
@@ -221,19 +227,25 @@
 			wallet.countArrival(name, now);
 			if (queue.waiting.length === 0 && wallet.take(name, now)) {
 				listener('admitted');
-				return;
+				return ignore;
 			}
 
 			if (queue.waiting.length >= maximumWaiting) {
 				listener('undecided');
-				return;
+				return ignore;
 			}
 
-			queue.waiting = [...queue.waiting, {since: now, listener}];
+			const request = {since: now, listener};
+			queue.waiting = [...queue.waiting, request];
 			if (!queue.isAsking) {
 				void serveQueue(name, queue);
 			}
+
+			return () => {
+				queue.waiting = queue.waiting.filter(other => other !== request);
+			};
 		},
+		countWaiting: () => [...queues.values()].reduce((sum, {waiting}) => sum + waiting.length, 0),
 		getRetryMilliseconds: () => retryMilliseconds + (retrySpreadMilliseconds * host.random.nextFraction()),
 		handleRequest,
 		maintain() {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -336,15 +336,13 @@
 		canFinish: ({deadlineAt, route}) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: callRunnerHost.learner.getRouteMilliseconds(route.name)}, getNow()),
 		getExpectedMilliseconds: ({route}) => callRunnerHost.learner.getRouteMilliseconds(route.name),
 		getNow,
-		admit(workspace, listener) {
-			allowances.admit(workspace, admission => {
-				if (admission !== 'admitted') {
-					metrics.recordWorkspaceRequest(workspace.name, admission);
-				}
+		admit: (workspace, listener) => allowances.admit(workspace, admission => {
+			if (admission !== 'admitted') {
+				metrics.recordWorkspaceRequest(workspace.name, admission);
+			}
 
-				listener(admission);
-			});
-		},
+			listener(admission);
+		}),
 		getAllowanceRetryMilliseconds: allowances.getRetryMilliseconds,
 		startCall(request, target) {
 			demand.countRequest(getNow());
@@ -388,6 +386,7 @@
 			members: sharing.members.count(),
 			openRequests: frontServer.countOpen(),
 			runningCalls: runningCalls.count(),
+			waitingForAdmission: allowances.countWaiting(),
 			connections: ports.countConnections(),
 			deferredConnections: frontServer.countDeferred(),
 			isCutOff: reachability.isCutOff(),
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -45,8 +45,8 @@
 	getExpectedMilliseconds(request: RequestContext): number;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
-	/** Decides whether the allowance of a workspace has room for a request, at once or soon. The listener is called once. */
-	admit(workspace: configuration.Workspace, listener: (admission: allowances.Admission) => void): void;
+	/** Decides whether the allowance of a workspace has room for a request, at once or soon. The listener is called once, unless the returned function withdraws the request before. */
+	admit(workspace: configuration.Workspace, listener: (admission: allowances.Admission) => void): () => void;
 	/** Time after which a caller that was not admitted should return, in milliseconds. */
 	getAllowanceRetryMilliseconds(): number;
 	startCall(request: GatewayRequest, target: ResponseTarget): RunningCall;
@@ -185,11 +185,7 @@
 			return;
 		}
 
-		host.admit(workspace, admission => {
-			if (exchange.hasEnded()) {
-				return;
-			}
-
+		const withdraw = host.admit(workspace, admission => {
 			switch (admission) {
 				case 'admitted': {
 					proceed();
@@ -211,6 +207,7 @@
 				}
 			}
 		});
+		exchange.onEnd(withdraw);
 	}
 
 	/** Identifies the calling workspace. */
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -19,6 +19,8 @@
 	readonly openRequests: number;
 	/** Calls that are not answered, or still have an attempt at an upstream. */
 	readonly runningCalls: number;
+	/** Requests of workspaces that wait for an admission. */
+	readonly waitingForAdmission: number;
 	/** Open connections of all ports. */
 	readonly connections: number;
 	/** Connections of callers that wait until they are read, because others are costly to read. */
@@ -92,6 +94,7 @@
 		members: 'fescuering_gateway_members',
 		openRequests: 'fescuering_gateway_open_requests',
 		runningCalls: 'fescuering_gateway_running_calls',
+		waitingForAdmission: 'fescuering_gateway_waiting_for_admission',
 		connections: 'fescuering_gateway_connections',
 		deferredConnections: 'fescuering_gateway_deferred_connections',
 		isCutOff: 'fescuering_gateway_cut_off',
@@ -139,6 +142,7 @@
 			gaugeMetrics.get(gaugeNames.members)!.set(gauges.members);
 			gaugeMetrics.get(gaugeNames.openRequests)!.set(gauges.openRequests);
 			gaugeMetrics.get(gaugeNames.runningCalls)!.set(gauges.runningCalls);
+			gaugeMetrics.get(gaugeNames.waitingForAdmission)!.set(gauges.waitingForAdmission);
 			gaugeMetrics.get(gaugeNames.connections)!.set(gauges.connections);
 			gaugeMetrics.get(gaugeNames.deferredConnections)!.set(gauges.deferredConnections);
 			gaugeMetrics.get(gaugeNames.isCutOff)!.set(Number(gauges.isCutOff));
--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -87,7 +87,7 @@
 
 test('the documented metrics of the gateway are those that a gateway exports', async () => {
 	const text = await gatewayMetrics.createGatewayMetrics().getText({
-		configurationVersion: 1, knowledgeAgeMilliseconds: 0, members: 1, openRequests: 0, runningCalls: 0, connections: 0, deferredConnections: 0, isCutOff: false, claimedBytes: 0, largestLatenessMilliseconds: 0, coldUpstreams: 0, evacuatedFailureDomains: 0,
+		configurationVersion: 1, knowledgeAgeMilliseconds: 0, members: 1, openRequests: 0, waitingForAdmission: 0, runningCalls: 0, connections: 0, deferredConnections: 0, isCutOff: false, claimedBytes: 0, largestLatenessMilliseconds: 0, coldUpstreams: 0, evacuatedFailureDomains: 0,
 	});
 	expect(listDocumentedMetrics('gateway')).toEqual(listExportedMetrics(text));
 });
