Log connections that end with requests in progress, and count requests sent ahead

Change: connection-cut with its reason, the open requests and those passed on; two counters. No logic changes.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -5,11 +5,37 @@
 import * as exchangesModule from '../entry/exchanges.ts';
 import type * as portLimits from './port-limits.ts';
 
+/** Why a connection ended although a request on it was not answered; `server` if the HTTP server closed it by itself. */
+export type CutReason = 'too-many-requests-on-connection' | 'response-not-taken' | 'stop-over' | 'server';
+
+/** A connection that ended, although its caller had not left, with requests that were not answered. */
+export type CutConnection = {
+	readonly reason: CutReason;
+	/** Number of requests that were not answered. */
+	readonly open: number;
+	/** Number of those that were passed on. */
+	readonly passedOn: number;
+};
+
+/** Dependencies of the connections. */
+export type CallerConnectionsHost = {
+	readonly port: portLimits.LimitedPort;
+	/** Present time in milliseconds of a monotonic clock. */
+	getNow(): number;
+	/** Called when a request arrives while another one of its connection is in progress. */
+	onRequestAhead(): void;
+	onCut(cut: CutConnection): void;
+};
+
 /** Connections of callers to one server. */
 export type CallerConnections = {
 	readonly reading: callerReading.CallerReading;
 	readonly exchanges: Pick<exchangesModule.Exchanges, 'listOn'>;
 	beginExchange(request: http.IncomingMessage, response: http.ServerResponse): exchangesModule.Exchange;
+	/** Records that the request of an exchange is passed on, so that its caller must be told how it ended. */
+	recordPassedOn(exchange: exchangesModule.Exchange): void;
+	/** Resets a connection, whatever is in progress on it. */
+	cut(socket: net.Socket, reason: CutReason): void;
 	/** Number of exchanges that have not ended. */
 	countExchanges(): number;
 	/** Number of exchanges on one connection that have not ended. */
@@ -23,21 +49,51 @@
 type ConnectionState = {
 	/** Number of bytes that were received when the last exchange ended. */
 	receivedBytes: number;
+	/** Why the entry closes the connection. */
+	cutReason: CutReason;
+	/** Whether the caller has closed the connection, or it failed. */
+	hasCallerLeft: boolean;
 };
 
-/** Tracks the connections of a server from now on, and limits those without a request; `getNow` returns the present time in milliseconds of a monotonic clock. */
-export function trackConnections(server: http.Server, port: portLimits.LimitedPort, getNow: () => number): CallerConnections {
+/** Tracks the connections of a server from now on, and limits those without a request. */
+export function trackConnections(server: http.Server, host: CallerConnectionsHost): CallerConnections {
+	const {port, getNow} = host;
 	const connections = new Map<net.Socket, ConnectionState>();
 	const exchanges = exchangesModule.createExchanges();
+	const passedOn = new WeakSet<exchangesModule.Exchange>();
 	let isStopping = false;
 
 	server.on('connection', (socket: net.Socket) => {
-		connections.set(socket, {receivedBytes: 0});
+		const state: ConnectionState = {receivedBytes: 0, cutReason: 'server', hasCallerLeft: false};
+		connections.set(socket, state);
+		const leave = () => {
+			state.hasCallerLeft = true;
+		};
+
+		socket.once('end', leave);
+		socket.once('error', leave);
 		socket.once('close', () => {
 			connections.delete(socket);
+			reportCut(socket, state);
 		});
 	});
 
+	function reportCut(socket: net.Socket, {cutReason: reason, hasCallerLeft}: ConnectionState): void {
+		const open = exchanges.listOn(socket);
+		if (open.length > 0 && !hasCallerLeft) {
+			host.onCut({reason, open: open.length, passedOn: open.filter(exchange => passedOn.has(exchange)).length});
+		}
+	}
+
+	function cut(socket: net.Socket, reason: CutReason): void {
+		const state = connections.get(socket);
+		if (state) {
+			state.cutReason = reason;
+		}
+
+		socket.resetAndDestroy();
+	}
+
 	function closeIfIdle(socket: net.Socket, state: ConnectionState): void {
 		// A connection that has received part of a request is kept.
 		if (isStopping && exchanges.countOn(socket) === 0 && socket.bytesRead === state.receivedBytes) {
@@ -51,6 +107,10 @@
 		beginExchange(request, response) {
 			const {socket} = request;
 			const exchange = exchanges.begin(request, response);
+			if (exchanges.countOn(socket) > 1) {
+				host.onRequestAhead();
+			}
+
 			port.beginUse(socket);
 			exchange.onEnd(() => {
 				const state = connections.get(socket);
@@ -66,6 +126,10 @@
 			});
 			return exchange;
 		},
+		recordPassedOn(exchange) {
+			passedOn.add(exchange);
+		},
+		cut,
 		countExchanges: exchanges.count,
 		countExchangesOn: exchanges.countOn,
 		stop() {
@@ -79,7 +143,7 @@
 		reset() {
 			for (const socket of connections.keys()) {
 				if (exchanges.countOn(socket) > 0) {
-					socket.resetAndDestroy();
+					cut(socket, 'stop-over');
 				}
 			}
 		},
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -354,6 +354,11 @@
 			});
 			metrics.recordRequest('none', 'refused', reason, 0, 0);
 		},
+		recordRequestAhead: metrics.recordRequestAhead,
+		recordCut(cut) {
+			logger.warn('connection-cut', {...cut});
+			metrics.recordCut(cut.reason, cut.passedOn);
+		},
 	});
 
 	function updateReadiness(): void {
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -51,6 +51,10 @@
 	getAllowanceRetryMilliseconds(): number;
 	startCall(request: GatewayRequest, target: ResponseTarget): RunningCall;
 	recordRefusal(reason: frontRefusals.FrontRefusal, id: string | undefined, statusCode: number): void;
+	/** Records that a request arrived while another one of its connection was in progress. */
+	recordRequestAhead(): void;
+	/** Records that a connection ended with requests that were not answered, although its caller had not left. */
+	recordCut(cut: callerConnections.CutConnection): void;
 };
 
 /** The server for callers. */
@@ -92,7 +96,9 @@
 		requestTimeout: 0,
 		noDelay: true,
 	}, handleRequest);
-	const connections = callerConnections.trackConnections(server, host.ports.limitPort(server, 'callers'), host.getNow);
+	const connections = callerConnections.trackConnections(server, {
+		port: host.ports.limitPort(server, 'callers'), getNow: host.getNow, onRequestAhead: host.recordRequestAhead, onCut: host.recordCut,
+	});
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
 	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges});
 
@@ -266,6 +272,7 @@
 			return;
 		}
 
+		connections.recordPassedOn(exchange);
 		const running = host.startCall({
 			...context,
 			method: request.method ?? 'GET',
@@ -286,7 +293,7 @@
 
 	function closeConnection(socket: net.Socket, reason: 'too-many-requests-on-connection' | 'response-not-taken'): void {
 		host.recordRefusal(reason, undefined, 0);
-		socket.resetAndDestroy();
+		connections.cut(socket, reason);
 	}
 
 	function createForwardedHeaders(request: http.IncomingMessage, body: CallBody, workspace: configuration.Workspace | undefined): GatewayRequest['headers'] {
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -50,6 +50,10 @@
 	recordWorkspaceRequest(workspace: string, outcome: string): void;
 	/** Records a connection that was closed to make room for others. */
 	recordClosedConnection(port: string): void;
+	/** Records a request that arrived while another one of its connection was in progress. */
+	recordRequestAhead(): void;
+	/** Records requests that were passed on and ended with their connection, although their caller had not left. */
+	recordCut(reason: string, requests: number): void;
 	getText(gauges: GatewayGauges): Promise<string>;
 };
 
@@ -88,6 +92,12 @@
 	const closedConnections = new prometheus.Counter({
 		name: 'fescuering_gateway_closed_connections_total', help: 'Connections that were closed to make room for others, by port.', labelNames: ['port'] as const, registers,
 	});
+	const requestsAhead = new prometheus.Counter({
+		name: 'fescuering_gateway_requests_ahead_total', help: 'Requests that arrived while another one of their connection was in progress.', registers,
+	});
+	const cutRequests = new prometheus.Counter({
+		name: 'fescuering_gateway_cut_requests_total', help: 'Requests that were passed on and ended with their connection, by reason.', labelNames: ['reason'] as const, registers,
+	});
 	const gaugeNames = {
 		configurationVersion: 'fescuering_gateway_configuration_version',
 		knowledgeAgeMilliseconds: 'fescuering_gateway_knowledge_age_seconds',
@@ -136,6 +146,12 @@
 		recordClosedConnection(port) {
 			closedConnections.inc({port});
 		},
+		recordRequestAhead() {
+			requestsAhead.inc();
+		},
+		recordCut(reason, count) {
+			cutRequests.inc({reason}, count);
+		},
 		async getText(gauges) {
 			gaugeMetrics.get(gaugeNames.configurationVersion)!.set(gauges.configurationVersion);
 			gaugeMetrics.get(gaugeNames.knowledgeAgeMilliseconds)!.set(Math.min(gauges.knowledgeAgeMilliseconds, Number.MAX_SAFE_INTEGER) * secondsPerMillisecond);
