Close connections of callers in steps

Callers lost answers that were on their way, and refusals of bodies that they were still sending: a connection that the system closes while bytes are unread, or that receives more afterwards, is reset, and the reset overtakes what was written. Cause: Node.js destroys a connection behind its last response. Change: nothing that arrives is handled any more once a response closes the connection, the end is sent behind what was written, and what arrives is discarded until the caller closes its side, for one second at most (RFC 9112, section 9.6).

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -15,6 +15,7 @@
 import * as bodyCollector from './body-collector.ts';
 import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive-body.ts';
 import * as callerReading from './caller-reading.ts';
+import * as closingConnections from './closing-connections.ts';
 import * as exchangesModule from './exchanges.ts';
 import * as refusedConnectionsModule from './refused-connections.ts';
 import {type CallExecution} from './service-runner.ts';
@@ -88,7 +89,8 @@
 	const bodyReceiver = {
 		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
 	};
-	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, answersIncomplete: true});
+	const closing = closingConnections.closeInSteps(server);
+	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, closing, answersIncomplete: true});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
@@ -105,7 +107,7 @@
 	});
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-		if (refusedConnections.isRefused(request.socket)) {
+		if (closing.isClosing(request.socket)) {
 			request.resume();
 			return;
 		}
--- a/src/entry/refused-connections.test.ts
+++ b/src/entry/refused-connections.test.ts
@@ -2,6 +2,7 @@
 import * as stream from 'node:stream';
 import * as fc from 'fast-check';
 import * as vitest from 'vitest';
+import * as closingConnections from './closing-connections.ts';
 import type * as exchangesModule from './exchanges.ts';
 import * as refusedConnections from './refused-connections.ts';
 
@@ -62,7 +63,7 @@
 	fc.assert(fc.property(actions, order => {
 		const connection = createConnection();
 		const {socket, open, written} = connection;
-		const refused = refusedConnections.createRefusedConnections({listOn: () => open.map(({exchange}) => exchange), answersIncomplete: false});
+		const refused = refusedConnections.createRefusedConnections({listOn: () => open.map(({exchange}) => exchange), closing: closingConnections.createClosingConnections(), answersIncomplete: false});
 		let isRefused = false;
 		let hasLeft = false;
 		for (const action of order) {
--- a/src/entry/refused-connections.ts
+++ b/src/entry/refused-connections.ts
@@ -6,6 +6,7 @@
 */
 import type * as http from 'node:http';
 import type * as stream from 'node:stream';
+import type * as closingConnections from './closing-connections.ts';
 import type * as exchangesModule from './exchanges.ts';
 
 /** What is needed of an exchange. */
@@ -22,13 +23,11 @@
 	refuse(socket: Socket, answer: string): void;
 };
 
-/** Time after the answer until the connection is closed, in milliseconds; closed at once, it would reset a caller that still sends, which might lose the answer. */
-const lingerMilliseconds = 5000;
-
 /** Dependencies of the refused connections of a server. */
 export type RefusedConnectionsHost<Socket> = {
 	/** Whether an answer is true for a request whose body is incomplete and may have been passed on in part. */
 	readonly answersIncomplete: boolean;
+	readonly closing: closingConnections.ClosingConnections<Socket>;
 	listOn(socket: Socket): readonly OpenExchange[];
 };
 
@@ -37,18 +36,24 @@
 	const refused = new WeakSet<Socket>();
 
 	function answerAndClose(socket: Socket, answer: string): void {
-		if (!socket.writable) {
-			socket.destroy();
-			return;
+		if (socket.writable) {
+			socket.write(answer);
 		}
 
-		socket.end(answer);
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, lingerMilliseconds);
-		socket.once('close', () => {
-			clearTimeout(timer);
-		});
+		host.closing.close(socket);
+	}
+
+	/** Calls a function once all exchanges have ended with a response. */
+	function afterResponses(socket: Socket, open: readonly OpenExchange[], listener: () => void): void {
+		for (const exchange of open) {
+			exchange.onEnd(end => {
+				if (end === 'caller-left') {
+					socket.destroy();
+				} else if (open.every(({hasEnded}) => hasEnded())) {
+					listener();
+				}
+			});
+		}
 	}
 
 	return {
@@ -59,6 +64,7 @@
 			}
 
 			refused.add(socket);
+			host.closing.stopReading(socket);
 			const open = host.listOn(socket);
 			const isIncomplete = open.some(({request}) => !request.complete);
 			const isAnswerable = open.length === 1 && host.answersIncomplete && !open[0]!.response.headersSent;
@@ -73,15 +79,9 @@
 				return;
 			}
 
-			for (const exchange of open) {
-				exchange.onEnd(end => {
-					if (end === 'caller-left') {
-						socket.destroy();
-					} else if (open.every(({hasEnded}) => hasEnded())) {
-						answerAndClose(socket, answer);
-					}
-				});
-			}
+			afterResponses(socket, open, () => {
+				answerAndClose(socket, answer);
+			});
 		},
 	};
 }
--- a/src/gateway/bad-connections.ts
+++ b/src/gateway/bad-connections.ts
@@ -1,6 +1,7 @@
 /** Refuses connections of callers on which no request can be read: what arrives is malformed, or its head is late. */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import type * as closingConnections from '../entry/closing-connections.ts';
 import type * as exchangesModule from '../entry/exchanges.ts';
 import * as refusedConnections from '../entry/refused-connections.ts';
 import type * as frontRefusals from './front-refusals.ts';
@@ -8,6 +9,7 @@
 /** Dependencies of the refusals. */
 export type BadConnectionsHost = {
 	readonly exchanges: Pick<exchangesModule.Exchanges, 'listOn'>;
+	readonly closing: closingConnections.ClosingConnections<net.Socket>;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	recordRefusal(reason: frontRefusals.FrontRefusal, id: string | undefined, statusCode: number): void;
@@ -15,8 +17,6 @@
 
 /** Refuses bad connections of a server. */
 export type BadConnections = {
-	/** Whether a connection was refused, so that nothing that arrives on it may be handled. */
-	isRefused(socket: net.Socket): boolean;
 	/** Sets the time after which a connection without any bytes is closed, in milliseconds. */
 	setIdleTimeout(milliseconds: number): void;
 };
@@ -34,7 +34,7 @@
 
 /** Refuses the bad connections of a server from now on. */
 export function refuseBadConnections(server: http.Server, host: BadConnectionsHost): BadConnections {
-	const refused = refusedConnections.createRefusedConnections<net.Socket>({listOn: host.exchanges.listOn, answersIncomplete: false});
+	const refused = refusedConnections.createRefusedConnections<net.Socket>({listOn: host.exchanges.listOn, closing: host.closing, answersIncomplete: false});
 	const acceptedAt = new WeakMap<net.Socket, number>();
 	let idleTimeoutMilliseconds = Number.POSITIVE_INFINITY;
 
@@ -66,17 +66,19 @@
 			return;
 		}
 
-		if (refused.isRefused(socket)) {
+		refuse(socket, error.code === timeoutCode ? 'head-late' : 'malformed-request', clientErrorStatuses[error.code ?? ''] ?? malformedStatus);
+	});
+
+	function refuse(socket: net.Socket, reason: frontRefusals.FrontRefusal, statusCode: number): void {
+		if (host.closing.isClosing(socket)) {
 			return;
 		}
 
-		const statusCode = clientErrorStatuses[error.code ?? ''] ?? malformedStatus;
-		host.recordRefusal(error.code === timeoutCode ? 'head-late' : 'malformed-request', undefined, statusCode);
+		host.recordRefusal(reason, undefined, statusCode);
 		refused.refuse(socket, `HTTP/1.1 ${statusCode} ${http.STATUS_CODES[statusCode] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-	});
+	}
 
 	return {
-		isRefused: refused.isRefused,
 		setIdleTimeout(milliseconds) {
 			idleTimeoutMilliseconds = milliseconds;
 		},
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 import * as callerReading from '../entry/caller-reading.ts';
+import * as closingConnections from '../entry/closing-connections.ts';
 import * as exchangesModule from '../entry/exchanges.ts';
 import type * as portLimits from './port-limits.ts';
 
@@ -30,6 +31,7 @@
 /** Connections of callers to one server. */
 export type CallerConnections = {
 	readonly reading: callerReading.CallerReading;
+	readonly closing: closingConnections.ClosingConnections<net.Socket>;
 	readonly exchanges: Pick<exchangesModule.Exchanges, 'listOn'>;
 	beginExchange(request: http.IncomingMessage, response: http.ServerResponse): exchangesModule.Exchange;
 	/** Records that the request of an exchange is passed on, so that its caller must be told how it ended. */
@@ -61,6 +63,7 @@
 	const connections = new Map<net.Socket, ConnectionState>();
 	const exchanges = exchangesModule.createExchanges();
 	const passedOn = new WeakSet<exchangesModule.Exchange>();
+	const closing = closingConnections.closeInSteps(server);
 	let isStopping = false;
 
 	server.on('connection', (socket: net.Socket) => {
@@ -97,12 +100,13 @@
 	function closeIfIdle(socket: net.Socket, state: ConnectionState): void {
 		// A connection that has received part of a request is kept.
 		if (isStopping && exchanges.countOn(socket) === 0 && socket.bytesRead === state.receivedBytes) {
-			socket.destroySoon();
+			closing.close(socket);
 		}
 	}
 
 	return {
 		reading: callerReading.createCallerReading(server, exchanges, getNow),
+		closing,
 		exchanges,
 		beginExchange(request, response) {
 			const {socket} = request;
@@ -114,15 +118,13 @@
 			port.beginUse(socket);
 			exchange.onEnd(() => {
 				const state = connections.get(socket);
-				if (!state) {
+				if (!state || exchanges.countOn(socket) > 0) {
 					return;
 				}
 
 				state.receivedBytes = socket.bytesRead;
+				port.endUse(socket);
 				closeIfIdle(socket, state);
-				if (exchanges.countOn(socket) === 0) {
-					port.endUse(socket);
-				}
 			});
 			return exchange;
 		},
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -449,7 +449,7 @@
 		}
 
 		frontServer.stop();
-		while (frontServer.countOpen() > 0 && getNow() < stopsAt) {
+		while ((frontServer.countOpen() > 0 || frontServer.countClosing() > 0) && getNow() < stopsAt) {
 			await timers.setTimeout(drainCheckIntervalMilliseconds);
 		}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -1,6 +1,5 @@
 /** The HTTP server for callers: finds the route, receives the request, and writes the response. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import type * as smallChunks from '../decisions/admission/small-chunks.ts';
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as routeTable from '../decisions/configuration/route-table.ts';
@@ -12,9 +11,9 @@
 import {type CallBody} from '../entry/call.ts';
 import type * as exchanges from '../entry/exchanges.ts';
 import {hasBody} from '../entry/receive-body.ts';
-import {getForwardedHeaders} from '../entry/headers.ts';
 import type * as allowances from './allowances.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
+import * as forwardedHeaders from './forwarded-headers.ts';
 import * as frontRefusals from './front-refusals.ts';
 import * as badConnectionsModule from './bad-connections.ts';
 import * as callStarter from './call-starter.ts';
@@ -66,6 +65,8 @@
 	countDeferred(): number;
 	/** Accepts no more connections, and closes each connection once it has no request. */
 	stop(): void;
+	/** Counts the connections that have been told the end, but are still open. */
+	countClosing(): number;
 	/** Resets the connections whose requests are not finished. */
 	reset(): void;
 	/** Applies the timeouts of a configuration to everything that callers send from now on. */
@@ -100,10 +101,10 @@
 		port: host.ports.limitPort(server, 'callers'), getNow: host.getNow, onRequestAhead: host.recordRequestAhead, onCut: host.recordCut,
 	});
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
-	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges});
+	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-		if (badConnections.isRefused(request.socket)) {
+		if (connections.closing.isClosing(request.socket)) {
 			request.resume();
 			return;
 		}
@@ -111,7 +112,8 @@
 		const receivedAt = host.getNow();
 		const exchange = connections.beginExchange(request, response);
 		if (connections.countExchangesOn(request.socket) > maximumRequestsPerConnection) {
-			closeConnection(request.socket, 'too-many-requests-on-connection');
+			host.recordRefusal('too-many-requests-on-connection', undefined, 0);
+			connections.cut(request.socket, 'too-many-requests-on-connection');
 			return;
 		}
 
@@ -157,7 +159,7 @@
 			return;
 		}
 
-		const headerBytes = countHeaderBytes(request.rawHeaders);
+		const headerBytes = forwardedHeaders.countHeaderBytes(request.rawHeaders);
 		if (headerBytes > limits.headerBytes) {
 			refuse(exchange, 'headers-too-large', metadata.id);
 			return;
@@ -277,7 +279,7 @@
 			...context,
 			method: request.method ?? 'GET',
 			path: request.url ?? '/',
-			headers: createForwardedHeaders(request, body, context.workspace),
+			headers: forwardedHeaders.createForwardedHeaders(host.headers, request, body, context.workspace !== undefined || host.getActiveConfiguration()?.keys.isActive === true),
 			body,
 		}, {
 			respond(gatewayResponse) {
@@ -291,18 +293,6 @@
 		});
 	}
 
-	function closeConnection(socket: net.Socket, reason: 'too-many-requests-on-connection' | 'response-not-taken'): void {
-		host.recordRefusal(reason, undefined, 0);
-		connections.cut(socket, reason);
-	}
-
-	function createForwardedHeaders(request: http.IncomingMessage, body: CallBody, workspace: configuration.Workspace | undefined): GatewayRequest['headers'] {
-		const hasWorkspaces = workspace !== undefined || host.getActiveConfiguration()?.keys.isActive === true;
-		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isReplacedHeader(name) || (hasWorkspaces && host.headers.isCredentialHeader(name))}, {has: host.headers.isIdentityHeader});
-		const length = body.kind === 'streamed' ? request.headers['content-length'] : undefined;
-		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
-	}
-
 	function refuse(exchange: exchanges.Exchange, reason: frontRefusals.AnsweredRefusal, id: string | undefined): void {
 		const statusCode = frontRefusals.refusalStatuses[reason];
 		host.recordRefusal(reason, id, statusCode);
@@ -327,12 +317,16 @@
 			return;
 		}
 
-		// Only the upstream knows the length of the body that isn't sent.
-		const isBodyless = attempt.isBodyless(request.method ?? '', gatewayResponse.statusCode);
-		const headers = [...gatewayResponse.headers, ...createRelayedHeaders(request, gatewayResponse)].filter(([name]) => isBodyless || name !== 'content-length').flat();
 		// A request without a body isn't marked as complete yet when it is refused at once.
 		const isPartlyUnread = hasBody(request) && !request.complete;
 		const isClosing = host.isLeaving() || isPartlyUnread || !gatewayResponse.hasOwnEnd;
+		if (isClosing) {
+			connections.closing.stopReading(request.socket);
+		}
+
+		// Only the upstream knows the length of the body that isn't sent.
+		const isBodyless = attempt.isBodyless(request.method ?? '', gatewayResponse.statusCode);
+		const headers = [...gatewayResponse.headers, ...createRelayedHeaders(request, gatewayResponse)].filter(([name]) => isBodyless || name !== 'content-length').flat();
 		// Without it, Node.js closes the connection after a response that has neither a length nor chunks.
 		response.useChunkedEncodingByDefault = isBodyless;
 		response.writeHead(gatewayResponse.statusCode, [
@@ -346,13 +340,14 @@
 
 	/** Claims the memory of a large response until its caller has taken it. */
 	function claimResponse(exchange: exchanges.Exchange, bytes: number): void {
-		if (bytes < claimedResponseBytes) {
+		if (bytes < claimedResponseBytes || exchange.hasEnded()) {
 			return;
 		}
 
 		const now = host.getNow();
 		const claim = host.memory.claim('responses', now, () => {
-			closeConnection(exchange.request.socket, 'response-not-taken');
+			host.recordRefusal('response-not-taken', undefined, 0);
+			connections.cut(exchange.request.socket, 'response-not-taken');
 		});
 		exchange.onEnd(claim.free);
 		claim.resize(bytes, now);
@@ -369,6 +364,7 @@
 		countOpen: connections.countExchanges,
 		countDeferred: connections.reading.countDeferred,
 		stop: connections.stop,
+		countClosing: connections.closing.count,
 		reset() {
 			reception.close();
 			connections.reset();
@@ -381,9 +377,3 @@
 		},
 	};
 }
-
-/** Computes the size of a header section as it was sent, in bytes, from alternating names and values. */
-function countHeaderBytes(rawHeaders: readonly string[]): number {
-	const separatorBytes = 2;
-	return rawHeaders.reduce((sum, text) => sum + text.length + separatorBytes, 0);
-}
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -5,14 +5,14 @@
 /** A connection of a caller. */
 export type RawCaller = {
 	readonly socket: net.Socket;
+	/** Resolves when the connection has closed. */
+	readonly closed: Promise<void>;
 	/** All bytes that were received, as text. */
 	getText(): string;
 	/** Identifiers of the requests whose responses arrived, in the order of arrival. */
 	listAnswered(): readonly string[];
 	/** Status codes of the responses that arrived. */
 	listStatuses(): readonly number[];
-	/** Resolves when the connection has closed. */
-	readonly closed: Promise<void>;
 };
 
 /** Connects to an address. */
@@ -28,7 +28,7 @@
 		socket,
 		getText: () => text,
 		listAnswered: () => [...text.matchAll(/^attempt-id: (?<id>\S+)\r$/gimv)].map(match => match.groups!.id!),
-		listStatuses: () => [...text.matchAll(/^HTTP\/1\.1 (?<status>\d{3}) /gmv)].map(match => Number(match.groups!.status)),
+		listStatuses: () => [...text.matchAll(/HTTP\/1\.1 (?<status>\d{3}) /gv)].map(match => Number(match.groups!.status)),
 		closed: new Promise(resolve => {
 			socket.once('close', () => {
 				resolve();
