Answer running requests although what follows them on their connection is refused

Callers lost requests that had been passed on when something behind them on the connection couldn't be handled: a body in malformed chunks, CONNECT, or more than 256 requests ahead reset the whole connection. Cause: each of these closed the socket at once; Node.js does so for CONNECT without a listener. Change: all of them go through the refusal of a connection, which waits for the responses before it. A CONNECT gets 501, the 257th unanswered request 503 with a Retry-After, both behind the responses of the others; nothing behind them is handled. A body that can't be read to its end gets no response, and the connection closes once the requests before it are answered. fescuering-entry refuses CONNECT and Upgrade in the same way, and no longer leaves their sockets without an error listener.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -99,12 +99,16 @@
 
 		refusedConnections.refuse(socket, createSocketAnswer(clientErrorKinds[error.code ?? ''] ?? 'malformed-request'));
 	});
-	server.on('upgrade', (_request, socket) => {
-		socket.end(createSocketAnswer('malformed-request'));
-	});
-	server.on('connect', (_request, socket) => {
-		socket.end(createSocketAnswer('malformed-request'));
-	});
+	server.on('upgrade', refuseTunnel);
+	server.on('connect', refuseTunnel);
+
+	function refuseTunnel(_request: http.IncomingMessage, socket: net.Socket): void {
+		// The server has removed its own listeners.
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		refusedConnections.refuse(socket, createSocketAnswer('malformed-request'));
+	}
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		if (closing.isClosing(request.socket)) {
--- a/src/entry/refused-connections.ts
+++ b/src/entry/refused-connections.ts
@@ -66,11 +66,19 @@
 			refused.add(socket);
 			host.closing.stopReading(socket);
 			const open = host.listOn(socket);
-			const isIncomplete = open.some(({request}) => !request.complete);
+			const complete = open.filter(({request}) => request.complete);
+			const isIncomplete = complete.length < open.length;
 			const isAnswerable = open.length === 1 && host.answersIncomplete && !open[0]!.response.headersSent;
 			if (isIncomplete && !isAnswerable) {
 				// The rest of its body can't be told from what follows.
-				socket.destroy();
+				if (complete.length === 0) {
+					socket.destroy();
+				} else {
+					afterResponses(socket, complete, () => {
+						host.closing.close(socket);
+					});
+				}
+
 				return;
 			}
 
--- a/src/gateway/bad-connections.ts
+++ b/src/gateway/bad-connections.ts
@@ -1,15 +1,17 @@
-/** Refuses connections of callers on which no request can be read: what arrives is malformed, or its head is late. */
+/** Refuses connections of callers on which no more requests can be handled: what arrives is malformed, its head is late, or there are too many. */
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type * as closingConnections from '../entry/closing-connections.ts';
 import type * as exchangesModule from '../entry/exchanges.ts';
 import * as refusedConnections from '../entry/refused-connections.ts';
-import type * as frontRefusals from './front-refusals.ts';
+import type * as call from '../entry/call.ts';
+import * as frontRefusals from './front-refusals.ts';
 
 /** Dependencies of the refusals. */
 export type BadConnectionsHost = {
 	readonly exchanges: Pick<exchangesModule.Exchanges, 'listOn'>;
 	readonly closing: closingConnections.ClosingConnections<net.Socket>;
+	readonly headers: frontRefusals.RefusalHeadersHost['headers'];
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	recordRefusal(reason: frontRefusals.FrontRefusal, id: string | undefined, statusCode: number): void;
@@ -17,6 +19,8 @@
 
 /** Refuses bad connections of a server. */
 export type BadConnections = {
+	/** Refuses a connection on which too many requests are not answered yet. Those that were read before are answered. */
+	refuseExcess(socket: net.Socket): void;
 	/** Sets the time after which a connection without any bytes is closed, in milliseconds. */
 	setIdleTimeout(milliseconds: number): void;
 };
@@ -29,6 +33,8 @@
 	[timeoutCode]: 408,
 };
 const malformedStatus = 400;
+/** Status for a method that asks for a tunnel. */
+const tunnelStatus = 501;
 /** Longest time of a timer. */
 const maximumTimerMilliseconds = 2_147_483_647;
 
@@ -68,17 +74,33 @@
 
 		refuse(socket, error.code === timeoutCode ? 'head-late' : 'malformed-request', clientErrorStatuses[error.code ?? ''] ?? malformedStatus);
 	});
+	server.on('connect', (_request: http.IncomingMessage, socket: net.Socket) => {
+		// The server has removed its own listeners.
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		refuse(socket, 'malformed-request', tunnelStatus);
+	});
 
-	function refuse(socket: net.Socket, reason: frontRefusals.FrontRefusal, statusCode: number): void {
+	function refuse(socket: net.Socket, reason: frontRefusals.FrontRefusal, statusCode: number, headers: call.HeaderPairs = []): void {
 		if (host.closing.isClosing(socket)) {
 			return;
 		}
 
 		host.recordRefusal(reason, undefined, statusCode);
-		refused.refuse(socket, `HTTP/1.1 ${statusCode} ${http.STATUS_CODES[statusCode] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		const lines = [
+			`HTTP/1.1 ${statusCode} ${http.STATUS_CODES[statusCode] ?? ''}`,
+			...headers.map(([name, value]) => `${name}: ${value}`),
+			'Connection: close',
+			'Content-Length: 0',
+		];
+		refused.refuse(socket, `${lines.join('\r\n')}\r\n\r\n`);
 	}
 
 	return {
+		refuseExcess(socket) {
+			refuse(socket, 'too-many-requests-on-connection', frontRefusals.unavailableStatus, host.headers.createRetryHeaders(frontRefusals.retryAfterMilliseconds));
+		},
 		setIdleTimeout(milliseconds) {
 			idleTimeoutMilliseconds = milliseconds;
 		},
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -7,7 +7,7 @@
 import type * as portLimits from './port-limits.ts';
 
 /** Why a connection ended although a request on it was not answered; `server` if the HTTP server closed it by itself. */
-export type CutReason = 'too-many-requests-on-connection' | 'response-not-taken' | 'stop-over' | 'server';
+export type CutReason = 'response-not-taken' | 'stop-over' | 'server';
 
 /** A connection that ended, although its caller had not left, with requests that were not answered. */
 export type CutConnection = {
--- a/src/gateway/front-refusals.ts
+++ b/src/gateway/front-refusals.ts
@@ -15,7 +15,7 @@
 };
 
 /** Time after which a refused caller should retry, in milliseconds. */
-const retryAfterMilliseconds = 300;
+export const retryAfterMilliseconds = 300;
 /** Time after which a caller should retry that another entry can serve at once, in milliseconds. */
 const retryElsewhereMilliseconds = 20;
 export const unavailableStatus = 503;
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -109,14 +109,13 @@
 			return;
 		}
 
-		const receivedAt = host.getNow();
-		const exchange = connections.beginExchange(request, response);
-		if (connections.countExchangesOn(request.socket) > maximumRequestsPerConnection) {
-			host.recordRefusal('too-many-requests-on-connection', undefined, 0);
-			connections.cut(request.socket, 'too-many-requests-on-connection');
+		if (connections.countExchangesOn(request.socket) >= maximumRequestsPerConnection) {
+			badConnections.refuseExcess(request.socket);
 			return;
 		}
 
+		const receivedAt = host.getNow();
+		const exchange = connections.beginExchange(request, response);
 		if (host.isLeaving() && connections.countExchangesOn(request.socket) > 1) {
 			// The response before it closes the connection, so no upstream should begin to work on it.
 			refuse(exchange, 'stopping', undefined);
