Deliver responses in the order of their requests, and let only the last one close the connection

Callers that send requests ahead got one answer of two or three: with a stop in progress, or in calm if the upstream's answer to an earlier one had no length. All of the requests had been passed on; those that aren't idempotent had run. Cause: whether a response closes its connection was decided when it was ready, without regard to the requests behind it, and Node.js ends the socket behind a response with Connection: close. Change: a response is written when those before it have been passed to the system. Only the last response of a connection closes it; one without a length of its own gets its length if requests were read behind it, and ends with the connection otherwise, as before.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -133,7 +133,7 @@
 		let execution: CallExecution | undefined;
 		const sink = createHttpSink(response, {
 			entryName: host.entryName,
-			isLeaving: host.isLeaving,
+			isLast: () => isLast(request.socket),
 			isEntryListStale: () => host.isEntryListStale(getSingleValue(request.headers[headerNames.entriesVersion])),
 		});
 		exchange.onEnd(end => {
@@ -199,6 +199,16 @@
 		});
 	}
 
+	/** Whether a response closes its connection: callers are told to use others, and no other request of the connection is in progress. */
+	function isLast(socket: net.Socket): boolean {
+		if (!host.isLeaving() || exchanges.countOn(socket) > 1) {
+			return false;
+		}
+
+		closing.stopReading(socket);
+		return true;
+	}
+
 	function createCall(request: http.IncomingMessage, classification: Classification, body: CallBody, receivedAt: number): Call {
 		const traceparent = request.headers[headerNames.traceparent];
 		const {timeoutMilliseconds, ...rest} = classification;
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -6,8 +6,8 @@
 /** Values of the headers that the sink adds to each answer. */
 export type HttpSinkOptions = {
 	readonly entryName: string;
-	/** Whether the entry is leaving, so that the connection closes after this answer. */
-	isLeaving(): boolean;
+	/** Whether the connection closes after this answer; called once, when the answer starts. */
+	isLast(): boolean;
 	/** Whether the caller should fetch the entry list again. */
 	isEntryListStale(): boolean;
 };
@@ -23,7 +23,7 @@
 				headerNames.entry,
 				options.entryName,
 				...(options.isEntryListStale() ? [headerNames.entries, 'refresh'] : []),
-				...(options.isLeaving() ? ['connection', 'close'] : []),
+				...(options.isLast() ? ['connection', 'close'] : []),
 			]);
 		},
 		write: chunk => response.write(chunk),
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -5,6 +5,7 @@
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
 import type * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
+import * as responseDelivery from '../decisions/outcomes/response-delivery.ts';
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as attempt from '../entry/attempt.ts';
@@ -21,6 +22,7 @@
 import {type ActiveConfiguration} from './platform-state.ts';
 import type * as portLimits from './port-limits.ts';
 import * as requestReception from './request-reception.ts';
+import * as responseOrder from './response-order.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Properties of a request that are determined before its body is received. */
@@ -102,6 +104,7 @@
 	});
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
 	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
+	const order = responseOrder.createResponseOrder(connections.exchanges);
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		if (connections.closing.isClosing(request.socket)) {
@@ -116,12 +119,6 @@
 
 		const receivedAt = host.getNow();
 		const exchange = connections.beginExchange(request, response);
-		if (host.isLeaving() && connections.countExchangesOn(request.socket) > 1) {
-			// The response before it closes the connection, so no upstream should begin to work on it.
-			refuse(exchange, 'stopping', undefined);
-			return;
-		}
-
 		const metadata = host.headers.readRequest(request.headers);
 		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
@@ -282,7 +279,7 @@
 			body,
 		}, {
 			respond(gatewayResponse) {
-				writeResponse(exchange, gatewayResponse);
+				respond(exchange, gatewayResponse);
 			},
 		});
 		exchange.onEnd(end => {
@@ -301,7 +298,7 @@
 			exchange.request.resume();
 		}
 
-		writeResponse(exchange, {
+		respond(exchange, {
 			statusCode,
 			headers: frontRefusals.createRefusalHeaders(host, reason),
 			body: new Uint8Array(),
@@ -310,16 +307,35 @@
 		});
 	}
 
+	function respond(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
+		claimResponse(exchange, gatewayResponse.body.length);
+		order.deliver(exchange, () => {
+			if (!host.isLeaving()) {
+				writeResponse(exchange, gatewayResponse);
+				return;
+			}
+
+			// Requests that arrived together with this one are read first, since the last response closes the connection.
+			setImmediate(() => {
+				writeResponse(exchange, gatewayResponse);
+			});
+		});
+	}
+
 	function writeResponse(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
 		const {request, response} = exchange;
 		if (response.destroyed || exchange.hasEnded()) {
 			return;
 		}
 
-		// A request without a body isn't marked as complete yet when it is refused at once.
-		const isPartlyUnread = hasBody(request) && !request.complete;
-		const isClosing = host.isLeaving() || isPartlyUnread || !gatewayResponse.hasOwnEnd;
-		if (isClosing) {
+		const {end, closesConnection} = responseDelivery.decideDelivery({
+			isFollowed: connections.countExchangesOn(request.socket) > 1,
+			// A request without a body isn't marked as complete yet when it is refused at once.
+			isRequestUnread: hasBody(request) && !request.complete,
+			isLeaving: host.isLeaving(),
+			hasOwnEnd: gatewayResponse.hasOwnEnd,
+		});
+		if (closesConnection) {
 			connections.closing.stopReading(request.socket);
 		}
 
@@ -330,10 +346,9 @@
 		response.useChunkedEncodingByDefault = isBodyless;
 		response.writeHead(gatewayResponse.statusCode, [
 			...headers,
-			...(isBodyless || !gatewayResponse.hasOwnEnd ? [] : ['content-length', String(gatewayResponse.body.length)]),
-			...(isClosing ? ['connection', 'close'] : []),
+			...(isBodyless || end === 'connection' ? [] : ['content-length', String(gatewayResponse.body.length)]),
+			...(closesConnection ? ['connection', 'close'] : []),
 		]);
-		claimResponse(exchange, gatewayResponse.body.length);
 		response.end(gatewayResponse.body);
 	}
 
