Read what has arrived before an idle connection is closed

Callers lost requests that were sent in time to a process that was late: one that was busy past the idle timeout, or stood still past the notice of its stop, closed connections as idle whose requests were in the socket. Cause: timers run before sockets are read, and bytesRead counts only what was read. Change: an idle connection is closed in the turn of the event loop after the one in which it was found idle, and only if nothing was read from it meanwhile, both at the idle timeout and at a stop.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -1,6 +1,7 @@
 /** Tracks the connections of callers, so that a stop closes those that are idle and no others. */
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as callerReading from '../entry/caller-reading.ts';
 import * as closingConnections from '../entry/closing-connections.ts';
 import * as exchangesModule from '../entry/exchanges.ts';
@@ -42,8 +43,8 @@
 	countExchanges(): number;
 	/** Number of exchanges on one connection that have not ended. */
 	countExchangesOn(socket: net.Socket): number;
-	/** Accepts no more connections, and closes each connection once it has no request. */
-	stop(): void;
+	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
+	stop(): Promise<void>;
 	/** Resets the connections that still have requests, so that a response that ends with its connection isn't taken for complete. */
 	reset(): void;
 };
@@ -66,6 +67,7 @@
 	const closing = closingConnections.closeInSteps(server);
 	let isStopping = false;
 
+	server.on('timeout', closeIfUnused);
 	server.on('connection', (socket: net.Socket) => {
 		const state: ConnectionState = {receivedBytes: 0, cutReason: 'server', hasCallerLeft: false};
 		connections.set(socket, state);
@@ -97,11 +99,14 @@
 		socket.resetAndDestroy();
 	}
 
-	function closeIfIdle(socket: net.Socket, state: ConnectionState): void {
-		// A connection that has received part of a request is kept.
-		if (isStopping && exchanges.countOn(socket) === 0 && socket.bytesRead === state.receivedBytes) {
-			closing.close(socket);
-		}
+	/** Closes a connection without a request, unless something arrives in the present turn of the event loop: a process that is late finds a timer due and the next request unread. */
+	function closeIfUnused(socket: net.Socket): void {
+		const {bytesRead} = socket;
+		setImmediate(() => {
+			if (exchanges.countOn(socket) === 0 && socket.bytesRead === bytesRead) {
+				closing.close(socket);
+			}
+		});
 	}
 
 	return {
@@ -124,7 +129,9 @@
 
 				state.receivedBytes = socket.bytesRead;
 				port.endUse(socket);
-				closeIfIdle(socket, state);
+				if (isStopping) {
+					closeIfUnused(socket);
+				}
 			});
 			return exchange;
 		},
@@ -134,13 +141,18 @@
 		cut,
 		countExchanges: exchanges.count,
 		countExchangesOn: exchanges.countOn,
-		stop() {
+		async stop() {
 			isStopping = true;
 			// `http.Server.close` also closes connections whose responses were written, but not yet taken by the system.
 			net.Server.prototype.close.call(server);
-			for (const [socket, state] of connections) {
-				closeIfIdle(socket, state);
+			for (const [socket, {receivedBytes}] of connections) {
+				// A connection that has received part of a request is kept.
+				if (socket.bytesRead === receivedBytes) {
+					closeIfUnused(socket);
+				}
 			}
+
+			await timers.setImmediate();
 		},
 		reset() {
 			for (const socket of connections.keys()) {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -448,7 +448,7 @@
 			lifeCycle.send('notice-over');
 		}
 
-		frontServer.stop();
+		await frontServer.stop();
 		while ((frontServer.countOpen() > 0 || frontServer.countClosing() > 0) && getNow() < stopsAt) {
 			await timers.setTimeout(drainCheckIntervalMilliseconds);
 		}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -65,8 +65,8 @@
 	countOpen(): number;
 	/** Counts the connections that wait until they are read, because others are costly to read. */
 	countDeferred(): number;
-	/** Accepts no more connections, and closes each connection once it has no request. */
-	stop(): void;
+	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
+	stop(): Promise<void>;
 	/** Counts the connections that have been told the end, but are still open. */
 	countClosing(): number;
 	/** Resets the connections whose requests are not finished. */
