Finish the requests at work before an uncaught error ends the process

Callers lost all requests of a process when one of its parts threw an error that nothing caught. Cause: the process ended at once. Change: it stops as after SIGTERM, but without notice: it accepts no connection any more, tells the other entries, answers what it has taken within its grace period, and ends with code 1. A further error while it stops changes nothing, and a stop that fails ends the process. No such error is known on the gateway; this bounds what an unknown one costs.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -75,6 +75,8 @@
 	reload(settings: GatewaySettings): void;
 	/** Announces the stop, finishes the requests in flight, and stops. */
 	leave(): Promise<void>;
+	/** Stops without notice: accepts no new connections from now on, finishes the requests in flight, and stops. */
+	leaveAtOnce(): Promise<void>;
 };
 
 /** Time from the signal to stop until the gateway accepts no new connections, in milliseconds: the longest time for which callers keep an address. */
@@ -434,7 +436,7 @@
 		incarnation, address: settings.listen.callers, failureDomain: settings.failureDomain, startMilliseconds: Math.round(getNow()), staleMilliseconds,
 	});
 
-	async function leave(): Promise<void> {
+	async function leave(longestNoticeMilliseconds: number): Promise<void> {
 		if (!lifeCycle.send('leave')) {
 			return;
 		}
@@ -444,7 +446,7 @@
 		logger.info('gateway-leaving', {openRequests: frontServer.countOpen()});
 		sharing.announce();
 		if (lifeCycle.getState() === 'leaving') {
-			await timers.setTimeout(Math.min(noticeMilliseconds, settings.graceMilliseconds * noticeShare));
+			await timers.setTimeout(Math.min(longestNoticeMilliseconds, settings.graceMilliseconds * noticeShare));
 			lifeCycle.send('notice-over');
 		}
 
@@ -478,6 +480,7 @@
 			seeds = next.seeds;
 			logger.info('settings-reloaded', {seeds: seeds.length});
 		},
-		leave,
+		leave: async () => leave(noticeMilliseconds),
+		leaveAtOnce: async () => leave(0),
 	};
 }
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -66,8 +66,8 @@
 
 async function start(path: string, settings: GatewaySettings, localAddress: string | undefined): Promise<void> {
 	const logger = createLogger('info', {entry: settings.name}, writer);
-	handleUncaughtErrors(logger);
 	const signals = watchSignals(path, logger);
+	handleUncaughtErrors(logger, signals.stopAfterError);
 	const metrics = createGatewayMetrics();
 	const getNow = () => performance.now();
 	const gateway = await createGateway(settings, {
@@ -82,22 +82,49 @@
 	signals.handOver(gateway);
 }
 
+/** Stops and reloads a gateway when signals ask for it, and stops it after an error. */
+type Signals = {
+	handOver(gateway: Gateway): void;
+	/** Stops after an error that nothing has handled. The requests at work are answered first, as each runs apart from the part that failed. */
+	stopAfterError(): void;
+};
+
 /** Handles signals from now on; those that arrive before there is a gateway are handled as far as they concern one that is starting. */
-function watchSignals(path: string, logger: Logger): {handOver(gateway: Gateway): void} {
+function watchSignals(path: string, logger: Logger): Signals {
 	let gateway: Gateway | undefined;
 	let isReloadPending = false;
 	let isStopping = false;
+	let exitCode = 0;
 
-	function handleStop(): void {
-		// A second signal must neither end the process by default nor cut the stop short.
+	/** Stops once: a second signal must neither end the process by default nor cut the stop short. */
+	function stop(leave: (gateway: Gateway) => Promise<void>): void {
 		if (!isStopping) {
 			isStopping = true;
-			void leaveAndExit(gateway);
+			void leaveAndExit(leave);
 		}
 	}
 
-	process.on('SIGTERM', handleStop);
-	process.on('SIGINT', handleStop);
+	/** A gateway that is still starting has accepted nothing. */
+	async function leaveAndExit(leave: (gateway: Gateway) => Promise<void>): Promise<void> {
+		try {
+			if (gateway) {
+				await leave(gateway);
+			}
+		} catch (error) {
+			exitCode = 1;
+			logger.error('stop-failed', {reason: String(error)});
+		}
+
+		await writer.flush(flushTimeoutMilliseconds);
+		process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit
+	}
+
+	const handleSignal = () => {
+		stop(async running => running.leave());
+	};
+
+	process.on('SIGTERM', handleSignal);
+	process.on('SIGINT', handleSignal);
 	process.on('SIGHUP', () => {
 		if (gateway) {
 			reload(path, gateway, logger);
@@ -106,6 +133,10 @@
 		}
 	});
 	return {
+		stopAfterError() {
+			exitCode = 1;
+			stop(async running => running.leaveAtOnce());
+		},
 		handOver(started) {
 			gateway = started;
 			if (isReloadPending) {
@@ -125,8 +156,8 @@
 	gateway.reload(settings.value);
 }
 
-/** Logs uncaught errors of sessions with other entries and continues; any other uncaught error ends the process. */
-function handleUncaughtErrors(logger: Logger): void {
+/** Logs uncaught errors. Those of sessions with other entries change nothing else; any other one ends the process. */
+function handleUncaughtErrors(logger: Logger, stopAfterError: () => void): void {
 	process.on('uncaughtException', error => {
 		if (isPeerSessionError(error)) {
 			logger.warn('peer-session-failed', {reason: error.message});
@@ -134,17 +165,6 @@
 		}
 
 		logger.error('gateway-crashed', {reason: error.stack ?? error.message});
-		void flushAndExit(1);
+		stopAfterError();
 	});
 }
-
-/** Stops a gateway in order; one that is still starting has accepted nothing. */
-async function leaveAndExit(gateway: Gateway | undefined): Promise<void> {
-	await gateway?.leave();
-	await flushAndExit(0);
-}
-
-async function flushAndExit(code: number): Promise<void> {
-	await writer.flush(flushTimeoutMilliseconds);
-	process.exit(code); // eslint-disable-line unicorn/no-process-exit
-}
