Refuse requests that are held when a stop leaves no time for them

Callers lost requests that waited for an upstream when the grace period of a stop ended: their connections were reset, although nothing had run, so those that aren't idempotent couldn't be sent again. Cause: whether a request can be finished before the stop was decided only when it arrived. Change: it is decided again while the request is held and when an upstream was found for it; a request that hasn't been sent gets 503 with a short Retry-After.

--- a/src/decisions/outcomes/retry-decision.ts
+++ b/src/decisions/outcomes/retry-decision.ts
@@ -53,7 +53,7 @@
 }
 
 /** Reason why a request ends without an answer of an upstream. */
-export type GiveUpReason = 'time-over' | 'no-room' | 'not-accepting' | 'failed';
+export type GiveUpReason = 'time-over' | 'no-room' | 'not-accepting' | 'stopping' | 'failed';
 
 /** Gets the status code to return when no upstream answered: 503 only if the request was not executed and never will be. */
 export function getFailureStatus(history: AttemptHistory, reason: GiveUpReason): 502 | 503 | 504 {
--- a/src/gateway/call-log.ts
+++ b/src/gateway/call-log.ts
@@ -1,7 +1,7 @@
 /** Logs and measures the requests that have ended. */
 import type * as gatewayMetrics from '../observability/gateway-metrics.ts';
 import type * as loggerModule from '../observability/logger.ts';
-import type * as callRunner from './call-runner.ts';
+import type * as callReport from './call-report.ts';
 
 /** Dependencies of a call recorder. */
 export type CallRecorderHost = {
@@ -12,7 +12,7 @@
 };
 
 /** Creates a function that records the end of a request. */
-export function createCallRecorder({logger, metrics, getKnowledgeAge}: CallRecorderHost): (report: callRunner.CallReport) => void {
+export function createCallRecorder({logger, metrics, getKnowledgeAge}: CallRecorderHost): (report: callReport.CallReport) => void {
 	return ({request, statusCode, outcome, reason, attempts, heldMilliseconds, milliseconds, checks}) => {
 		const fields = {
 			id: request.id,
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -16,32 +16,10 @@
 import {
 	createGatewayAttempt, type AttemptRequest, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
 } from './gateway-attempt.ts';
+import type * as callReport from './call-report.ts';
 import {type GatewayResponse, type GatewayRequest} from './types.ts';
 import type * as upstreams from './upstreams.ts';
 
-/** Result of a request, for logs and metrics. */
-export type CallReport = {
-	readonly request: GatewayRequest;
-	readonly statusCode: number;
-	readonly outcome: 'answered' | 'refused' | 'failed' | 'cancelled';
-	readonly reason: string;
-	readonly attempts: readonly AttemptReport[];
-	/** Time for which the request was held before its first attempt, in milliseconds. */
-	readonly heldMilliseconds: number;
-	/** Time from the receipt of the request to its end. */
-	readonly milliseconds: number;
-	/** Number of load checks made for the request. */
-	readonly checks: number;
-};
-
-/** Result of one attempt at an upstream, for logs and metrics. */
-export type AttemptReport = {
-	readonly upstream: string;
-	readonly end: string;
-	readonly expectedMilliseconds: number;
-	readonly milliseconds: number;
-};
-
 /** Dependencies of all calls of an entry. */
 export type CallRunnerHost = GatewayAttemptHost & {
 	readonly selector: Selector;
@@ -51,7 +29,9 @@
 	countEntries(): number;
 	/** Observes what the end of an attempt shows about the connection to upstreams. */
 	observeAttempt(upstream: upstreams.Upstream, end: retryDecision.AttemptEnd): void;
-	onEnd(report: CallReport): void;
+	onEnd(report: callReport.CallReport): void;
+	/** Whether a request that is sent now can be finished before a planned stop of this entry. */
+	canFinish(request: GatewayRequest): boolean;
 	/** Tracks a call; the returned function is called once it holds nothing any more. */
 	beginCall(id: string, deadlineAt: number): () => void;
 };
@@ -75,7 +55,7 @@
 const maximumHoldShare = 0.4;
 /** Time after which a refused caller should retry, in multiples of the latency objective; peaks of demand last at least this long. */
 const retryAfterObjectives = 2;
-/** Time after which a caller should retry if the upstreams refused although they have capacity, in milliseconds; a few times the way to an upstream. */
+/** Time after which a caller should retry if the upstreams refused although they have capacity, or another entry can serve it, in milliseconds; a few times the way to an upstream. */
 const shortRetryAfterMilliseconds = 20;
 /** Status in reports of requests whose caller disconnected before the response. */
 const callerLeftStatus = 499;
@@ -84,7 +64,7 @@
 export function startCall(host: CallRunnerHost, request: GatewayRequest, target: ResponseTarget): RunningCall {
 	const {route, service} = request;
 	const refusedOn: AttemptRequest['refusedOn'] = new Set();
-	const attempts: AttemptReport[] = [];
+	const attempts: callReport.AttemptReport[] = [];
 	const tried = new Set<string>();
 	const running = new Set<GatewayAttempt>();
 	const endCall = host.beginCall(request.id, request.deadlineAt);
@@ -108,6 +88,9 @@
 		kind: route.kind, possibleExecutions: mayHaveRunOn, plannedExecutions: countPlanned(), maximumAttempts: route.maximumAttempts,
 	});
 
+	/** Whether the request may be sent; one that has been sent before has nothing to lose by another attempt. */
+	const mayStart = () => mayHaveRunOn > 0 || host.canFinish(request);
+
 	function selectUpstream(): void {
 		const objectiveEndsAt = request.receivedAt + route.objectiveMilliseconds;
 		const holdUntil = Math.min(objectiveEndsAt, request.receivedAt + (maximumHoldShare * (request.deadlineAt - request.receivedAt)));
@@ -125,6 +108,7 @@
 			// Another entry would ask for the key, which isn't passed on.
 			mayRelay: !request.isRelayed && request.workspace === undefined,
 			objectiveEndsAt,
+			mayStart,
 			expiresAt: Math.min(request.deadlineAt, Math.max(holdUntil, host.getNow() + minimumRetryHoldMilliseconds)),
 		}, selection => {
 			isSelected = true;
@@ -140,13 +124,22 @@
 	function handleSelection(selection: Selection): void {
 		switch (selection.kind) {
 			case 'selected': {
-				send(selection);
+				if (mayStart()) {
+					send(selection);
+					break;
+				}
+
+				if (selection.connection) {
+					selection.upstream.pool.release(selection.connection);
+				}
+
+				giveUp('stopping');
 				break;
 			}
 
 			case 'no-room': {
 				if (running.size === 0) {
-					giveUp('no-room');
+					giveUp(mayStart() ? 'no-room' : 'stopping');
 				}
 
 				break;
@@ -319,10 +312,10 @@
 
 	/** Time after which a refused caller should retry, in milliseconds; short if the upstreams refused although they have capacity. */
 	function getRetryAfterMilliseconds(reason: retryDecision.GiveUpReason): number {
-		return reason === 'failed' && !host.selector.hasHeldRequests(service) ? shortRetryAfterMilliseconds : route.objectiveMilliseconds * retryAfterObjectives;
+		return reason === 'stopping' || (reason === 'failed' && !host.selector.hasHeldRequests(service)) ? shortRetryAfterMilliseconds : route.objectiveMilliseconds * retryAfterObjectives;
 	}
 
-	function finish(response: GatewayResponse, outcome: CallReport['outcome'], reason: string): void {
+	function finish(response: GatewayResponse, outcome: callReport.CallReport['outcome'], reason: string): void {
 		stop();
 		target.respond(response);
 		report(response.statusCode, outcome, reason);
@@ -348,7 +341,7 @@
 		}
 	}
 
-	function report(statusCode: number, outcome: CallReport['outcome'], reason: string): void {
+	function report(statusCode: number, outcome: callReport.CallReport['outcome'], reason: string): void {
 		const now = host.getNow();
 		host.onEnd({
 			request, statusCode, outcome, reason, attempts, heldMilliseconds: Math.round((firstSentAt ?? now) - request.receivedAt), milliseconds: Math.round(now - request.receivedAt), checks,
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -41,7 +41,7 @@
 import {type GatewaySettings} from './settings.ts';
 import {createSharingLoop} from './sharing-loop.ts';
 import {createStoreReader} from './store-reader.ts';
-import {type HeaderHost, type StoreHost} from './types.ts';
+import {type GatewayRequest, type HeaderHost, type StoreHost} from './types.ts';
 import * as statementRecorder from './statement-recorder.ts';
 import {createUpstreams} from './upstreams.ts';
 
@@ -313,12 +313,15 @@
 		},
 	});
 	const runningCalls = runningCallsModule.createRunningCalls({logger, getNow});
+	const canFinish = ({deadlineAt, route}: Pick<GatewayRequest, 'deadlineAt' | 'route'>) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: learner.getRouteMilliseconds(route.name)}, getNow());
+	const learner = createWorkEstimator();
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
 		memory,
 		recordStatements: recorder.recordResponse,
-		learner: createWorkEstimator(),
+		learner,
+		canFinish,
 		budget: createFleetRetryBudget(settings.retries, getNow()),
 		countEntries: size.count,
 		observeAttempt: reachability.recordAttempt,
@@ -335,8 +338,8 @@
 		getActiveConfiguration: platformState.getActiveConfiguration,
 		isStale: () => platformState.getAge(getNow()) > staleRouteMilliseconds,
 		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
-		canFinish: ({deadlineAt, route}) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: callRunnerHost.learner.getRouteMilliseconds(route.name)}, getNow()),
-		getExpectedMilliseconds: ({route}) => callRunnerHost.learner.getRouteMilliseconds(route.name),
+		canFinish,
+		getExpectedMilliseconds: ({route}) => learner.getRouteMilliseconds(route.name),
 		getNow,
 		admit: (workspace, listener) => allowances.admit(workspace, admission => {
 			if (admission !== 'admitted') {
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -80,6 +80,7 @@
 		mayRelay: true,
 		objectiveEndsAt: now + 400,
 		expiresAt: now + 400,
+		mayStart: () => true,
 	};
 }
 
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -56,6 +56,8 @@
 	readonly objectiveEndsAt: number;
 	/** Time at which the request is given up if no upstream has capacity. */
 	readonly expiresAt: number;
+	/** Whether the request may still be sent to an upstream; one that is held is given up otherwise. */
+	mayStart(): boolean;
 };
 
 /** Dependencies of a selector. */
@@ -273,7 +275,7 @@
 		const now = host.getNow();
 		for (const [service, held] of heldByService) {
 			for (const pending of held) {
-				if (now >= pending.expiresAt) {
+				if (now >= pending.expiresAt || !pending.request.mayStart()) {
 					finish(pending, {kind: 'no-room', checks: pending.checks});
 				}
 			}
--- a/test/kept-connections.test.ts
+++ b/test/kept-connections.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
+import * as platformUpstream from '../stand-ins/platform-upstream.ts';
 import * as gatewayProcess from './support/gateway-process.ts';
 import * as gateways from './support/gateways.ts';
 import * as rawCaller from './support/raw-caller.ts';
@@ -235,3 +236,34 @@
 	expect(await gateway.exited).toEqual({code: 1});
 	expect(gateway.hasLogged('gateway-crashed')).toBe(true);
 });
+
+// Guards against a request that waits for an upstream during a stop and is cut at its end, although nothing has run.
+test('a request that no upstream has taken is refused when a stop leaves no time for it', async () => {
+	const configuration = gateways.createConfiguration(5);
+	standIns.store.put('keyed.op', 'config', {
+		...configuration, listeners: configuration.listeners.map(listener => ({...listener, rules: listener.rules.map(rule => ({...rule, targetLatencyMs: 9000, action: {...rule.action, timeoutMs: 20_000}}))})),
+	});
+	const upstream = await platformUpstream.startPlatformUpstream('i-2', 1);
+	gatewayProcess.addCleanup(upstream.close);
+	upstream.setBehavior({kind: 'answer', milliseconds: 5000});
+	standIns.store.put('keyed.servers', 'i-1', undefined);
+	gateways.register(standIns.store, upstream, {slots: 1});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	const send = (id: string) => {
+		const caller = rawCaller.connect(gateway.front);
+		caller.socket.write(rawCaller.createRequest(id, {
+			path: '/credit/1', method: 'POST', body: 'x', deadlineMilliseconds: 20_000,
+		}));
+		return caller;
+	};
+
+	send('running');
+	await gateways.waitUntil(() => upstream.executedRequestIds.length === 1);
+	const held = send('held');
+	await timers.setTimeout(200);
+	gateway.signal('SIGTERM');
+	await held.closed;
+	expect(held.listStatuses()).toEqual([503]);
+	expect(upstream.executedRequestIds).toEqual(['running']);
+	expect(await gateway.exited).toEqual({code: 0});
+});
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -30,6 +30,7 @@
 		observeAttempt: () => undefined,
 		getNow: hostileUpstream.getNow,
 		onEnd: () => undefined,
+		canFinish: () => true,
 		beginCall: () => () => undefined,
 	}, request, {respond});
 }
