--- a/scripts/reference.ts
+++ b/scripts/reference.ts
@@ -44,7 +44,7 @@
 	'| time to receive a body | until the deadline of the request or the time limit of its route | 408, not run | the request could not be served any more |',
 	'| pause within a body | the idle timeout of the configuration | 408, not run | the configuration allows no longer pause between two requests |',
 	'| bodies in chunks of less than 64 bytes on average, after 4,096 chunks | one in any second | 503, not run | one alone is always received |',
-	'| requests on one connection that are not answered | 256 | the connection is closed | callers send a few ahead |',
+	'| requests on one connection that are not answered | 256 | 503 behind the answers of the others, then the connection closes | callers send a few ahead |',
 	'| requests of one connection that run at the same time | 8 | those behind wait until one has ended, at most for a quarter of their time | their responses go out in order |',
 	'| message of another entry | 128 KiB | the message is rejected | other entries send less than half |',
 ];
