Decide what a status is, and take no answer without one

An upstream in trouble may answer with a status that is none. 000, 099 and 101 were stopped only by an assertion of the client library; 600 and 999 reached callers as answers, and 600 with Not-Executed counted as proof that a non-idempotent request had not run: it was sent nine times.

Cause: nothing of ours decided what a status is. The client's parser takes any three digits.

status-code.ts decides it, and attempt.ts, which all exchanges with upstreams share, ends the attempt as broken before the client parses on. Nothing that comes with such a status counts, Not-Executed included.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -1,6 +1,9 @@
 /** Sends a call to an upstream on one connection and reports the progress of the attempt. */
 import type * as http from 'node:http';
 import type * as undici from 'undici';
+import {assertNever} from '../decisions/assert-never.ts';
+import * as statusCodes from '../decisions/outcomes/status-code.ts';
+import * as attemptError from './attempt-error.ts';
 import {type CallBody} from './call.ts';
 import type * as connectionPool from './connection-pool.ts';
 
@@ -35,9 +38,6 @@
 	resume(): void;
 };
 
-/** Lower status codes belong to informational responses, which precede the final one and are ignored. */
-const firstFinalStatusCode = 200;
-
 const headMethod = 'HEAD';
 const statusCodesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
@@ -69,16 +69,35 @@
 				listener.onSent();
 			}
 		},
-		onResponseStart(_controller, statusCode, headers) {
+		onResponseStart(responseController, statusCode, headers) {
 			if (isFinished) {
 				return;
 			}
 
-			if (statusCode < firstFinalStatusCode) {
-				listener.onInterim?.();
-			} else {
-				isDelimited = isAnswerDelimited(request.method, statusCode, headers);
-				listener.onHead(statusCode, headers);
+			const kind = statusCodes.classifyStatus(statusCode);
+			switch (kind) {
+				case 'invalid': {
+					// Aborting here keeps the client from parsing on, which ends in an assertion for some of these.
+					const error = new attemptError.InvalidStatusError(statusCode);
+					responseController.abort(error);
+					fail(error);
+					break;
+				}
+
+				case 'interim': {
+					listener.onInterim?.();
+					break;
+				}
+
+				case 'final': {
+					isDelimited = isAnswerDelimited(request.method, statusCode, headers);
+					listener.onHead(statusCode, headers);
+					break;
+				}
+
+				default: {
+					assertNever(kind);
+				}
 			}
 		},
 		onResponseData(_controller, chunk) {
--- a/src/entry/service-runner.test.ts
+++ b/src/entry/service-runner.test.ts
@@ -188,3 +188,21 @@
 	expect(await execute(addresses, createCall(true), 50)).toMatchObject({statusCode: 200, body: 'ok', isComplete: true});
 	expect(await execute(addresses, createCall(false, 300), 50)).toMatchObject({statusCode: 504, outcome: 'unknown'});
 });
+
+const oddHeads = ['000 Odd', '099 Odd', '600 Odd', '999 Odd', '0 Odd', '-01 Odd', '1000 Odd', '101 Switching Protocols', '101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other'];
+
+// Guards against callers that get such a status, and against a second run of a call whose refusal comes with it.
+test.each(oddHeads.flatMap(head => [head, `${head}\r\nfescuering-outcome: not-run`]))('takes %j for a failure that proves nothing about its call', async head => {
+	let received = 0;
+	const oddUpstream = await startServer((_request, response) => {
+		received++;
+		response.socket!.write(`HTTP/1.1 ${head}\r\ncontent-length: 2\r\n\r\nok`);
+	});
+	const answeringUpstream = await startServer((_request, response) => {
+		response.end('ok');
+	});
+	expect(await execute([oddUpstream], createCall(false))).toMatchObject({statusCode: 502, outcome: 'unknown'});
+	expect(received).toBe(1);
+	expect(await execute([oddUpstream, answeringUpstream], createCall(true))).toMatchObject({statusCode: 200, body: 'ok', isComplete: true});
+	expect(received).toBe(2);
+});
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -5,6 +5,7 @@
 import * as responseProgress from '../decisions/outcomes/response-progress.ts';
 import {type AttemptEnd} from '../decisions/outcomes/retry-decision.ts';
 import * as attempt from '../entry/attempt.ts';
+import * as attemptError from '../entry/attempt-error.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {type SelectedUpstream} from './selection.ts';
 import type * as statementRecorder from './statement-recorder.ts';
@@ -169,7 +170,7 @@
 			},
 			onFailed(error) {
 				pool.discard(connection);
-				finish(isSent ? {kind: 'broken', reason: describeError(error)} : {kind: 'not-sent', reason: 'unreachable'});
+				finish(isSent ? {kind: 'broken', reason: attemptError.getFailureReason(error)} : {kind: 'not-sent', reason: 'unreachable'});
 			},
 		});
 	}
@@ -260,7 +261,3 @@
 		},
 	};
 }
-
-function describeError(error: Error): string {
-	return 'code' in error ? String(error.code) : error.message;
-}
--- a/test/support/gateways.ts
+++ b/test/support/gateways.ts
@@ -34,7 +34,7 @@
 }
 
 /** Publishes the registration of an upstream. */
-export function register(store: storeStandIn.StoreStandIn, upstream: platformUpstream.PlatformUpstream, changes: Readonly<Record<string, unknown>> = {}): void {
+export function register(store: storeStandIn.StoreStandIn, upstream: Pick<platformUpstream.PlatformUpstream, 'id' | 'address'>, changes: Readonly<Record<string, unknown>> = {}): void {
 	store.put('keyed.servers', upstream.id, {
 		service: 'desk', addr: upstream.address, zone: 'riverside', version: 'v1', slots: 4, state: 'ready', coldLeftMs: 0, seq: 1, born: 1000, ...changes,
 	});
