Send a long call again where all its upstreams were tried

Cause: a call that was tried elsewhere is sent to another upstream, unless all usable ones were tried. A long call may use only those where this entry has slots for long work, so once these were tried it waited until its deadline, ended as deadline-unreachable, and held up the calls behind it in its lane. Change: for a long call only upstreams with own slots for long work count as untried.

--- a/src/decisions/routing/product-scheduler.ts
+++ b/src/decisions/routing/product-scheduler.ts
@@ -102,15 +102,17 @@
 		return !call.triedUpstreams.includes(upstream.name);
 	}
 
-	/** Whether the call has been tried at every upstream that accepts calls. */
-	function hasTriedAllUsable(call: WaitingCall): boolean {
-		return call.triedUpstreams.length > 0 && pool.usable.values().every(upstream => !isUntried(call, upstream));
+	/** Whether the call has been tried at every upstream that it may use: a short call may use all that accept calls, a long call only own slots for long work. */
+	function hasTriedAllUsable({call, isLong}: QueuedCall): boolean {
+		return call.triedUpstreams.length > 0
+			&& pool.usable.values().every(upstream => !isUntried(call, upstream) || (isLong && upstream.share.longSlots === 0));
 	}
 
 	/** Chooses, among a few random upstreams with a free own slot, the one with the most free slots by estimate and no overdue call. */
-	function chooseOwnSlot(candidates: typeof pool.withFreeSlot, call: WaitingCall, now: number): PoolUpstream | undefined {
+	function chooseOwnSlot(candidates: typeof pool.withFreeSlot, queued: QueuedCall, now: number): PoolUpstream | undefined {
+		const {call} = queued;
 		const typicalMilliseconds = durations.getTypicalShortMilliseconds();
-		const mayRepeat = hasTriedAllUsable(call);
+		const mayRepeat = hasTriedAllUsable(queued);
 		let best: PoolUpstream | undefined;
 		let mostFreeSlots = Number.NEGATIVE_INFINITY;
 		for (let draw = 0; draw < ownSlotDraws; draw++) {
@@ -186,7 +188,7 @@
 
 	/** Chooses the upstream for a short call: one with a free own slot, then by recent reports, then by estimate after the borrow delay. */
 	function chooseForShort(queued: QueuedCall, now: number): PoolUpstream | undefined {
-		const own = chooseOwnSlot(pool.withFreeSlot, queued.call, now);
+		const own = chooseOwnSlot(pool.withFreeSlot, queued, now);
 		if (own) {
 			return own;
 		}
@@ -215,7 +217,7 @@
 				continue;
 			}
 
-			const upstream = queued.isLong ? chooseOwnSlot(pool.withFreeLongSlot, queued.call, now) : chooseForShort(queued, now);
+			const upstream = queued.isLong ? chooseOwnSlot(pool.withFreeLongSlot, queued, now) : chooseForShort(queued, now);
 			if (!upstream) {
 				return;
 			}
