Classify operations by a quantile, not by their mean

Cause: an operation counted as long when the mean of its durations exceeded four times the 0.3 quantile of all. For random durations the two lie a factor of 2.8 apart, so a few answers that a pause of the process delayed turned a short operation into long work: its calls queued for the few slots of long work and were refused as deadline-unreachable. Change: the same quantile is estimated for each operation and compared.

--- a/src/decisions/routing/duration-estimator.test.ts
+++ b/src/decisions/routing/duration-estimator.test.ts
@@ -1,5 +1,6 @@
 import * as fastCheck from 'fast-check';
 import * as vitest from 'vitest';
+import {createRandomSource} from '../random.ts';
 import {operationRowSchema} from '../table/rows.ts';
 import {createDurationEstimator} from './duration-estimator.ts';
 
@@ -48,3 +49,16 @@
 	expect(estimator.isLong(long, 130)).toBe(false);
 	expect(estimator.isLong(long, 141)).toBe(true);
 });
+
+// Guards against short calls that are refused or wait in the queue of long work after the process stood still.
+test('an operation with random durations stays short although pauses of the process delay some of its answers', () => {
+	fastCheck.assert(fastCheck.property(fastCheck.integer(), fastCheck.integer({min: 50, max: 300}), (streamSeed, pauseMilliseconds) => {
+		const random = createRandomSource(streamSeed);
+		const estimator = createDurationEstimator();
+		for (let index = 0; index < 1000; index++) {
+			const isPaused = index % 50 < 5;
+			estimator.recordDuration(short, (isPaused ? pauseMilliseconds : 0) - (4 * Math.log(1 - random.nextFraction())), index);
+			expect(estimator.isLong(short, index)).toBe(false);
+		}
+	}), {seed});
+});
--- a/src/decisions/routing/duration-estimator.ts
+++ b/src/decisions/routing/duration-estimator.ts
@@ -5,11 +5,14 @@
 const sampleWeight = 0.1;
 /** Duration assumed before the first answer, in milliseconds. */
 const initialMilliseconds = 20;
-/** An operation is long when its mean duration exceeds the typical short duration by this factor. */
+/** An operation is long when its lower quantile exceeds the typical short duration by this factor. */
 const longFactor = 4;
-/** The typical short duration is this quantile of the durations of all calls whose operation the table doesn't declare long. */
-const shortQuantile = 0.3;
-/** Smallest relative step of the quantile estimate per sample; the first samples use larger steps. */
+/**
+Quantile that is estimated of each operation and, as the typical short duration, of all calls whose operation the table
+doesn't declare long. Unlike a mean, it hardly changes when a few calls take very long.
+*/
+const lowerQuantile = 0.3;
+/** Smallest relative step of the quantile estimates per sample; the first samples use larger steps. */
 const quantileStep = 0.1;
 /** Number of answers after which the mean duration of an operation is reliable. */
 const minimumSamples = 3;
@@ -17,6 +20,7 @@
 /** Observed durations of one operation. */
 type OperationStatistics = {
 	meanMilliseconds: number;
+	lowerMilliseconds: number;
 	samples: number;
 	/** Time at which the first call was dispatched. */
 	readonly startedAt: number;
@@ -50,24 +54,13 @@
 			return existing;
 		}
 
-		const statistics = {meanMilliseconds: 0, samples: 0, startedAt: now};
+		const statistics = {
+			meanMilliseconds: 0, lowerMilliseconds: 0, samples: 0, startedAt: now,
+		};
 		operations.set(operation.operation, statistics);
 		return statistics;
 	}
 
-	/** Moves the quantile estimate up or down; it is stationary where the share `shortQuantile` of the samples lies below it. */
-	function updateShortQuantile(milliseconds: number): void {
-		samples += 1;
-		if (samples === 1) {
-			shortMilliseconds = milliseconds;
-			return;
-		}
-
-		const stepShare = Math.max(quantileStep, 1 / samples);
-		const relativeChange = milliseconds > shortMilliseconds ? stepShare * shortQuantile : -stepShare * (1 - shortQuantile);
-		shortMilliseconds *= 1 + relativeChange;
-	}
-
 	return {
 		recordStart(operation, now) {
 			getOrCreateStatistics(operation, now);
@@ -76,8 +69,10 @@
 			const statistics = getOrCreateStatistics(operation, now);
 			statistics.samples += 1;
 			statistics.meanMilliseconds += (milliseconds - statistics.meanMilliseconds) * Math.max(sampleWeight, 1 / statistics.samples);
+			statistics.lowerMilliseconds = updateLowerQuantile(statistics.lowerMilliseconds, milliseconds, statistics.samples);
 			if (operation.duration !== 'long') {
-				updateShortQuantile(milliseconds);
+				samples += 1;
+				shortMilliseconds = updateLowerQuantile(shortMilliseconds, milliseconds, samples);
 			}
 		},
 		getTypicalMilliseconds(operation) {
@@ -95,9 +90,19 @@
 				return false;
 			}
 
-			const duration = statistics.samples > 0 ? statistics.meanMilliseconds : now - statistics.startedAt;
+			const duration = statistics.samples > 0 ? statistics.lowerMilliseconds : now - statistics.startedAt;
 			return duration > longFactor * shortMilliseconds;
 		},
 		hasEnoughSamples: operation => (operations.get(operation.operation)?.samples ?? 0) >= minimumSamples,
 	};
 }
+
+/** Moves an estimate up or down by the latest of the given number of samples; it is stationary where the share `lowerQuantile` of the samples lies below it. */
+function updateLowerQuantile(estimate: number, sample: number, samples: number): number {
+	if (samples === 1) {
+		return sample;
+	}
+
+	const stepShare = Math.max(quantileStep, 1 / samples);
+	return estimate * (1 + (sample > estimate ? stepShare * lowerQuantile : -stepShare * (1 - lowerQuantile)));
+}
