Fill up windows with few departures by assumed ones

Cause: a window over which the rate of departures is measured lasts at most 2 s, so a queue of slow work sees two or three departures in it, or by chance none; the rate then fell to its floor and calls were refused. Change: a quarter of the departures that a window lacks of its 16 is counted at the assumed rate.

--- a/src/decisions/admission/admission-control.test.ts
+++ b/src/decisions/admission/admission-control.test.ts
@@ -81,6 +81,27 @@
 	}), {seed});
 });
 
+// Guards against refusals on the grounds of a rate that was measured over two or three departures.
+test('a window with few departures due does not lower the estimated rate by half', () => {
+	const meanMilliseconds = 1000;
+	const stepMilliseconds = 10;
+	fastCheck.assert(fastCheck.property(fastCheck.integer(), streamSeed => {
+		const random = createRandomSource(streamSeed);
+		const admission = createAdmissionControl(waitShare, () => 1 / meanMilliseconds);
+		let longestWait = 0;
+		admission.recordWaiting(true, 0);
+		for (let now = 0; now < 20_000; now += stepMilliseconds) {
+			if (random.nextFraction() < stepMilliseconds / meanMilliseconds) {
+				admission.recordDeparture(now);
+			}
+
+			longestWait = Math.max(longestWait, admission.estimateWait(1, now));
+		}
+
+		expect(longestWait).toBeLessThan(2 * meanMilliseconds);
+	}), {seed});
+});
+
 test('a queue with a departure rate of zero admits only a call with no calls ahead', () => {
 	const admission = createAdmissionControl(waitShare, () => 0);
 	expect(admission.canMeetDeadline(0, 10, 1000, 0)).toBe(true);
--- a/src/decisions/admission/admission-control.ts
+++ b/src/decisions/admission/admission-control.ts
@@ -10,6 +10,8 @@
 const longestWindowMilliseconds = 2000;
 /** Number of departures that a window is sized for; with fewer, random variation dominates the measured rate. */
 const targetDeparturesPerWindow = 16;
+/** Number of departures at the assumed rate that take the place of each departure that a window lacks. */
+const assumedDepartureShare = 0.25;
 /** Weight of the newest window in the moving average of the rate. */
 const newestWindowWeight = 0.4;
 const millisecondsPerSecond = 1000;
@@ -61,7 +63,9 @@
 			return;
 		}
 
-		const sample = departures / waitedMilliseconds;
+		const assumedDepartures = assumedDepartureShare * Math.max(0, targetDeparturesPerWindow - departures);
+		const assumedMilliseconds = assumedDepartures === 0 ? 0 : assumedDepartures / getAssumedRate();
+		const sample = (departures + assumedDepartures) / (waitedMilliseconds + assumedMilliseconds);
 		rate = (sample * newestWindowWeight) + ((rate ?? sample) * (1 - newestWindowWeight));
 		waitedMilliseconds = 0;
 		departures = 0;
