--- a/src/decisions/admission/admission-control.ts
+++ b/src/decisions/admission/admission-control.ts
@@ -1,7 +1,8 @@
 /**
 Admission control: admits a call only when it can probably be answered before its deadline.
 
-The wait is estimated from the number of calls ahead and the recent rate at which calls left the queue.
+The wait is estimated from the number of calls ahead and the recent rate at which calls left the queue. Only time during
+which calls wait counts for the rate, because without waiting calls it measures the arrivals.
 */
 
 /** Bounds of the window over which the departure rate is measured, in milliseconds. */
@@ -9,12 +10,16 @@
 const longestWindowMilliseconds = 2000;
 /** Number of departures that a window is sized for; with fewer, random variation dominates the measured rate. */
 const targetDeparturesPerWindow = 16;
+/** Number of departures at the assumed rate that take the place of each departure that a window lacks. */
+const assumedDepartureShare = 0.25;
 /** Weight of the newest window in the moving average of the rate. */
 const newestWindowWeight = 0.4;
 const millisecondsPerSecond = 1000;
 
 /** Estimates the wait in one queue and decides whether a call can meet its deadline. */
 export type AdmissionControl = {
+	/** Records whether calls wait in the queue from now on. */
+	recordWaiting(isWaiting: boolean, now: number): void;
 	/** Records that a call left the queue for an upstream. */
 	recordDeparture(now: number): void;
 	/** Estimates the wait behind the given number of calls, in milliseconds. */
@@ -30,7 +35,10 @@
 use up to `waitShare` of the time left before the deadline; the rest allows for the error of the estimate.
 */
 export function createAdmissionControl(waitShare: number, getAssumedRate: () => number): AdmissionControl {
-	let windowStartedAt = Number.NEGATIVE_INFINITY;
+	let isWaiting = false;
+	let updatedAt = Number.NEGATIVE_INFINITY;
+	/** Time during which calls waited, and departures during that time, since the last measurement. */
+	let waitedMilliseconds = 0;
 	let departures = 0;
 	let rate: number | undefined;
 
@@ -39,17 +47,27 @@
 	}
 
 	function updateRate(now: number): void {
-		const ageMilliseconds = now - windowStartedAt;
+		const elapsedMilliseconds = now - updatedAt;
 		const windowMilliseconds = getWindowMilliseconds();
-		if (ageMilliseconds < windowMilliseconds) {
+		updatedAt = now;
+		// A long gap means that the queue was idle or the process stood still; the earlier measurement then no longer applies.
+		if (elapsedMilliseconds >= 4 * windowMilliseconds) {
+			rate = undefined;
+			waitedMilliseconds = 0;
+			departures = 0;
 			return;
 		}
 
-		// The queue was idle when the window lasted much longer than planned; the measured rate is then discarded.
-		const isRecent = ageMilliseconds < 4 * windowMilliseconds;
-		const sample = departures / ageMilliseconds;
-		rate = isRecent ? (sample * newestWindowWeight) + ((rate ?? sample) * (1 - newestWindowWeight)) : undefined;
-		windowStartedAt = now;
+		waitedMilliseconds += isWaiting ? elapsedMilliseconds : 0;
+		if (waitedMilliseconds < windowMilliseconds) {
+			return;
+		}
+
+		const assumedDepartures = assumedDepartureShare * Math.max(0, targetDeparturesPerWindow - departures);
+		const assumedMilliseconds = assumedDepartures === 0 ? 0 : assumedDepartures / getAssumedRate();
+		const sample = (departures + assumedDepartures) / (waitedMilliseconds + assumedMilliseconds);
+		rate = (sample * newestWindowWeight) + ((rate ?? sample) * (1 - newestWindowWeight));
+		waitedMilliseconds = 0;
 		departures = 0;
 	}
 
@@ -66,9 +84,13 @@
 
 	return {
 		estimateWait,
+		recordWaiting(isWaitingNow, now) {
+			updateRate(now);
+			isWaiting = isWaitingNow;
+		},
 		recordDeparture(now) {
 			updateRate(now);
-			departures += 1;
+			departures += isWaiting ? 1 : 0;
 		},
 		canMeetDeadline(callsAhead, neededMilliseconds, deadlineAt, now) {
 			const availableMilliseconds = deadlineAt - now - neededMilliseconds;
