Keep the connection of an exchange whose body was given up

Callers lost every request of a process: a long body was streamed to an upstream that answered early, or reset the connection, while an earlier request of the same connection was running. The rest of the body is then destroyed, and Node.js takes the socket from the request. The response waited for its turn; when that came, there was no connection to look up, and a TypeError that nothing handled ended the process. A stop defers responses as well, with the same effect.

The exchange now keeps its connection from its start.

test/early-answers.test.ts failed before (2 of 2: only the first request was answered) and passes.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -133,7 +133,7 @@
 		let execution: CallExecution | undefined;
 		const sink = createHttpSink(response, {
 			entryName: host.entryName,
-			isLast: () => isLast(request.socket),
+			isLast: () => isLast(exchange.socket),
 			isEntryListStale: () => host.isEntryListStale(getSingleValue(request.headers[headerNames.entriesVersion])),
 		});
 		exchange.onEnd(end => {
--- a/src/entry/exchanges.ts
+++ b/src/entry/exchanges.ts
@@ -15,6 +15,8 @@
 export type Exchange = {
 	readonly request: http.IncomingMessage;
 	readonly response: http.ServerResponse;
+	/** Connection of the request. The request itself loses it when its body is destroyed unread. */
+	readonly socket: net.Socket;
 	/** Calls a listener when the exchange ends; at once if it has ended. */
 	onEnd(listener: (end: ExchangeEnd) => void): void;
 	hasEnded(): boolean;
@@ -67,6 +69,7 @@
 			const exchange: OpenExchange = {
 				request,
 				response,
+				socket,
 				onEnd(listener) {
 					if (ended) {
 						listener(ended);
--- a/src/gateway/call-starter.ts
+++ b/src/gateway/call-starter.ts
@@ -47,7 +47,7 @@
 		queue.add(call);
 	}
 
-	function getCalls({request: {socket}}: exchanges.Exchange): ConnectionCalls {
+	function getCalls({socket}: exchanges.Exchange): ConnectionCalls {
 		const known = callsBySocket.get(socket);
 		const calls = known ?? {running: 0, waiting: new Set()};
 		callsBySocket.set(socket, calls);
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -323,20 +323,20 @@
 	}
 
 	function writeResponse(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
-		const {request, response} = exchange;
+		const {request, response, socket} = exchange;
 		if (response.destroyed || exchange.hasEnded()) {
 			return;
 		}
 
 		const {end, closesConnection} = responseDelivery.decideDelivery({
-			isFollowed: connections.countExchangesOn(request.socket) > 1,
+			isFollowed: connections.countExchangesOn(socket) > 1,
 			// A request without a body isn't marked as complete yet when it is refused at once.
 			isRequestUnread: hasBody(request) && !request.complete,
 			isLeaving: host.isLeaving(),
 			hasOwnEnd: gatewayResponse.hasOwnEnd,
 		});
 		if (closesConnection) {
-			connections.closing.stopReading(request.socket);
+			connections.closing.stopReading(socket);
 		}
 
 		// Only the upstream knows the length of the body that isn't sent.
@@ -361,7 +361,7 @@
 		const now = host.getNow();
 		const claim = host.memory.claim('responses', now, () => {
 			host.recordRefusal('response-not-taken', undefined, 0);
-			connections.cut(exchange.request.socket, 'response-not-taken');
+			connections.cut(exchange.socket, 'response-not-taken');
 		});
 		exchange.onEnd(claim.free);
 		claim.resize(bytes, now);
--- a/src/gateway/response-order.ts
+++ b/src/gateway/response-order.ts
@@ -32,7 +32,7 @@
 				return;
 			}
 
-			const {socket} = exchange.request;
+			const {socket} = exchange;
 			exchange.onEnd(() => {
 				writeNext(socket);
 			});
