Refuse a request without a host in its turn instead of closing its connection

A caller sent three requests ahead, the second without a host. The HTTP server answered that one by itself and closed the connection behind its answer, so the third one ran and was never answered: the server's own responses take no part in the order of responses. The front server now refuses such a request as it does others, and the connection goes on.

test/unasked-closes.test.ts failed before (200, 400 instead of 200, 400, 200) and passes.

--- a/src/gateway/front-refusals.ts
+++ b/src/gateway/front-refusals.ts
@@ -2,7 +2,7 @@
 import type * as types from './types.ts';
 
 /** Why the server refused a request, or dropped it, before any upstream was selected. */
-export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'allowance-undecided' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'deadline-passed' | 'head-late' | 'malformed-request';
+export type FrontRefusal = 'no-configuration' | 'news-stale' | 'unknown-route' | 'no-host' | 'no-identity' | 'key-unreadable' | 'key-unknown' | 'key-undecided' | 'allowance-used' | 'allowance-undecided' | 'headers-too-large' | 'body-too-large' | 'body-late' | 'small-chunks' | 'memory-full' | 'stopping' | 'too-many-relayed' | 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'deadline-passed' | 'head-late' | 'malformed-request';
 
 /** Refusals that get a response. */
 export type AnsweredRefusal = Exclude<FrontRefusal, 'body-cut' | 'too-many-requests-on-connection' | 'response-not-taken' | 'head-late' | 'malformed-request'>;
@@ -26,6 +26,7 @@
 	'no-configuration': 503,
 	'news-stale': 503,
 	'unknown-route': 404,
+	'no-host': 400,
 	'no-identity': 400,
 	'key-unreadable': 400,
 	'key-unknown': 401,
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -97,6 +97,7 @@
 		maxHeaderSize: maximumHeaderBytes,
 		connectionsCheckingInterval: connectionsCheckIntervalMilliseconds,
 		requestTimeout: 0,
+		requireHostHeader: false, // The server would close the connection, although requests behind this one run.
 		noDelay: true,
 	}, handleRequest);
 	const connections = callerConnections.trackConnections(server, {
@@ -131,6 +132,11 @@
 			}
 		}
 
+		if (request.headers.host === undefined) {
+			refuse(exchange, 'no-host', metadata.id);
+			return;
+		}
+
 		const activeConfiguration = host.getActiveConfiguration();
 		if (!activeConfiguration) {
 			refuse(exchange, 'no-configuration', metadata.id);
@@ -138,7 +144,7 @@
 		}
 
 		const {configuration: {version, limits}, routes, keys} = activeConfiguration;
-		const route = routes.resolve(request.headers.host ?? '', request.url ?? '');
+		const route = routes.resolve(request.headers.host, request.url ?? '');
 		if (!route) {
 			refuse(exchange, host.isStale() ? 'news-stale' : 'unknown-route', metadata.id);
 			return;
