--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -236,10 +236,11 @@
 	const history: KeyHistory = kind === 'malformed-key' ? {kind: 'keyless'} : getKeyHistory(request);
 	writeProblem(sink, createRefusal(kind, history));
 	if (isBodyUnread) {
+		const {socket} = request;
 		// A paused request would keep the chunks that were read already.
 		request.resume();
 		setImmediate(() => {
-			request.socket.destroySoon();
+			socket.destroySoon();
 		});
 	}
 }
