Read what has arrived before a connection without a byte is closed

A caller's first request was reset unread: it had arrived in time, on a connection opened before, but the process was late and found the timer of the connection due before it read it. The timer now waits for the present turn of the event loop, as the one of idle connections does, and closes the connection in steps.

test/unasked-closes.test.ts failed before (no answer, connection reset) and passes.

--- a/src/gateway/bad-connections.ts
+++ b/src/gateway/bad-connections.ts
@@ -48,9 +48,12 @@
 	function closeIfUntouched(socket: net.Socket): void {
 		const age = host.getNow() - (acceptedAt.get(socket) ?? Number.NEGATIVE_INFINITY);
 		const timer = setTimeout(() => {
-			if (socket.bytesRead === 0) {
-				socket.destroy();
-			}
+			// A process that is late finds the timer due before it reads what has arrived.
+			setImmediate(() => {
+				if (socket.bytesRead === 0) {
+					host.closing.close(socket);
+				}
+			});
 		}, Math.max(0, Math.min(idleTimeoutMilliseconds, maximumTimerMilliseconds) - age));
 		socket.once('close', () => {
 			clearTimeout(timer);
--- a/test/unasked-closes.test.ts
+++ b/test/unasked-closes.test.ts
@@ -1,4 +1,5 @@
 /** Tests of connections that the HTTP server or a timer would close while a request on them is due, with real processes. */
+import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import * as gatewayProcess from './support/gateway-process.ts';
 import * as gateways from './support/gateways.ts';
@@ -25,3 +26,21 @@
 	expect(caller.listStatuses()).toEqual([200, 400, 200]);
 	expect(standIns.upstream.receivedRequests.map(({requestId}) => requestId).toSorted()).toEqual(['a', 'c']);
 });
+
+// Guards against a first request that is reset unread because the timer of its new connection fires on a process that is late.
+test('a first request that arrives in time is answered by a process that is busy until after the time', async () => {
+	const configuration = gateways.createConfiguration(5);
+	standIns.store.put('keyed.op', 'config', {...configuration, limits: {...configuration.limits, headerTimeoutMs: 1000, idleTimeoutMs: 3000}});
+	const script = 'const end=performance.now()+1500;while(performance.now()<end);';
+	const gateway = gatewayProcess.start({
+		host: gatewayProcess.createHost(), storeAddress: standIns.store.address, nodeOptions: ['--import', `data:text/javascript,process.on("SIGUSR2",()=>{${script}})`],
+	});
+	await gateways.waitUntil(async () => gatewayProcess.isReady(gateway));
+	const caller = rawCaller.connect(gateway.front);
+	await timers.setTimeout(2500);
+	gateway.signal('SIGUSR2');
+	await timers.setTimeout(100);
+	caller.socket.write(rawCaller.createRequest('a', {deadlineMilliseconds: 10_000}));
+	await gateways.waitUntil(() => caller.listStatuses().length === 1 || caller.socket.destroyed);
+	expect(caller.listAnswered()).toEqual(['a']);
+});
