Refuse held requests before the end of the grace period

Requests that waited for an upstream when the grace period ended were reset with their connections, so their callers never learnt that they had not run.

test/unasked-closes.test.ts failed before (8 of 8 held requests without an answer) and passes.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -85,6 +85,8 @@
 const noticeShare = 0.55;
 /** Time before the end of the grace period at which requests in flight are aborted, in milliseconds. */
 const abortMarginMilliseconds = 150;
+/** Time before that at which requests that no upstream has received are refused, in milliseconds. */
+const refusalMarginMilliseconds = 100;
 const drainCheckIntervalMilliseconds = 20;
 const maintenanceIntervalMilliseconds = 1000;
 const peerGraceMilliseconds = 30;
@@ -272,6 +274,7 @@
 		permits,
 		relays,
 		random,
+		getHoldEnd: () => stopsAt - refusalMarginMilliseconds,
 		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -56,6 +56,7 @@
 		recordCheck: () => undefined,
 		recordStatements: () => undefined,
 		tryChargeCheck: () => false,
+		getHoldEnd: () => Number.POSITIVE_INFINITY,
 		recordLoadSupport: () => undefined,
 		reportsLoad: () => true,
 	});
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -64,6 +64,8 @@
 	readonly permits: Pick<permits.Permits, 'take' | 'areNeeded' | 'getWaitMilliseconds'>;
 	readonly relays: Pick<relays.Relays, 'choose'>;
 	readonly random: RandomSource;
+	/** Time at which a stop refuses the requests that are held, so that their callers are told before it ends. */
+	getHoldEnd(): number;
 };
 
 /** Selects upstreams for the requests of all services. */
@@ -108,6 +110,8 @@
 	const {sampleUpstreams, sampleWarmUpstreams} = upstreamSampler.createUpstreamSampler(host);
 	const findHeld = (service: string) => heldByService.get(service);
 
+	const isHoldOver = ({expiresAt}: PendingSelection, now: number) => now >= Math.min(expiresAt, host.getHoldEnd());
+
 	function finish(pending: PendingSelection, selection: Selection): void {
 		pending.isOver = true;
 		remove(pending);
@@ -194,7 +198,7 @@
 			return;
 		}
 
-		if (host.getNow() >= pending.expiresAt) {
+		if (isHoldOver(pending, host.getNow())) {
 			finish(pending, {kind: 'no-room', checks: pending.checks});
 			return;
 		}
@@ -273,7 +277,7 @@
 		const now = host.getNow();
 		for (const [service, held] of heldByService) {
 			for (const pending of held) {
-				if (now >= pending.expiresAt) {
+				if (isHoldOver(pending, now)) {
 					finish(pending, {kind: 'no-room', checks: pending.checks});
 				}
 			}
--- a/test/unasked-closes.test.ts
+++ b/test/unasked-closes.test.ts
@@ -14,7 +14,9 @@
 
 afterEach(gatewayProcess.close);
 
-const createUnsafeRequest = (id: string) => rawCaller.createRequest(id, {path: '/credit/1', method: 'POST', body: 'x'});
+const createUnsafeRequest = (id: string, options: {readonly deadlineMilliseconds?: number} = {}) => rawCaller.createRequest(id, {
+	path: '/credit/1', method: 'POST', body: 'x', ...options,
+});
 
 // Guards against a running request that is cut because the HTTP server itself answers a request without a host before it, and closes.
 test('a request that was passed on is answered although the one before it names no host', async () => {
@@ -44,3 +46,29 @@
 	await gateways.waitUntil(() => caller.listStatuses().length === 1 || caller.socket.destroyed);
 	expect(caller.listAnswered()).toEqual(['a']);
 });
+
+// Guards against requests that wait for an upstream and end without an answer when the grace period ends.
+test('requests that no upstream has received are refused before the end of the grace period', async () => {
+	const configuration = gateways.createConfiguration(5);
+	standIns.store.put('keyed.op', 'config', {
+		...configuration,
+		listeners: configuration.listeners.map(({host, rules}) => ({
+			host, rules: rules.map(rule => ({...rule, targetLatencyMs: 8000, action: {...rule.action, timeoutMs: 20_000}})),
+		})),
+	});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	standIns.upstream.setBehavior({kind: 'answer', milliseconds: 5000});
+	const callers = Array.from({length: 12}, (_value, index) => {
+		const caller = rawCaller.connect(gateway.front);
+		caller.socket.write(createUnsafeRequest(String(index), {deadlineMilliseconds: 20_000}));
+		return caller;
+	});
+	await timers.setTimeout(300);
+	gateway.signal('SIGTERM');
+	await Promise.all(callers.map(async ({closed}) => closed));
+	const received = new Set(standIns.upstream.receivedRequests.map(({requestId}) => requestId));
+	const held = callers.filter((_caller, index) => !received.has(String(index)));
+	expect(held.length).toBeGreaterThan(0);
+	expect(held.map(caller => caller.listStatuses())).toEqual(held.map(() => [503]));
+	expect(await gateway.exited).toEqual({code: 0});
+});
