Close the connection of a refused call in its turn

A caller of an entry lost a running call: the next call on its connection was refused, and the entry ended the connection at once, ahead of the answer that was due, in calm. It did so for refused calls without a body as well, since those aren't complete yet when they are refused.

A refusal now closes the connection only if a part of its body is unread, and its response announces that in its turn. While an entry leaves, a call whose answer begins before its body has arrived keeps being read; before, the rest was discarded.

The part about an answer that begins early has no test yet.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -13,7 +13,9 @@
 	createProblemAnswer, type Problem, type ProblemKind, writeProblem,
 } from './problem.ts';
 import * as bodyCollector from './body-collector.ts';
-import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive-body.ts';
+import {
+	getReservedBytes, hasBody, receiveBody, type ReceiveLimits,
+} from './receive-body.ts';
 import * as callerReading from './caller-reading.ts';
 import * as closingConnections from './closing-connections.ts';
 import * as exchangesModule from './exchanges.ts';
@@ -90,6 +92,8 @@
 		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
 	};
 	const closing = closingConnections.closeInSteps(server);
+	/** Connections whose last response was announced. */
+	const closed = new WeakSet<net.Socket>();
 	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, closing, answersIncomplete: true});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
@@ -111,7 +115,7 @@
 	}
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-		if (closing.isClosing(request.socket)) {
+		if (closing.isClosing(request.socket) || closed.has(request.socket)) {
 			request.resume();
 			return;
 		}
@@ -131,9 +135,10 @@
 		const {request, response} = exchange;
 		const receivedAt = host.getNow();
 		let execution: CallExecution | undefined;
+		let isRefused = false;
 		const sink = createHttpSink(response, {
 			entryName: host.entryName,
-			isLast: () => isLast(exchange.socket),
+			isLast: () => isLast(exchange, isRefused),
 			isEntryListStale: () => host.isEntryListStale(getSingleValue(request.headers[headerNames.entriesVersion])),
 		});
 		exchange.onEnd(end => {
@@ -141,21 +146,26 @@
 				execution?.cancel();
 			}
 		});
+		const refuseCall = (kind: ProblemKind) => {
+			isRefused = true;
+			refuse(request, sink, kind);
+		};
+
 		const view = host.getView();
 		if (!view) {
-			refuse(request, sink, 'not-ready');
+			refuseCall('not-ready');
 			return;
 		}
 
 		const classification = classifyRequest({method: request.method ?? '', url: request.url ?? '', headers: request.headers}, view);
 		if (classification.isErr()) {
-			refuse(request, sink, classification.error);
+			refuseCall(classification.error);
 			return;
 		}
 
 		const reservedBytes = getReservedBytes(request, limits);
 		if (totalReservedBytes + reservedBytes > limits.heldBodyBytes) {
-			refuse(request, sink, 'queue-full');
+			refuseCall('queue-full');
 			return;
 		}
 
@@ -167,17 +177,18 @@
 			onReceived(received) {
 				switch (received.kind) {
 					case 'too-large': {
-						refuse(request, sink, 'body-too-large');
+						refuseCall('body-too-large');
 						break;
 					}
 
 					case 'memory-full':
 					case 'small-chunks': {
-						refuse(request, sink, 'queue-full');
 						if (received.kind === 'small-chunks') {
 							reading.discard(request);
 						}
 
+						refuseCall('queue-full');
+
 						break;
 					}
 
@@ -199,13 +210,20 @@
 		});
 	}
 
-	/** Whether a response closes its connection: callers are told to use others, and no other request of the connection is in progress. */
-	function isLast(socket: net.Socket): boolean {
-		if (!host.isLeaving() || exchanges.countOn(socket) > 1) {
+	/** Whether a response closes its connection: callers are told to use others or nothing behind its request can be read, and no request behind it is in progress. */
+	function isLast({request, socket}: exchangesModule.Exchange, isRefused: boolean): boolean {
+		const isUnread = hasBody(request) && !request.complete;
+		const isClosing = host.isLeaving() || (isRefused && isUnread);
+		if (!isClosing || refusedConnections.isRefused(socket) || exchanges.listOn(socket).at(-1)?.request !== request) {
 			return false;
 		}
 
-		closing.stopReading(socket);
+		closed.add(socket);
+		// The rest of a body that is streamed is still needed.
+		if (isRefused || !isUnread) {
+			closing.stopReading(socket);
+		}
+
 		return true;
 	}
 
@@ -230,18 +248,12 @@
 	return {server, countOpenRequests: exchanges.count};
 }
 
-/** Answers a call that is not executed, and closes the connection if a part of its body is unread. */
+/** Answers a call that is not executed. */
 function refuse(request: http.IncomingMessage, sink: AnswerSink, kind: ProblemKind): void {
-	const isBodyUnread = !request.complete;
 	const history: KeyHistory = kind === 'malformed-key' ? {kind: 'keyless'} : getKeyHistory(request);
 	writeProblem(sink, createRefusal(kind, history));
-	if (isBodyUnread) {
-		// A paused request would keep the chunks that were read already.
-		request.resume();
-		setImmediate(() => {
-			request.socket.destroySoon();
-		});
-	}
+	// A paused request would keep the chunks that were read already.
+	request.resume();
 }
 
 /** Returns the key history of a request that is refused before its key is looked up. */
