Refuse a call without a host in its turn instead of closing its connection

The entry refuses it as malformed, and the connection goes on.

test/entry-rows.test.ts failed before (one of two calls answered) and passes.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -85,6 +85,7 @@
 		keepAliveTimeout: limits.keepAliveMilliseconds,
 		connectionsCheckingInterval: connectionsCheckIntervalMilliseconds,
 		noDelay: true,
+		requireHostHeader: false, // The server would close the connection, although calls behind this one run.
 	}, handleRequest);
 	server.maxConnections = limits.connections;
 	const reading = callerReading.createCallerReading(server, exchanges, host.getNow);
@@ -151,6 +152,11 @@
 			refuse(request, sink, kind);
 		};
 
+		if (request.headers.host === undefined) {
+			refuseCall('malformed-request');
+			return;
+		}
+
 		const view = host.getView();
 		if (!view) {
 			refuseCall('not-ready');
--- a/test/entry-rows.test.ts
+++ b/test/entry-rows.test.ts
@@ -59,3 +59,12 @@
 	connection.socket.destroy();
 	expect(statuses(connection.text)).toEqual([200, 404]);
 });
+
+// Guards against a running call that is cut because the HTTP server itself answers a request without a host before it, and closes.
+test('calls around one without a host are answered', async () => {
+	const connection = connect();
+	connection.socket.write(`${call('/desk/price?a')}GET /desk/price HTTP/1.1\r\n\r\n${call('/desk/price?b')}`);
+	await timers.setTimeout(1500);
+	connection.socket.destroy();
+	expect(statuses(connection.text)).toEqual([200, 400, 200]);
+});
