--- a/test/response-order.test.ts
+++ b/test/response-order.test.ts
@@ -198,3 +198,22 @@
 test('in any order of requests, answers, refusals and stops, each request that was passed on is answered whole and in its turn', async () => {
 	await fc.assert(fc.asyncProperty(actions, play), {seed: 59, numRuns: 150});
 });
+
+// Guards against a caller that isn't told to leave because the answer to its last request was ready before another one.
+test('the last of a row of answers closes the connection, whichever was ready first', async () => {
+	const host = await startServer();
+	const caller = rawCaller.connect(host.address);
+	caller.socket.write(rawCaller.createRequest('0') + rawCaller.createRequest('1'));
+	await gateways.waitUntil(() => host.started.length === 2);
+	host.leave();
+	for (const {id, target} of host.started.toReversed()) {
+		target.respond({
+			statusCode: 200, headers: [['attempt-id', id]], body: createBody(id, 1), hasOwnEnd: true, isOwn: false,
+		});
+	}
+
+	await caller.closed;
+	host.close();
+	expect(caller.listAnswered()).toEqual(['0', '1']);
+	expect(caller.getText().split('HTTP/1.1').map(text => /connection: close/iv.test(text))).toEqual([false, false, true]);
+});
