Stand-in of the store: return from an older copy in a later era

`returnFromCopy` takes the store away, brings it back without its latest records, gives their offsets out again, and writes them again after a time. A read beyond the end gets 410. All answers state the era.

--- a/stand-ins/store.ts
+++ b/stand-ins/store.ts
@@ -2,11 +2,13 @@
 Stand-in for the platform's store: topics with one partition, whose records have offsets, with fault injection.
 
 It implements the parts of the platform's protocol that the gateway uses: long polls for records from an offset, and
-the newest record of each key of a keyed topic.
+the newest record of each key of a keyed topic. `returnFromCopy` plays a loss: the store is away for a moment and comes
+back from an older copy, in a later era; tests and soaks call it at any time, also twice in a row.
 */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 
 /** Fault that affects all requests. */
 export type StoreFault
@@ -19,6 +21,16 @@
 		| {readonly kind: 'silent'}
 		| {readonly kind: 'slow'; readonly milliseconds: number};
 
+/** Times of a return from an older copy, in milliseconds. */
+export type CopyReturn = {
+	/** How long the store is away before it returns. */
+	readonly awayMilliseconds: number;
+	/** Age of the copy when the store goes away. */
+	readonly lostMilliseconds: number;
+	/** Time after the return until the operator and the upstreams write again what they wrote last of each lost key. */
+	readonly rewriteMilliseconds: number;
+};
+
 /** Running store. */
 export type StoreStandIn = {
 	/** Host and port. */
@@ -30,14 +42,19 @@
 	/** Expires all records of a topic; the newest record of each key remains available by its key. */
 	expireHistory(topic: string): void;
 	setFault(fault: StoreFault): void;
+	/** Goes away, returns from an older copy in the next era, and gets the lost records again; resolves after that. The fault that was set holds again from the return on. */
+	returnFromCopy(copyReturn: CopyReturn): Promise<void>;
+	/** Replaces the header that states the era; undefined leaves it out. */
+	setEraText(text: string | undefined): void;
 	/** Returns the number of requests since the start. */
 	countCalls(): number;
 	close(): Promise<void>;
 };
 
-type StoredRecord = {readonly key: string; readonly value: buffer.Buffer};
+type StoredRecord = {readonly key: string; readonly value: buffer.Buffer; readonly writtenAt: number};
 
 type Topic = {
+	/** All records by offset, also those that have expired, which an older copy is made of. */
 	readonly records: StoredRecord[];
 	/** Offset of the first record that has not expired. */
 	firstOffset: number;
@@ -48,6 +65,7 @@
 const newestPageSize = 500;
 const offsetBytes = 8;
 const maximumWaitMilliseconds = 30_000;
+const eraHeader = 'store-era';
 
 /** Starts a store on a free port of the loopback address. */
 export async function startStore(): Promise<StoreStandIn> {
@@ -55,6 +73,9 @@
 	const sockets = new Set<net.Socket>();
 	let fault: StoreFault = {kind: 'none'};
 	let callCount = 0;
+	let era = 1;
+	let getEraText = (): string | undefined => String(era);
+	let isAway = false;
 
 	function getTopic(name: string): Topic {
 		const topic = topics.get(name) ?? {
@@ -64,23 +85,64 @@
 		return topic;
 	}
 
-	const getEndOffset = ({firstOffset, records}: Topic) => firstOffset + records.length;
+	const getEndOffset = ({records}: Topic) => records.length;
 
-	function putBytes(name: string, key: string, value: buffer.Buffer): void {
-		const topic = getTopic(name);
-		const offset = getEndOffset(topic);
-		topic.records.push({key, value});
+	function indexRecord(topic: Topic, {key, value}: StoredRecord, offset: number): void {
 		if (value.length === 0) {
 			topic.newestByKey.delete(key);
 		} else {
 			topic.newestByKey.set(key, {value, offset});
 		}
+	}
 
+	function putBytes(name: string, key: string, value: buffer.Buffer): void {
+		const topic = getTopic(name);
+		const record = {key, value, writtenAt: performance.now()};
+		indexRecord(topic, record, getEndOffset(topic));
+		topic.records.push(record);
 		for (const wake of topic.waiters) {
 			wake();
 		}
 	}
 
+	/** Removes the records of a topic since a time; returns them. */
+	function loseRecords(topic: Topic, since: number): readonly StoredRecord[] {
+		const kept = topic.records.filter(({writtenAt}) => writtenAt < since);
+		const lost = topic.records.splice(kept.length);
+		topic.firstOffset = Math.min(topic.firstOffset, kept.length);
+		topic.newestByKey.clear();
+		for (const [offset, record] of kept.entries()) {
+			indexRecord(topic, record, offset);
+		}
+
+		return lost;
+	}
+
+	async function returnFromCopy({awayMilliseconds, lostMilliseconds, rewriteMilliseconds}: CopyReturn): Promise<void> {
+		const since = performance.now() - lostMilliseconds;
+		isAway = true;
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		await timers.setTimeout(awayMilliseconds);
+		const losses = [...topics].map(([name, topic]) => {
+			const newest = new Map(loseRecords(topic, since).map(record => [record.key, record]));
+			return {
+				name, topic, newest, end: getEndOffset(topic),
+			};
+		});
+		era++;
+		isAway = false;
+		await timers.setTimeout(rewriteMilliseconds);
+		for (const {name, topic, newest, end} of losses) {
+			const writtenKeys = new Set(topic.records.slice(end).map(({key}) => key));
+			for (const {key, value} of [...newest.values()].filter(record => !writtenKeys.has(record.key))) {
+				putBytes(name, key, value);
+			}
+		}
+	}
+
 	function sendJson(response: http.ServerResponse, statusCode: number, body: unknown): void {
 		response.writeHead(statusCode, {'content-type': 'application/json'}).end(JSON.stringify(body));
 	}
@@ -100,7 +162,7 @@
 			await waitForRecord(topic, waitMilliseconds);
 		}
 
-		if (from < topic.firstOffset) {
+		if (from < topic.firstOffset || from > getEndOffset(topic)) {
 			sendJson(response, 410, {first: topic.firstOffset});
 			return;
 		}
@@ -108,7 +170,7 @@
 		const header = buffer.Buffer.alloc(2 * offsetBytes);
 		header.writeBigUInt64BE(BigInt(getEndOffset(topic)), 0);
 		header.writeBigUInt64BE(BigInt(topic.firstOffset), offsetBytes);
-		response.writeHead(200).end(buffer.Buffer.concat([header, ...topic.records.slice(from - topic.firstOffset).map(record => encodeRecord(record))]));
+		response.writeHead(200).end(buffer.Buffer.concat([header, ...topic.records.slice(from).map(record => encodeRecord(record))]));
 	}
 
 	async function waitForRecord(topic: Topic, milliseconds: number): Promise<void> {
@@ -124,7 +186,15 @@
 		});
 	}
 
+	function stateEra(response: http.ServerResponse): void {
+		const eraText = getEraText();
+		if (eraText !== undefined) {
+			response.setHeader(eraHeader, eraText);
+		}
+	}
+
 	async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		stateEra(response);
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://store');
 		const topic = getTopic(searchParams.get('topic') ?? '');
 		switch (pathname) {
@@ -147,6 +217,11 @@
 	async function receiveRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
 		callCount++;
 		request.resume();
+		if (isAway) {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
 		switch (fault.kind) {
 			case 'none': {
 				await handleRequest(request, response);
@@ -154,6 +229,7 @@
 			}
 
 			case 'refuse': {
+				stateEra(response);
 				sendJson(response, fault.statusCode, {});
 				break;
 			}
@@ -199,11 +275,14 @@
 		expireHistory(name) {
 			const topic = getTopic(name);
 			topic.firstOffset = getEndOffset(topic);
-			topic.records.length = 0;
 		},
 		setFault(newFault) {
 			fault = newFault;
 		},
+		returnFromCopy,
+		setEraText(text) {
+			getEraText = () => text;
+		},
 		countCalls: () => callCount,
 		async close() {
 			for (const socket of sockets) {
@@ -220,7 +299,7 @@
 }
 
 /** Encodes a record: length of the rest (4 bytes, big endian), length of the key (1 byte), key and value. */
-function encodeRecord({key, value}: StoredRecord): buffer.Buffer {
+function encodeRecord({key, value}: Pick<StoredRecord, 'key' | 'value'>): buffer.Buffer {
 	const keyBytes = buffer.Buffer.from(key);
 	const content = buffer.Buffer.concat([buffer.Buffer.from([keyBytes.length]), keyBytes, value]);
 	const length = buffer.Buffer.alloc(4);
