--- a/test/response-order.test.ts
+++ b/test/response-order.test.ts
@@ -56,7 +56,7 @@
 		memory,
 		ports,
 		smallChunks: smallChunks.createSmallChunkWatch(),
-		getActiveConfiguration: () => ({configuration, routes: routeTable.createRouteTable(configuration), keys: workspaceKeys.createKeyTable([])}),
+		getActiveConfiguration: () => ({configuration, routes: routeTable.createRouteTable(configuration), keys: workspaceKeys.createKeyTable([]), era: 0}),
 		isStale: () => false,
 		isLeaving: () => isLeaving,
 		canFinish: () => true,
