Hold paused answers back at their socket, so that no assertion of the client ends the process

The client library pauses an answer in its parser. If the connection of an answer without a length, or of one that closes its connection, ends or is reset while it is paused, the library asserts within a listener of the socket that its parser isn't paused. Nobody can catch that, and an uncaught error ends fescuering-entry with all its calls. A caller that reads slowly and an upstream that closes are enough; the gateway never pauses answers.

The reading is now held back at the socket, whose buffer is limited, and the parser is never paused.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -42,15 +42,20 @@
 const statusCodesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 /** Starts an attempt on a connection; the listener receives its events. */
-export function startAttempt(connection: Pick<connectionPool.Connection, 'client' | 'isBroken'>, request: AttemptRequest, listener: AttemptListener): Attempt {
+export function startAttempt(connection: Pick<connectionPool.Connection, 'client' | 'reading' | 'isBroken'>, request: AttemptRequest, listener: AttemptListener): Attempt {
 	let controller: undici.Dispatcher.DispatchController | undefined;
 	let isFinished = false;
 	let isDelimited = false;
 	const abortError = new Error('The attempt was aborted.');
 
+	const finish = () => {
+		isFinished = true;
+		connection.reading.release();
+	};
+
 	const fail = (error: Error) => {
 		if (!isFinished) {
-			isFinished = true;
+			finish();
 			listener.onFailed(error);
 		}
 	};
@@ -102,12 +107,12 @@
 		},
 		onResponseData(_controller, chunk) {
 			if (!isFinished && !listener.onData(chunk)) {
-				controller?.pause();
+				connection.reading.hold();
 			}
 		},
 		onResponseEnd() {
 			if (!isFinished) {
-				isFinished = true;
+				finish();
 				listener.onEnd(isDelimited || !connection.isBroken);
 			}
 		},
@@ -129,7 +134,9 @@
 			fail(abortError);
 		},
 		resume() {
-			controller?.resume();
+			if (!isFinished) {
+				connection.reading.release();
+			}
 		},
 	};
 }
--- a/src/entry/connection-pool.ts
+++ b/src/entry/connection-pool.ts
@@ -8,6 +8,7 @@
 import type * as net from 'node:net';
 import type * as undici from 'undici';
 import {splitAddress} from './address.ts';
+import * as readingControl from './reading-control.ts';
 import * as undiciParts from './undici-parts.ts';
 
 export type ConnectionPoolOptions = {
@@ -33,6 +34,7 @@
 	readonly client: undici.Client;
 	/** The client owns the socket from its first call on. */
 	readonly socket: net.Socket;
+	readonly reading: readingControl.ReadingControl;
 	/** Time at which the connection was opened or last received data from the upstream. */
 	lastActiveAt: number;
 	isClosed: boolean;
@@ -181,7 +183,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, socket, lastActiveAt: options.getNow(), isClosed: false, isBroken: false,
+			client, socket, reading: readingControl.createReadingControl(socket), lastActiveAt: options.getNow(), isClosed: false, isBroken: false,
 		};
 		socket.once('error', () => {
 			connection.isBroken = true;
