--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -15,6 +15,7 @@
 import * as bodyCollector from './body-collector.ts';
 import {getReservedBytes, receiveBody, type ReceiveLimits} from './receive-body.ts';
 import * as callerReading from './caller-reading.ts';
+import * as closingConnections from './closing-connections.ts';
 import * as exchangesModule from './exchanges.ts';
 import * as refusedConnectionsModule from './refused-connections.ts';
 import {type CallExecution} from './service-runner.ts';
@@ -88,7 +89,8 @@
 	const bodyReceiver = {
 		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
 	};
-	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, answersIncomplete: true});
+	const closing = closingConnections.closeInSteps(server);
+	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, closing, answersIncomplete: true});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
@@ -97,15 +99,19 @@
 
 		refusedConnections.refuse(socket, createSocketAnswer(clientErrorKinds[error.code ?? ''] ?? 'malformed-request'));
 	});
-	server.on('upgrade', (_request, socket) => {
-		socket.end(createSocketAnswer('malformed-request'));
-	});
-	server.on('connect', (_request, socket) => {
-		socket.end(createSocketAnswer('malformed-request'));
-	});
+	server.on('upgrade', refuseTunnel);
+	server.on('connect', refuseTunnel);
+
+	function refuseTunnel(_request: http.IncomingMessage, socket: net.Socket): void {
+		// The server has removed its own listeners.
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		refusedConnections.refuse(socket, createSocketAnswer('malformed-request'));
+	}
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-		if (refusedConnections.isRefused(request.socket)) {
+		if (closing.isClosing(request.socket)) {
 			request.resume();
 			return;
 		}
@@ -127,7 +133,7 @@
 		let execution: CallExecution | undefined;
 		const sink = createHttpSink(response, {
 			entryName: host.entryName,
-			isLeaving: host.isLeaving,
+			isLast: () => isLast(exchange.socket),
 			isEntryListStale: () => host.isEntryListStale(getSingleValue(request.headers[headerNames.entriesVersion])),
 		});
 		exchange.onEnd(end => {
@@ -193,6 +199,16 @@
 		});
 	}
 
+	/** Whether a response closes its connection: callers are told to use others, and no other request of the connection is in progress. */
+	function isLast(socket: net.Socket): boolean {
+		if (!host.isLeaving() || exchanges.countOn(socket) > 1) {
+			return false;
+		}
+
+		closing.stopReading(socket);
+		return true;
+	}
+
 	function createCall(request: http.IncomingMessage, classification: Classification, body: CallBody, receivedAt: number): Call {
 		const traceparent = request.headers[headerNames.traceparent];
 		const {timeoutMilliseconds, ...rest} = classification;
@@ -220,10 +236,11 @@
 	const history: KeyHistory = kind === 'malformed-key' ? {kind: 'keyless'} : getKeyHistory(request);
 	writeProblem(sink, createRefusal(kind, history));
 	if (isBodyUnread) {
+		const {socket} = request;
 		// A paused request would keep the chunks that were read already.
 		request.resume();
 		setImmediate(() => {
-			request.socket.destroySoon();
+			socket.destroySoon();
 		});
 	}
 }
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -1,12 +1,14 @@
 /** Tracks the connections of callers, so that a stop closes those that are idle and no others. */
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as callerReading from '../entry/caller-reading.ts';
+import * as closingConnections from '../entry/closing-connections.ts';
 import * as exchangesModule from '../entry/exchanges.ts';
 import type * as portLimits from './port-limits.ts';
 
 /** Why a connection ended although a request on it was not answered; `server` if the HTTP server closed it by itself. */
-export type CutReason = 'too-many-requests-on-connection' | 'response-not-taken' | 'stop-over' | 'server';
+export type CutReason = 'response-not-taken' | 'stop-over' | 'server';
 
 /** A connection that ended, although its caller had not left, with requests that were not answered. */
 export type CutConnection = {
@@ -30,6 +32,7 @@
 /** Connections of callers to one server. */
 export type CallerConnections = {
 	readonly reading: callerReading.CallerReading;
+	readonly closing: closingConnections.ClosingConnections<net.Socket>;
 	readonly exchanges: Pick<exchangesModule.Exchanges, 'listOn'>;
 	beginExchange(request: http.IncomingMessage, response: http.ServerResponse): exchangesModule.Exchange;
 	/** Records that the request of an exchange is passed on, so that its caller must be told how it ended. */
@@ -40,8 +43,8 @@
 	countExchanges(): number;
 	/** Number of exchanges on one connection that have not ended. */
 	countExchangesOn(socket: net.Socket): number;
-	/** Accepts no more connections, and closes each connection once it has no request. */
-	stop(): void;
+	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
+	stop(): Promise<void>;
 	/** Resets the connections that still have requests, so that a response that ends with its connection isn't taken for complete. */
 	reset(): void;
 };
@@ -61,8 +64,10 @@
 	const connections = new Map<net.Socket, ConnectionState>();
 	const exchanges = exchangesModule.createExchanges();
 	const passedOn = new WeakSet<exchangesModule.Exchange>();
+	const closing = closingConnections.closeInSteps(server);
 	let isStopping = false;
 
+	server.on('timeout', closeIfUnused);
 	server.on('connection', (socket: net.Socket) => {
 		const state: ConnectionState = {receivedBytes: 0, cutReason: 'server', hasCallerLeft: false};
 		connections.set(socket, state);
@@ -94,15 +99,19 @@
 		socket.resetAndDestroy();
 	}
 
-	function closeIfIdle(socket: net.Socket, state: ConnectionState): void {
-		// A connection that has received part of a request is kept.
-		if (isStopping && exchanges.countOn(socket) === 0 && socket.bytesRead === state.receivedBytes) {
-			socket.destroySoon();
-		}
+	/** Closes a connection without a request, unless something arrives in the present turn of the event loop: a process that is late finds a timer due and the next request unread. */
+	function closeIfUnused(socket: net.Socket): void {
+		const {bytesRead} = socket;
+		setImmediate(() => {
+			if (exchanges.countOn(socket) === 0 && socket.bytesRead === bytesRead) {
+				closing.close(socket);
+			}
+		});
 	}
 
 	return {
 		reading: callerReading.createCallerReading(server, exchanges, getNow),
+		closing,
 		exchanges,
 		beginExchange(request, response) {
 			const {socket} = request;
@@ -114,14 +123,14 @@
 			port.beginUse(socket);
 			exchange.onEnd(() => {
 				const state = connections.get(socket);
-				if (!state) {
+				if (!state || exchanges.countOn(socket) > 0) {
 					return;
 				}
 
 				state.receivedBytes = socket.bytesRead;
-				closeIfIdle(socket, state);
-				if (exchanges.countOn(socket) === 0) {
-					port.endUse(socket);
+				port.endUse(socket);
+				if (isStopping) {
+					closeIfUnused(socket);
 				}
 			});
 			return exchange;
@@ -132,13 +141,18 @@
 		cut,
 		countExchanges: exchanges.count,
 		countExchangesOn: exchanges.countOn,
-		stop() {
+		async stop() {
 			isStopping = true;
 			// `http.Server.close` also closes connections whose responses were written, but not yet taken by the system.
 			net.Server.prototype.close.call(server);
-			for (const [socket, state] of connections) {
-				closeIfIdle(socket, state);
+			for (const [socket, {receivedBytes}] of connections) {
+				// A connection that has received part of a request is kept.
+				if (socket.bytesRead === receivedBytes) {
+					closeIfUnused(socket);
+				}
 			}
+
+			await timers.setImmediate();
 		},
 		reset() {
 			for (const socket of connections.keys()) {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -41,7 +41,7 @@
 import {type GatewaySettings} from './settings.ts';
 import {createSharingLoop} from './sharing-loop.ts';
 import {createStoreReader} from './store-reader.ts';
-import {type HeaderHost, type StoreHost} from './types.ts';
+import {type GatewayRequest, type HeaderHost, type StoreHost} from './types.ts';
 import * as statementRecorder from './statement-recorder.ts';
 import {createUpstreams} from './upstreams.ts';
 
@@ -75,6 +75,8 @@
 	reload(settings: GatewaySettings): void;
 	/** Announces the stop, finishes the requests in flight, and stops. */
 	leave(): Promise<void>;
+	/** Stops without notice: accepts no new connections from now on, finishes the requests in flight, and stops. */
+	leaveAtOnce(): Promise<void>;
 };
 
 /** Time from the signal to stop until the gateway accepts no new connections, in milliseconds: the longest time for which callers keep an address. */
@@ -311,12 +313,15 @@
 		},
 	});
 	const runningCalls = runningCallsModule.createRunningCalls({logger, getNow});
+	const canFinish = ({deadlineAt, route}: Pick<GatewayRequest, 'deadlineAt' | 'route'>) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: learner.getRouteMilliseconds(route.name)}, getNow());
+	const learner = createWorkEstimator();
 	const callRunnerHost = {
 		selector,
 		headers: platform.headers,
 		memory,
 		recordStatements: recorder.recordResponse,
-		learner: createWorkEstimator(),
+		learner,
+		canFinish,
 		budget: createFleetRetryBudget(settings.retries, getNow()),
 		countEntries: size.count,
 		observeAttempt: reachability.recordAttempt,
@@ -333,8 +338,8 @@
 		getActiveConfiguration: platformState.getActiveConfiguration,
 		isStale: () => platformState.getAge(getNow()) > staleRouteMilliseconds,
 		isLeaving: () => lifeCycle.getState() === 'leaving' || lifeCycle.getState() === 'draining',
-		canFinish: ({deadlineAt, route}) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: callRunnerHost.learner.getRouteMilliseconds(route.name)}, getNow()),
-		getExpectedMilliseconds: ({route}) => callRunnerHost.learner.getRouteMilliseconds(route.name),
+		canFinish,
+		getExpectedMilliseconds: ({route}) => learner.getRouteMilliseconds(route.name),
 		getNow,
 		admit: (workspace, listener) => allowances.admit(workspace, admission => {
 			if (admission !== 'admitted') {
@@ -434,7 +439,7 @@
 		incarnation, address: settings.listen.callers, failureDomain: settings.failureDomain, startMilliseconds: Math.round(getNow()), staleMilliseconds,
 	});
 
-	async function leave(): Promise<void> {
+	async function leave(longestNoticeMilliseconds: number): Promise<void> {
 		if (!lifeCycle.send('leave')) {
 			return;
 		}
@@ -444,12 +449,12 @@
 		logger.info('gateway-leaving', {openRequests: frontServer.countOpen()});
 		sharing.announce();
 		if (lifeCycle.getState() === 'leaving') {
-			await timers.setTimeout(Math.min(noticeMilliseconds, settings.graceMilliseconds * noticeShare));
+			await timers.setTimeout(Math.min(longestNoticeMilliseconds, settings.graceMilliseconds * noticeShare));
 			lifeCycle.send('notice-over');
 		}
 
-		frontServer.stop();
-		while (frontServer.countOpen() > 0 && getNow() < stopsAt) {
+		await frontServer.stop();
+		while ((frontServer.countOpen() > 0 || frontServer.countClosing() > 0) && getNow() < stopsAt) {
 			await timers.setTimeout(drainCheckIntervalMilliseconds);
 		}
 
@@ -478,6 +483,7 @@
 			seeds = next.seeds;
 			logger.info('settings-reloaded', {seeds: seeds.length});
 		},
-		leave,
+		leave: async () => leave(noticeMilliseconds),
+		leaveAtOnce: async () => leave(0),
 	};
 }
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -1,20 +1,20 @@
 /** The HTTP server for callers: finds the route, receives the request, and writes the response. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import type * as smallChunks from '../decisions/admission/small-chunks.ts';
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
 import type * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
+import * as responseDelivery from '../decisions/outcomes/response-delivery.ts';
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import {type RandomSource} from '../decisions/random.ts';
 import * as attempt from '../entry/attempt.ts';
 import {type CallBody} from '../entry/call.ts';
 import type * as exchanges from '../entry/exchanges.ts';
 import {hasBody} from '../entry/receive-body.ts';
-import {getForwardedHeaders} from '../entry/headers.ts';
 import type * as allowances from './allowances.ts';
 import {type ResponseTarget, type RunningCall} from './call-runner.ts';
+import * as forwardedHeaders from './forwarded-headers.ts';
 import * as frontRefusals from './front-refusals.ts';
 import * as badConnectionsModule from './bad-connections.ts';
 import * as callStarter from './call-starter.ts';
@@ -22,6 +22,7 @@
 import {type ActiveConfiguration} from './platform-state.ts';
 import type * as portLimits from './port-limits.ts';
 import * as requestReception from './request-reception.ts';
+import * as responseOrder from './response-order.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
 
 /** Properties of a request that are determined before its body is received. */
@@ -64,8 +65,10 @@
 	countOpen(): number;
 	/** Counts the connections that wait until they are read, because others are costly to read. */
 	countDeferred(): number;
-	/** Accepts no more connections, and closes each connection once it has no request. */
-	stop(): void;
+	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
+	stop(): Promise<void>;
+	/** Counts the connections that have been told the end, but are still open. */
+	countClosing(): number;
 	/** Resets the connections whose requests are not finished. */
 	reset(): void;
 	/** Applies the timeouts of a configuration to everything that callers send from now on. */
@@ -94,33 +97,29 @@
 		maxHeaderSize: maximumHeaderBytes,
 		connectionsCheckingInterval: connectionsCheckIntervalMilliseconds,
 		requestTimeout: 0,
+		requireHostHeader: false, // The server would close the connection, although requests behind this one run.
 		noDelay: true,
 	}, handleRequest);
 	const connections = callerConnections.trackConnections(server, {
 		port: host.ports.limitPort(server, 'callers'), getNow: host.getNow, onRequestAhead: host.recordRequestAhead, onCut: host.recordCut,
 	});
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
-	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges});
+	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
+	const order = responseOrder.createResponseOrder(connections.exchanges);
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-		if (badConnections.isRefused(request.socket)) {
+		if (connections.closing.isClosing(request.socket)) {
 			request.resume();
 			return;
 		}
 
-		const receivedAt = host.getNow();
-		const exchange = connections.beginExchange(request, response);
-		if (connections.countExchangesOn(request.socket) > maximumRequestsPerConnection) {
-			closeConnection(request.socket, 'too-many-requests-on-connection');
-			return;
-		}
-
-		if (host.isLeaving() && connections.countExchangesOn(request.socket) > 1) {
-			// The response before it closes the connection, so no upstream should begin to work on it.
-			refuse(exchange, 'stopping', undefined);
+		if (connections.countExchangesOn(request.socket) >= maximumRequestsPerConnection) {
+			badConnections.refuseExcess(request.socket);
 			return;
 		}
 
+		const receivedAt = host.getNow();
+		const exchange = connections.beginExchange(request, response);
 		const metadata = host.headers.readRequest(request.headers);
 		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
@@ -133,6 +132,11 @@
 			}
 		}
 
+		if (request.headers.host === undefined) {
+			refuse(exchange, 'no-host', metadata.id);
+			return;
+		}
+
 		const activeConfiguration = host.getActiveConfiguration();
 		if (!activeConfiguration) {
 			refuse(exchange, 'no-configuration', metadata.id);
@@ -140,7 +144,7 @@
 		}
 
 		const {configuration: {version, limits}, routes, keys} = activeConfiguration;
-		const route = routes.resolve(request.headers.host ?? '', request.url ?? '');
+		const route = routes.resolve(request.headers.host, request.url ?? '');
 		if (!route) {
 			refuse(exchange, host.isStale() ? 'news-stale' : 'unknown-route', metadata.id);
 			return;
@@ -157,7 +161,7 @@
 			return;
 		}
 
-		const headerBytes = countHeaderBytes(request.rawHeaders);
+		const headerBytes = forwardedHeaders.countHeaderBytes(request.rawHeaders);
 		if (headerBytes > limits.headerBytes) {
 			refuse(exchange, 'headers-too-large', metadata.id);
 			return;
@@ -277,11 +281,11 @@
 			...context,
 			method: request.method ?? 'GET',
 			path: request.url ?? '/',
-			headers: createForwardedHeaders(request, body, context.workspace),
+			headers: forwardedHeaders.createForwardedHeaders(host.headers, request, body, context.workspace !== undefined || host.getActiveConfiguration()?.keys.isActive === true),
 			body,
 		}, {
 			respond(gatewayResponse) {
-				writeResponse(exchange, gatewayResponse);
+				respond(exchange, gatewayResponse);
 			},
 		});
 		exchange.onEnd(end => {
@@ -291,18 +295,6 @@
 		});
 	}
 
-	function closeConnection(socket: net.Socket, reason: 'too-many-requests-on-connection' | 'response-not-taken'): void {
-		host.recordRefusal(reason, undefined, 0);
-		connections.cut(socket, reason);
-	}
-
-	function createForwardedHeaders(request: http.IncomingMessage, body: CallBody, workspace: configuration.Workspace | undefined): GatewayRequest['headers'] {
-		const hasWorkspaces = workspace !== undefined || host.getActiveConfiguration()?.keys.isActive === true;
-		const forwarded = getForwardedHeaders(request.rawHeaders, {has: name => name === 'host' || name === 'expect' || name === 'content-length' || host.headers.isReplacedHeader(name) || (hasWorkspaces && host.headers.isCredentialHeader(name))}, {has: host.headers.isIdentityHeader});
-		const length = body.kind === 'streamed' ? request.headers['content-length'] : undefined;
-		return [['host', request.headers.host ?? ''], ...forwarded, ...(length === undefined ? [] : [['content-length', length] as const])];
-	}
-
 	function refuse(exchange: exchanges.Exchange, reason: frontRefusals.AnsweredRefusal, id: string | undefined): void {
 		const statusCode = frontRefusals.refusalStatuses[reason];
 		host.recordRefusal(reason, id, statusCode);
@@ -312,7 +304,7 @@
 			exchange.request.resume();
 		}
 
-		writeResponse(exchange, {
+		respond(exchange, {
 			statusCode,
 			headers: frontRefusals.createRefusalHeaders(host, reason),
 			body: new Uint8Array(),
@@ -321,38 +313,61 @@
 		});
 	}
 
+	function respond(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
+		claimResponse(exchange, gatewayResponse.body.length);
+		order.deliver(exchange, () => {
+			if (!host.isLeaving()) {
+				writeResponse(exchange, gatewayResponse);
+				return;
+			}
+
+			// Requests that arrived together with this one are read first, since the last response closes the connection.
+			setImmediate(() => {
+				writeResponse(exchange, gatewayResponse);
+			});
+		});
+	}
+
 	function writeResponse(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
-		const {request, response} = exchange;
+		const {request, response, socket} = exchange;
 		if (response.destroyed || exchange.hasEnded()) {
 			return;
 		}
 
+		const {end, closesConnection} = responseDelivery.decideDelivery({
+			isFollowed: connections.countExchangesOn(socket) > 1,
+			// A request without a body isn't marked as complete yet when it is refused at once.
+			isRequestUnread: hasBody(request) && !request.complete,
+			isLeaving: host.isLeaving(),
+			hasOwnEnd: gatewayResponse.hasOwnEnd,
+		});
+		if (closesConnection) {
+			connections.closing.stopReading(socket);
+		}
+
 		// Only the upstream knows the length of the body that isn't sent.
 		const isBodyless = attempt.isBodyless(request.method ?? '', gatewayResponse.statusCode);
 		const headers = [...gatewayResponse.headers, ...createRelayedHeaders(request, gatewayResponse)].filter(([name]) => isBodyless || name !== 'content-length').flat();
-		// A request without a body isn't marked as complete yet when it is refused at once.
-		const isPartlyUnread = hasBody(request) && !request.complete;
-		const isClosing = host.isLeaving() || isPartlyUnread || !gatewayResponse.hasOwnEnd;
 		// Without it, Node.js closes the connection after a response that has neither a length nor chunks.
 		response.useChunkedEncodingByDefault = isBodyless;
 		response.writeHead(gatewayResponse.statusCode, [
 			...headers,
-			...(isBodyless || !gatewayResponse.hasOwnEnd ? [] : ['content-length', String(gatewayResponse.body.length)]),
-			...(isClosing ? ['connection', 'close'] : []),
+			...(isBodyless || end === 'connection' ? [] : ['content-length', String(gatewayResponse.body.length)]),
+			...(closesConnection ? ['connection', 'close'] : []),
 		]);
-		claimResponse(exchange, gatewayResponse.body.length);
 		response.end(gatewayResponse.body);
 	}
 
 	/** Claims the memory of a large response until its caller has taken it. */
 	function claimResponse(exchange: exchanges.Exchange, bytes: number): void {
-		if (bytes < claimedResponseBytes) {
+		if (bytes < claimedResponseBytes || exchange.hasEnded()) {
 			return;
 		}
 
 		const now = host.getNow();
 		const claim = host.memory.claim('responses', now, () => {
-			closeConnection(exchange.request.socket, 'response-not-taken');
+			host.recordRefusal('response-not-taken', undefined, 0);
+			connections.cut(exchange.socket, 'response-not-taken');
 		});
 		exchange.onEnd(claim.free);
 		claim.resize(bytes, now);
@@ -369,6 +384,7 @@
 		countOpen: connections.countExchanges,
 		countDeferred: connections.reading.countDeferred,
 		stop: connections.stop,
+		countClosing: connections.closing.count,
 		reset() {
 			reception.close();
 			connections.reset();
@@ -381,9 +397,3 @@
 		},
 	};
 }
-
-/** Computes the size of a header section as it was sent, in bytes, from alternating names and values. */
-function countHeaderBytes(rawHeaders: readonly string[]): number {
-	const separatorBytes = 2;
-	return rawHeaders.reduce((sum, text) => sum + text.length + separatorBytes, 0);
-}
