--- a/stand-ins/fleet.ts
+++ b/stand-ins/fleet.ts
@@ -42,6 +42,8 @@
 	readonly failureDomain: string;
 	/** Host and port that callers connect to. */
 	readonly address: string;
+	/** Host and port that other entries connect to. */
+	readonly peerAddress: string;
 	readonly program: RunningProgram;
 };
 
@@ -155,11 +157,12 @@
 		const program = await startProgram('fescuering-entry', '--settings', file);
 		programs.push(program);
 		const values = parseReadyLine(program.readyLine);
+		const address = values.get('address')!;
 		const entry = {
-			name, failureDomain, address: values.get('address')!, program,
+			name, failureDomain, address, peerAddress: values.get('peer') ?? address, program,
 		};
 		await register({
-			name, role: 'entry', region: 'local', failureDomain, address: entry.address, peerAddress: values.get('peer') ?? entry.address, state: 'live',
+			name, role: 'entry', region: 'local', failureDomain, address, peerAddress: entry.peerAddress, state: 'live',
 		});
 		return entry;
 	}
