End only the request whose handler throws on the small ports of the gateway

An error of a handler on the ports for the directory, readiness and metrics was uncaught and ended the process with all its requests. These handlers only read the state of the process, so it can be trusted afterwards. Such a request now gets 500, or its connection is closed if its response has begun; it is logged as handler-failed and counted. No input is known that makes these handlers throw.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -29,6 +29,7 @@
 import {createFrontServer} from './front-server.ts';
 import type * as loadCheck from './load-check.ts';
 import * as latenessWatch from './lateness-watch.ts';
+import * as guardedRequests from './guarded-requests.ts';
 import * as messageLimits from './message-limits.ts';
 import * as openPorts from './open-port.ts';
 import * as permitsModule from './permits.ts';
@@ -380,10 +381,13 @@
 	}, settings.longestAddressLifetimeSeconds);
 	const directoryServer = platform.createDirectoryServer(directory);
 	const readinessServer = platform.createReadinessServer(directory);
-	const metricsServer = http.createServer((request, response) => {
+	const requestGuard = {logger, recordFailedHandler: metrics.recordFailedHandler};
+	guardedRequests.guardRequests(requestGuard, 'directory', directoryServer);
+	guardedRequests.guardRequests(requestGuard, 'readiness', readinessServer);
+	const metricsServer = http.createServer(guardedRequests.createGuardedListener(requestGuard, 'metrics', async (request, response) => {
 		request.resume();
-		void writeMetrics(response);
-	});
+		await writeMetrics(response);
+	}));
 
 	ports.limitBodylessPort(directoryServer, 'directory');
 	ports.limitBodylessPort(readinessServer, 'readiness');
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -50,6 +50,8 @@
 	recordWorkspaceRequest(workspace: string, outcome: string): void;
 	/** Records a connection that was closed to make room for others. */
 	recordClosedConnection(port: string): void;
+	/** Records a request whose handler threw an error. */
+	recordFailedHandler(port: string): void;
 	/** Records a request that arrived while another one of its connection was in progress. */
 	recordRequestAhead(): void;
 	/** Records requests that were passed on and ended with their connection, although their caller had not left. */
@@ -92,6 +94,9 @@
 	const closedConnections = new prometheus.Counter({
 		name: 'fescuering_gateway_closed_connections_total', help: 'Connections that were closed to make room for others, by port.', labelNames: ['port'] as const, registers,
 	});
+	const failedHandlers = new prometheus.Counter({
+		name: 'fescuering_gateway_failed_handlers_total', help: 'Requests that ended with an error of their handler, by port.', labelNames: ['port'] as const, registers,
+	});
 	const requestsAhead = new prometheus.Counter({
 		name: 'fescuering_gateway_requests_ahead_total', help: 'Requests that arrived while another one of their connection was in progress.', registers,
 	});
@@ -146,6 +151,9 @@
 		recordClosedConnection(port) {
 			closedConnections.inc({port});
 		},
+		recordFailedHandler(port) {
+			failedHandlers.inc({port});
+		},
 		recordRequestAhead() {
 			requestsAhead.inc();
 		},
