An upstream that has left stays out of updates from entries that started later

An entry that started within the lost seconds lists an upstream from the older copy that left before its start, and told the others of it with the removal that it held, or with its whole registry. Such changes are ignored where the upstream, or a later owner of its address, is remembered.

--- a/src/decisions/registry/removed-upstreams.ts
+++ b/src/decisions/registry/removed-upstreams.ts
@@ -24,6 +24,10 @@
 		return upstream && upstream.era < era ? upstream.registration : undefined;
 	}
 
+	/** Whether an upstream that started later had the address before the era. */
+	const hadLaterOwner = (address: string, incarnation: number, beforeEra: number) => [...upstreams.values()]
+		.some(({registration, era}) => era < beforeEra && registration.address === address && registration.incarnation > incarnation);
+
 	return {
 		add({registration, era}) {
 			const {id} = registration;
@@ -36,9 +40,9 @@
 		delete(id) {
 			upstreams.delete(id);
 		},
-		mayPrecedeRemoval({id, incarnation}, era) {
+		mayPrecedeRemoval({id, address, incarnation}, era) {
 			const previous = findEarlier(id, era);
-			return previous !== undefined && incarnation <= previous.incarnation;
+			return (previous !== undefined && incarnation <= previous.incarnation) || hadLaterOwner(address, incarnation, era);
 		},
 		isRepeated({id, incarnation, sequence, state}, era) {
 			const previous = findEarlier(id, era);
--- a/src/decisions/registry/upstream-registry.ts
+++ b/src/decisions/registry/upstream-registry.ts
@@ -206,6 +206,12 @@
 		}
 	}
 
+	/** Whether a change in this era may come from an entry that has the upstream from an older copy. A single change without a hold follows from a record of this era. */
+	function mayBringBack(change: RegistryChange, {isComplete}: RegistryUpdate): boolean {
+		return change.kind === 'registered' && !upstreams.has(change.registration.id)
+			&& (isComplete || change.removalDueInMilliseconds !== undefined) && removed.mayPrecedeRemoval(change.registration, era);
+	}
+
 	/** Applies a change in a later era. A removal that the other entry holds back must be held back here too, since only its end is passed on. */
 	function applyLaterChange(change: RegisteredChange, now: number): RegistryEvent | undefined {
 		const {registration, removalDueInMilliseconds} = change;
@@ -311,7 +317,7 @@
 			const registeredIds = new Set(update.changes.flatMap(change => change.kind === 'registered' ? [change.registration.id] : []));
 			return [
 				...(update.isComplete ? removeOthers(registeredIds, position) : []),
-				...update.changes.map(change => applyChange(change, position, now)),
+				...update.changes.filter(change => !mayBringBack(change, update)).map(change => applyChange(change, position, now)),
 			].filter(event => event !== undefined);
 		},
 		applyDueRemovals(confirmedAt) {
--- a/src/gateway/store-era-orders.test.ts
+++ b/src/gateway/store-era-orders.test.ts
@@ -23,7 +23,9 @@
 
 type Action
 	= | {readonly kind: 'publish' | 'evacuate' | 'join' | 'hand-over'}
-		| {readonly kind: 'drain' | 'leave' | 'restart' | 'start'; readonly index: number}
+		| {readonly kind: 'drain' | 'restart' | 'start'; readonly index: number}
+		/** The next upstream that joins may get the address of the one that leaves. */
+		| {readonly kind: 'leave'; readonly index: number; readonly isAddressReused: boolean}
 		| {readonly kind: 'late-answer'; readonly milliseconds: number}
 		| {readonly kind: 'wait'; readonly steps: number}
 		| (Loss & {readonly kind: 'loss'});
@@ -31,7 +33,8 @@
 /** Offsets alone show a loss only to a read that comes before they are given out again: the store isn't away, and no answer is late. */
 const createActions = (isStated: boolean): fc.Arbitrary<readonly Action[]> => fc.array(fc.oneof(
 	fc.record({kind: fc.constantFrom('publish' as const, 'evacuate' as const, 'join' as const, 'hand-over' as const)}),
-	fc.record({kind: fc.constantFrom('drain' as const, 'leave' as const, 'restart' as const, 'start' as const), index: fc.nat(5)}),
+	fc.record({kind: fc.constantFrom('drain' as const, 'restart' as const, 'start' as const), index: fc.nat(5)}),
+	fc.record({kind: fc.constant('leave' as const), index: fc.nat(5), isAddressReused: fc.boolean()}),
 	fc.record({kind: fc.constant('wait' as const), steps: fc.integer({min: 1, max: 8})}),
 	fc.record({
 		kind: fc.constant('loss' as const),
@@ -235,7 +238,10 @@
 			case 'leave': {
 				const upstream = [...living.values()][action.index % living.size]!;
 				living.delete(upstream.id);
-				formerAddresses.push(upstream.address);
+				if (action.isAddressReused) {
+					formerAddresses.push(upstream.address);
+				}
+
 				store.remove(upstream.id);
 				join();
 				break;
@@ -312,6 +318,7 @@
 	vi.useRealTimers();
 });
 
+const leaving: Action = {kind: 'leave', index: 0, isAddressReused: false};
 const shortLoss: Action = {
 	kind: 'loss', lostSteps: 4, awaySteps: 1, rewriteSteps: 7, isReplaced: false,
 };
@@ -320,17 +327,24 @@
 
 // Guards against each single fault after a loss, so that a failure names it.
 test.each<{readonly name: string; readonly order: readonly Action[]}>([
-	{name: 'a new record at an offset below that of the last read arrives', order: [longLoss, {kind: 'leave', index: 1}]},
+	{name: 'a new record at an offset below that of the last read arrives', order: [longLoss, leaving]},
 	{name: 'new records after offsets that were given out again arrive', order: [longLoss, {kind: 'wait', steps: 8}, {kind: 'drain', index: 2}]},
 	{name: 'a newer configuration at the offset of the lost one arrives', order: [{kind: 'publish'}, {kind: 'wait', steps: 1}, replacingLoss]},
-	{name: 'an answer from before the loss that arrives after it brings nothing back', order: [{kind: 'wait', steps: 1}, {kind: 'late-answer', milliseconds: 1400}, {kind: 'wait', steps: 1}, {kind: 'leave', index: 0}, shortLoss]},
-	{name: 'an upstream that has left stays gone', order: [{kind: 'leave', index: 0}, {kind: 'wait', steps: 1}, shortLoss]},
+	{name: 'an answer from before the loss that arrives after it brings nothing back', order: [{kind: 'wait', steps: 1}, {kind: 'late-answer', milliseconds: 1400}, {kind: 'wait', steps: 1}, leaving, shortLoss]},
+	{name: 'an upstream that has left stays gone', order: [leaving, {kind: 'wait', steps: 1}, shortLoss]},
+	{name: 'an upstream whose address has another owner stays gone', order: [{...leaving, isAddressReused: true}, {kind: 'wait', steps: 1}, shortLoss]},
+	{
+		name: 'a first read from before the loss that is answered after it hides nothing',
+		order: [{kind: 'late-answer', milliseconds: 400}, {kind: 'late-answer', milliseconds: 1000}, {kind: 'start', index: 0}, {
+			...shortLoss, lostSteps: 2, awaySteps: 0, rewriteSteps: 0,
+		}, leaving],
+	},
 	{name: 'an upstream that drains goes on draining', order: [{kind: 'drain', index: 0}, {kind: 'wait', steps: 1}, shortLoss]},
 	{name: 'an upstream that the copy lacks stays', order: [{kind: 'join'}, {kind: 'wait', steps: 1}, shortLoss]},
 	{name: 'a configuration and an evacuation that the copy lacks stay', order: [{kind: 'publish'}, {kind: 'evacuate'}, {kind: 'wait', steps: 1}, shortLoss]},
-	{name: 'two losses in a row take nothing back', order: [{kind: 'leave', index: 0}, {kind: 'publish'}, {kind: 'wait', steps: 1}, shortLoss, shortLoss]},
-	{name: 'a loss during a hand-over takes nothing back', order: [{kind: 'leave', index: 0}, {kind: 'join'}, {kind: 'hand-over'}, shortLoss, {kind: 'hand-over'}]},
-	{name: 'an entry that starts after a loss knows what the others know', order: [{kind: 'join'}, shortLoss, {kind: 'start', index: 1}, {kind: 'hand-over'}, {kind: 'leave', index: 0}]},
+	{name: 'two losses in a row take nothing back', order: [leaving, {kind: 'publish'}, {kind: 'wait', steps: 1}, shortLoss, shortLoss]},
+	{name: 'a loss during a hand-over takes nothing back', order: [leaving, {kind: 'join'}, {kind: 'hand-over'}, shortLoss, {kind: 'hand-over'}]},
+	{name: 'an entry that starts after a loss knows what the others know', order: [{kind: 'join'}, shortLoss, {kind: 'start', index: 1}, {kind: 'hand-over'}, leaving]},
 ])('after a loss, $name', async ({order}) => {
 	await run(order, true);
 });
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -103,7 +103,7 @@
 	for (const stop of stopRequests) {
 		const {count, unexpected} = await stop();
 		expect(count).toBeGreaterThan(100);
-		expect(unexpected).toEqual([]);
+		expect(unexpected.join('\n')).toBe('');
 	}
 
 	expect(second.receivedRequests.length).toBe(receivedBefore);
