Read what has arrived before an entry closes an idle connection

Cause: at the end of its notice and at the idle timeout, fescuering-entry destroyed idle connections at once; a process that is late finds the timer due and the next request unread, so its caller was reset. Change: the gateway's way, moved to src/entry/idle-connections.ts and shared: a connection without a request is closed in steps one turn of the event loop later, unless something arrives.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -17,6 +17,7 @@
 import * as callerReading from './caller-reading.ts';
 import * as closingConnections from './closing-connections.ts';
 import * as exchangesModule from './exchanges.ts';
+import * as idleConnections from './idle-connections.ts';
 import * as refusedConnectionsModule from './refused-connections.ts';
 import {type CallExecution} from './service-runner.ts';
 
@@ -63,6 +64,8 @@
 	readonly server: http.Server;
 	/** Number of requests whose answers have not been sent completely. */
 	countOpenRequests(): number;
+	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
+	stop(): Promise<void>;
 };
 
 /** Interval at which the headers and request timeouts of connections are checked. */
@@ -90,6 +93,7 @@
 		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
 	};
 	const closing = closingConnections.closeInSteps(server);
+	const idle = idleConnections.trackIdleConnections(server, {closing, countOn: exchanges.countOn});
 	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, closing, answersIncomplete: true});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
@@ -117,6 +121,11 @@
 		}
 
 		const exchange = exchanges.begin(request, response);
+		exchange.onEnd(() => {
+			if (exchanges.countOn(request.socket) === 0) {
+				idle.recordIdle(request.socket);
+			}
+		});
 		const path = getPath(request.url ?? '');
 		const route = host.builtInRoutes.get(path);
 		if (route) {
@@ -227,7 +236,7 @@
 		};
 	}
 
-	return {server, countOpenRequests: exchanges.count};
+	return {server, countOpenRequests: exchanges.count, stop: idle.stop};
 }
 
 /** Answers a call that is not executed, and closes the connection if a part of its body is unread. */
--- a/src/entry/listeners.ts
+++ b/src/entry/listeners.ts
@@ -55,14 +55,14 @@
 const drainCheckIntervalMilliseconds = 20;
 
 /** Stops accepting connections of callers, waits until all calls have ended or the grace period is over, and closes the connections. */
-export async function drainCallers({server}: CallerServer, options: DrainOptions): Promise<void> {
+export async function drainCallers(callerServer: CallerServer, options: DrainOptions): Promise<void> {
 	const graceEndsAt = options.getNow() + options.graceMilliseconds;
-	server.close();
+	await callerServer.stop();
 	while (options.countCalls() > 0 && options.getNow() < graceEndsAt) {
 		await new Promise(resolve => {
 			setTimeout(resolve, drainCheckIntervalMilliseconds);
 		});
 	}
 
-	server.closeAllConnections();
+	callerServer.server.closeAllConnections();
 }
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -1,10 +1,10 @@
-/** Tracks the connections of callers, so that a stop closes those that are idle and no others. */
+/** Tracks the connections of callers and their requests, so that a stop closes those that are idle and no others. */
 import type * as http from 'node:http';
-import * as net from 'node:net';
-import * as timers from 'node:timers/promises';
+import type * as net from 'node:net';
 import * as callerReading from '../entry/caller-reading.ts';
 import * as closingConnections from '../entry/closing-connections.ts';
 import * as exchangesModule from '../entry/exchanges.ts';
+import * as idleConnections from '../entry/idle-connections.ts';
 import type * as portLimits from './port-limits.ts';
 
 /** Why a connection ended although a request on it was not answered; `server` if the HTTP server closed it by itself. */
@@ -50,8 +50,6 @@
 };
 
 type ConnectionState = {
-	/** Number of bytes that were received when the last exchange ended. */
-	receivedBytes: number;
 	/** Why the entry closes the connection. */
 	cutReason: CutReason;
 	/** Whether the caller has closed the connection, or it failed. */
@@ -65,11 +63,10 @@
 	const exchanges = exchangesModule.createExchanges();
 	const passedOn = new WeakSet<exchangesModule.Exchange>();
 	const closing = closingConnections.closeInSteps(server);
-	let isStopping = false;
+	const idle = idleConnections.trackIdleConnections(server, {closing, countOn: exchanges.countOn});
 
-	server.on('timeout', closeIfUnused);
 	server.on('connection', (socket: net.Socket) => {
-		const state: ConnectionState = {receivedBytes: 0, cutReason: 'server', hasCallerLeft: false};
+		const state: ConnectionState = {cutReason: 'server', hasCallerLeft: false};
 		connections.set(socket, state);
 		const leave = () => {
 			state.hasCallerLeft = true;
@@ -99,16 +96,6 @@
 		socket.resetAndDestroy();
 	}
 
-	/** Closes a connection without a request, unless something arrives in the present turn of the event loop: a process that is late finds a timer due and the next request unread. */
-	function closeIfUnused(socket: net.Socket): void {
-		const {bytesRead} = socket;
-		setImmediate(() => {
-			if (exchanges.countOn(socket) === 0 && socket.bytesRead === bytesRead) {
-				closing.close(socket);
-			}
-		});
-	}
-
 	return {
 		reading: callerReading.createCallerReading(server, exchanges, getNow),
 		closing,
@@ -122,16 +109,12 @@
 
 			port.beginUse(socket);
 			exchange.onEnd(() => {
-				const state = connections.get(socket);
-				if (!state || exchanges.countOn(socket) > 0) {
+				if (!connections.has(socket) || exchanges.countOn(socket) > 0) {
 					return;
 				}
 
-				state.receivedBytes = socket.bytesRead;
 				port.endUse(socket);
-				if (isStopping) {
-					closeIfUnused(socket);
-				}
+				idle.recordIdle(socket);
 			});
 			return exchange;
 		},
@@ -141,19 +124,7 @@
 		cut,
 		countExchanges: exchanges.count,
 		countExchangesOn: exchanges.countOn,
-		async stop() {
-			isStopping = true;
-			// `http.Server.close` also closes connections whose responses were written, but not yet taken by the system.
-			net.Server.prototype.close.call(server);
-			for (const [socket, {receivedBytes}] of connections) {
-				// A connection that has received part of a request is kept.
-				if (socket.bytesRead === receivedBytes) {
-					closeIfUnused(socket);
-				}
-			}
-
-			await timers.setImmediate();
-		},
+		stop: idle.stop,
 		reset() {
 			for (const socket of connections.keys()) {
 				if (exchanges.countOn(socket) > 0) {
