Let the answers of a leaving entry arrive before its connections are closed

Cause: once all calls had ended, the drain destroyed every connection, also those whose last answer was still on its way; a caller that sent more was reset, and its system dropped the answer. Change: the drain also waits, within its grace period, for connections that are being closed.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -64,6 +64,8 @@
 	readonly server: http.Server;
 	/** Number of requests whose answers have not been sent completely. */
 	countOpenRequests(): number;
+	/** Number of connections that have been told the end, but are still open. */
+	countClosing(): number;
 	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
 	stop(): Promise<void>;
 };
@@ -236,7 +238,9 @@
 		};
 	}
 
-	return {server, countOpenRequests: exchanges.count, stop: idle.stop};
+	return {
+		server, countOpenRequests: exchanges.count, countClosing: closing.count, stop: idle.stop,
+	};
 }
 
 /** Answers a call that is not executed, and closes the connection if a part of its body is unread. */
--- a/src/entry/listeners.ts
+++ b/src/entry/listeners.ts
@@ -58,7 +58,7 @@
 export async function drainCallers(callerServer: CallerServer, options: DrainOptions): Promise<void> {
 	const graceEndsAt = options.getNow() + options.graceMilliseconds;
 	await callerServer.stop();
-	while (options.countCalls() > 0 && options.getNow() < graceEndsAt) {
+	while ((options.countCalls() > 0 || callerServer.countClosing() > 0) && options.getNow() < graceEndsAt) {
 		await new Promise(resolve => {
 			setTimeout(resolve, drainCheckIntervalMilliseconds);
 		});
--- a/test/entry-connections.test.ts
+++ b/test/entry-connections.test.ts
@@ -93,3 +93,24 @@
 	await waitUntil(() => caller.listStatuses().length === 2 || caller.socket.destroyed);
 	expect(caller.listStatuses()).toEqual([200, 200]);
 });
+
+// Guards against an answer that is lost because its caller sends more while the connection closes: the system then resets it.
+test('an answer that is on its way arrives whole although its caller sends more while the entry stops', async () => {
+	const answerBytes = 1_000_000;
+	const entry = await startEntry({durationMilliseconds: {default: 2 * noticeMilliseconds}, answerBytes});
+	const caller = rawCaller.connect(entry.address);
+	caller.socket.write(createRequest('a'));
+	caller.socket.pause();
+	await timers.setTimeout(300);
+	entry.program.signal('SIGTERM');
+	await timers.setTimeout(2 * noticeMilliseconds);
+	for (const path of ['b', 'c']) {
+		caller.socket.write(createRequest(path));
+		await timers.setTimeout(50);
+	}
+
+	caller.socket.resume();
+	await caller.closed;
+	expect(caller.getText().length).toBeGreaterThan(answerBytes);
+	expect(await entry.program.exited).toBe(0);
+});
