Move the stop of a process from the gateway's program to a module of its own

No change of behaviour; fescuering-entry needs the same. test/stops, test/life-cycle and the two tests of stops in test/kept-connections pass.

--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -9,8 +9,8 @@
 import {createGatewayMetrics} from '../observability/gateway-metrics.ts';
 import {createLineWriter} from '../observability/line-writer.ts';
 import {createLogger, type Logger} from '../observability/logger.ts';
-import {isPeerSessionError} from '../peers/peer-errors.ts';
 import {createCommandLine, exitWithDiagnostic, runCommandLine} from './shared/command-line.ts';
+import * as processStop from './shared/process-stop.ts';
 
 type Flags = {
 	readonly settings?: string;
@@ -66,8 +66,8 @@
 
 async function start(path: string, settings: GatewaySettings, localAddress: string | undefined): Promise<void> {
 	const logger = createLogger('info', {entry: settings.name}, writer);
-	const signals = watchSignals(path, logger);
-	handleUncaughtErrors(logger, signals.stopAfterError);
+	const stop = processStop.handleStop({logger, crashEvent: 'gateway-crashed', flush: async () => writer.flush(flushTimeoutMilliseconds)});
+	const reloads = handleReloads(path, logger);
 	const metrics = createGatewayMetrics();
 	const getNow = () => performance.now();
 	const gateway = await createGateway(settings, {
@@ -79,52 +79,15 @@
 		getNow,
 		getWallTime: () => Date.now(),
 	});
-	signals.handOver(gateway);
+	stop.handOver(gateway);
+	reloads.handOver(gateway);
 }
 
-/** Stops and reloads a gateway when signals ask for it, and stops it after an error. */
-type Signals = {
-	handOver(gateway: Gateway): void;
-	/** Stops after an error that nothing has handled. The requests at work are answered first, as each runs apart from the part that failed. */
-	stopAfterError(): void;
-};
-
-/** Handles signals from now on; those that arrive before there is a gateway are handled as far as they concern one that is starting. */
-function watchSignals(path: string, logger: Logger): Signals {
+/** Reloads a gateway at SIGHUP from now on; a signal that arrives before there is a gateway is handled when it has started. */
+function handleReloads(path: string, logger: Logger): {handOver(gateway: Gateway): void} {
 	let gateway: Gateway | undefined;
 	let isReloadPending = false;
-	let isStopping = false;
-	let exitCode = 0;
-
-	/** Stops once: a second signal must neither end the process by default nor cut the stop short. */
-	function stop(leave: (gateway: Gateway) => Promise<void>): void {
-		if (!isStopping) {
-			isStopping = true;
-			void leaveAndExit(leave);
-		}
-	}
-
-	/** A gateway that is still starting has accepted nothing. */
-	async function leaveAndExit(leave: (gateway: Gateway) => Promise<void>): Promise<void> {
-		try {
-			if (gateway) {
-				await leave(gateway);
-			}
-		} catch (error) {
-			exitCode = 1;
-			logger.error('stop-failed', {reason: String(error)});
-		}
-
-		await writer.flush(flushTimeoutMilliseconds);
-		process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit
-	}
-
-	const handleSignal = () => {
-		stop(async running => running.leave());
-	};
 
-	process.on('SIGTERM', handleSignal);
-	process.on('SIGINT', handleSignal);
 	process.on('SIGHUP', () => {
 		if (gateway) {
 			reload(path, gateway, logger);
@@ -133,10 +96,6 @@
 		}
 	});
 	return {
-		stopAfterError() {
-			exitCode = 1;
-			stop(async running => running.leaveAtOnce());
-		},
 		handOver(started) {
 			gateway = started;
 			if (isReloadPending) {
@@ -155,16 +114,3 @@
 
 	gateway.reload(settings.value);
 }
-
-/** Logs uncaught errors. Those of sessions with other entries change nothing else; any other one ends the process. */
-function handleUncaughtErrors(logger: Logger, stopAfterError: () => void): void {
-	process.on('uncaughtException', error => {
-		if (isPeerSessionError(error)) {
-			logger.warn('peer-session-failed', {reason: error.message});
-			return;
-		}
-
-		logger.error('gateway-crashed', {reason: error.stack ?? error.message});
-		stopAfterError();
-	});
-}
