Finish the calls in flight before an error or a second signal ends an entry

Cause: fescuering-entry ended at once on an uncaught error, and handled only the first SIGTERM and SIGINT each, so that a second signal had its default effect. Callers lost all calls in flight. Change: the gateway's stop of a process: it runs once, an uncaught error stops the entry without notice and ends it with code 1, a stop that fails is logged.

--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -55,6 +55,8 @@
 	readonly peerAddress: string;
 	/** Withdraws the entry from the entry list, finishes the calls in flight and stops; resolves when all parts have stopped. */
 	leave(): Promise<void>;
+	/** Stops without notice: accepts no new connections from now on, finishes the calls in flight, and stops. */
+	leaveAtOnce(): Promise<void>;
 };
 
 /** Time allowed for requests of other entries to end after the calls of this entry have ended. */
@@ -263,7 +265,7 @@
 		incarnation, address: callerAddress, peerAddress, failureDomain: settings.failureDomain,
 	});
 
-	async function leave(): Promise<void> {
+	async function leave(noticeMilliseconds: number): Promise<void> {
 		const leaveStartedAt = host.getNow();
 		if (!lifeCycle.send('leave')) {
 			return;
@@ -271,7 +273,7 @@
 
 		await membership.leave();
 		if (lifeCycle.getState() === 'leaving') {
-			await timers.setTimeout(settings.leaving.noticeMilliseconds);
+			await timers.setTimeout(noticeMilliseconds);
 			lifeCycle.send('notice-over');
 		}
 
@@ -293,6 +295,11 @@
 	}
 
 	return neverthrow.ok({
-		name: settings.name, incarnation, callerAddress, peerAddress, leave,
+		name: settings.name,
+		incarnation,
+		callerAddress,
+		peerAddress,
+		leave: async () => leave(settings.leaving.noticeMilliseconds),
+		leaveAtOnce: async () => leave(0),
 	});
 }
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -1,17 +1,17 @@
 /** `fescuering-entry`: runs one entry, which serves callers, other entries and operators. */
 import process from 'node:process';
 import {createDiagnostic, diagnostics} from '../decisions/diagnostics.ts';
-import {createEntry, type Entry} from '../entry/create-entry.ts';
+import {createEntry} from '../entry/create-entry.ts';
 import {checkEntrySettings, type EntrySettings, entrySettingsSchema} from '../entry/settings.ts';
-import {createLogger, type Logger} from '../observability/logger.ts';
+import {createLogger} from '../observability/logger.ts';
 import {createMetrics} from '../observability/metrics.ts';
 import {createTracing} from '../observability/tracing.ts';
-import {isPeerSessionError} from '../peers/peer-errors.ts';
 import {createHttpInstanceList} from '../platform/http-instance-list.ts';
 import {createHttpLog} from '../platform/http-log.ts';
 import {createMeteredLog} from '../platform/metered-log.ts';
 import {readSettings} from '../platform/settings-file.ts';
 import {createCommandLine, exitWithDiagnostic, runCommandLine} from './shared/command-line.ts';
+import * as processStop from './shared/process-stop.ts';
 
 type Flags = {
 	readonly settings?: string;
@@ -47,7 +47,8 @@
 async function start(settings: EntrySettings): Promise<void> {
 	const {observability, platform} = settings;
 	const logger = createLogger(observability.logLevel, {entry: settings.name});
-	handleUncaughtErrors(logger);
+	// The log is written without a buffer.
+	const stop = processStop.handleStop({logger, crashEvent: 'entry-crashed', flush: async () => undefined});
 	const metrics = createMetrics();
 	const result = await createEntry(settings, {
 		log: createMeteredLog(createHttpLog(platform.logUrl), metrics),
@@ -72,27 +73,5 @@
 
 	const entry = result.value;
 	process.stdout.write(`ready address=${entry.callerAddress} peer=${entry.peerAddress} incarnation=${entry.incarnation}\n`);
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(signal, () => {
-			void leaveAndExit(entry);
-		});
-	}
-}
-
-/** Logs uncaught errors of sessions with other entries and continues; any other uncaught error ends the process. */
-function handleUncaughtErrors(logger: Logger): void {
-	process.on('uncaughtException', error => {
-		if (isPeerSessionError(error)) {
-			logger.warn('peer-session-failed', {reason: error.message});
-			return;
-		}
-
-		logger.error('entry-crashed', {reason: error.stack ?? error.message});
-		process.exit(1);
-	});
-}
-
-async function leaveAndExit(entry: Entry): Promise<void> {
-	await entry.leave();
-	process.exit(0); // eslint-disable-line unicorn/no-process-exit
+	stop.handOver(entry);
 }
--- a/test/entry-connections.test.ts
+++ b/test/entry-connections.test.ts
@@ -56,6 +56,36 @@
 	return caller;
 }
 
+// Guards against requests of all callers that end without an answer because one part of the process fails.
+test('requests at work are answered although an uncaught error ends the entry', async () => {
+	const entry = await startEntry({durationMilliseconds: {default: 800}}, 'throw new Error("failed part")');
+	const callers = ['a', 'b'].map(path => {
+		const caller = rawCaller.connect(entry.address);
+		caller.socket.write(createRequest(path));
+		return caller;
+	});
+	await timers.setTimeout(300);
+	entry.program.signal('SIGUSR2');
+	await Promise.all(callers.map(async ({closed}) => closed));
+	expect(callers.flatMap(caller => caller.listStatuses())).toEqual([200, 200]);
+	expect(await entry.program.exited).toBe(1);
+	expect(hasLogged(entry, 'event=entry-crashed')).toBe(true);
+});
+
+// Guards against requests that end because a second signal ends the process at once.
+test.each(['SIGTERM', 'SIGINT'] as const)('a request is answered although SIGTERM is followed by %s', async secondSignal => {
+	const entry = await startEntry({durationMilliseconds: {default: 800}});
+	const caller = rawCaller.connect(entry.address);
+	caller.socket.write(createRequest('a'));
+	await timers.setTimeout(300);
+	entry.program.signal('SIGTERM');
+	await waitUntil(() => hasLogged(entry, 'state=leaving'));
+	entry.program.signal(secondSignal);
+	await caller.closed;
+	expect(caller.listStatuses()).toEqual([200]);
+	expect(await entry.program.exited).toBe(0);
+});
+
 // Guards against requests at work that end with their connection because the answer before them closes it during a stop.
 test('requests sent ahead are answered although the entry is told to stop', async () => {
 	const entry = await startEntry({durationMilliseconds: {default: 800}});
