--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -144,7 +144,7 @@
 		let execution: CallExecution | undefined;
 		const sink = createHttpSink(response, {
 			entryName: host.entryName,
-			isLast: () => isLast(request.socket),
+			isLast: () => isLast(exchange.socket),
 			isEntryListStale: () => host.isEntryListStale(getSingleValue(request.headers[headerNames.entriesVersion])),
 		});
 		exchange.onEnd(end => {
@@ -249,10 +249,11 @@
 	const history: KeyHistory = kind === 'malformed-key' ? {kind: 'keyless'} : getKeyHistory(request);
 	writeProblem(sink, createRefusal(kind, history));
 	if (isBodyUnread) {
+		const {socket} = request;
 		// A paused request would keep the chunks that were read already.
 		request.resume();
 		setImmediate(() => {
-			request.socket.destroySoon();
+			socket.destroySoon();
 		});
 	}
 }
