Log the signal that stops a process

Cause: a process that another one ended by a signal logs only that it leaves, so an entry that ended without a known reason can't be traced. Change: signal-received with its name, for entry and gateway. Result: the tests of two signals failed before without the lines; they, test/docs and the tests of uncaught errors pass.

--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -47,8 +47,14 @@
 async function start(settings: EntrySettings): Promise<void> {
 	const {observability, platform} = settings;
 	const logger = createLogger(observability.logLevel, {entry: settings.name});
-	// The log is written without a buffer.
-	const stop = processStop.handleStop({logger, crashEvent: 'entry-crashed', flush: async () => undefined});
+	const stop = processStop.handleStop({
+		logger,
+		logCrash(reason) {
+			logger.error('entry-crashed', {reason});
+		},
+		// The log is written without a buffer.
+		flush: async () => undefined,
+	});
 	const metrics = createMetrics();
 	const result = await createEntry(settings, {
 		log: createMeteredLog(createHttpLog(platform.logUrl), metrics),
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -66,7 +66,13 @@
 
 async function start(path: string, settings: GatewaySettings, localAddress: string | undefined): Promise<void> {
 	const logger = createLogger('info', {entry: settings.name}, writer);
-	const stop = processStop.handleStop({logger, crashEvent: 'gateway-crashed', flush: async () => writer.flush(flushTimeoutMilliseconds)});
+	const stop = processStop.handleStop({
+		logger,
+		logCrash(reason) {
+			logger.error('gateway-crashed', {reason});
+		},
+		flush: async () => writer.flush(flushTimeoutMilliseconds),
+	});
 	const reloads = handleReloads(path, logger);
 	const metrics = createGatewayMetrics();
 	const getNow = () => performance.now();
--- a/src/programs/shared/process-stop.ts
+++ b/src/programs/shared/process-stop.ts
@@ -14,8 +14,8 @@
 /** Dependencies of the stop of a process. */
 export type ProcessStopHost = {
 	readonly logger: Logger;
-	/** Name of the event that is logged when an error ends the process. */
-	readonly crashEvent: string;
+	/** Logs that an error that nothing has handled ends the process. */
+	logCrash(reason: string): void;
 	/** Writes the log lines that are buffered. */
 	flush(): Promise<void>;
 };
@@ -27,7 +27,7 @@
 };
 
 /** Handles SIGTERM, SIGINT and uncaught errors from now on. */
-export function handleStop({logger, crashEvent, flush}: ProcessStopHost): ProcessStop {
+export function handleStop({logger, logCrash, flush}: ProcessStopHost): ProcessStop {
 	let running: Stoppable | undefined;
 	let isStopping = false;
 	let exitCode = 0;
@@ -55,7 +55,8 @@
 		process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit
 	}
 
-	const handleSignal = () => {
+	const handleSignal = (signal: NodeJS.Signals) => {
+		logger.info('signal-received', {signal});
 		stop(async stoppable => stoppable.leave());
 	};
 
@@ -69,7 +70,7 @@
 		}
 
 		// The requests at work are answered first, as each runs apart from the part that failed.
-		logger.error(crashEvent, {reason: error.stack ?? error.message});
+		logCrash(error.stack ?? error.message);
 		exitCode = 1;
 		stop(async stoppable => stoppable.leaveAtOnce());
 	});
--- a/test/entry-connections.test.ts
+++ b/test/entry-connections.test.ts
@@ -84,6 +84,7 @@
 	await caller.closed;
 	expect(caller.listStatuses()).toEqual([200]);
 	expect(await entry.program.exited).toBe(0);
+	expect([...entry.program.getErrorOutput().matchAll(/event=signal-received entry=entry-1 signal=(?<signal>\w+)/gv)].map(match => match.groups!.signal)).toEqual(['SIGTERM', secondSignal]);
 });
 
 // Guards against requests at work that end with their connection because the answer before them closes it during a stop.
