--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -19,6 +19,7 @@
 import * as callerReading from './caller-reading.ts';
 import * as closingConnections from './closing-connections.ts';
 import * as exchangesModule from './exchanges.ts';
+import * as idleConnections from './idle-connections.ts';
 import * as refusedConnectionsModule from './refused-connections.ts';
 import {type CallExecution} from './service-runner.ts';
 
@@ -65,6 +66,10 @@
 	readonly server: http.Server;
 	/** Number of requests whose answers have not been sent completely. */
 	countOpenRequests(): number;
+	/** Number of connections that have been told the end, but are still open. */
+	countClosing(): number;
+	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
+	stop(): Promise<void>;
 };
 
 /** Interval at which the headers and request timeouts of connections are checked. */
@@ -93,6 +98,7 @@
 		blocks: bodyCollector.createBlockPool(), smallChunks: smallChunks.createSmallChunkWatch(), yieldReading: reading.yieldReading, getNow: host.getNow,
 	};
 	const closing = closingConnections.closeInSteps(server);
+	const idle = idleConnections.trackIdleConnections(server, {closing, countOn: exchanges.countOn});
 	/** Connections whose last response was announced. */
 	const closed = new WeakSet<net.Socket>();
 	const refusedConnections = refusedConnectionsModule.createRefusedConnections<net.Socket>({listOn: exchanges.listOn, closing, answersIncomplete: true});
@@ -122,6 +128,11 @@
 		}
 
 		const exchange = exchanges.begin(request, response);
+		exchange.onEnd(() => {
+			if (exchanges.countOn(request.socket) === 0) {
+				idle.recordIdle(request.socket);
+			}
+		});
 		const path = getPath(request.url ?? '');
 		const route = host.builtInRoutes.get(path);
 		if (route) {
@@ -251,7 +262,9 @@
 		};
 	}
 
-	return {server, countOpenRequests: exchanges.count};
+	return {
+		server, countOpenRequests: exchanges.count, countClosing: closing.count, stop: idle.stop,
+	};
 }
 
 /** Answers a call that is not executed. */
