Bound what rows of short requests make a process hold

Cause: the server reads 64 KiB from a connection at a time and makes objects of all requests in it, some 2,600, although 256 are unanswered and the connection is refused; they stay until the connection is closed, now a second later. Those of a whole crowd are read in one turn of the event loop. Change: the parser stops at the request after which nothing is handled, and connections are read in turn from 64 unanswered requests on.

--- a/src/entry/caller-reading.test.ts
+++ b/src/entry/caller-reading.test.ts
@@ -119,3 +119,27 @@
 	await waitUntil(() => ended !== undefined);
 	expect(ended).toBe('caller-left');
 });
+
+// Guards against memory for the rows of short requests of a whole crowd, all of which are read before any is answered.
+test('connections that bring rows of requests are read in turn, and all are answered', async () => {
+	const rowLength = 100;
+	let deferred = 0;
+	const {port, reading} = await startServer(({response}, control) => {
+		setImmediate(() => {
+			response.end('ok');
+		});
+		deferred = Math.max(deferred, control.countDeferred());
+	});
+	const sockets = Array.from({length: 30}, () => connect(port, get.repeat(rowLength)));
+	await Promise.all(sockets.map(async socket => new Promise<void>(resolve => {
+		let text = '';
+		socket.on('data', chunk => {
+			text += String(chunk);
+			if (text.match(/HTTP\/1\.1 200 /gv)?.length === rowLength) {
+				resolve();
+			}
+		});
+	})));
+	expect(deferred).toBeGreaterThan(0);
+	await waitUntil(() => reading.countDeferred() === 0);
+});
--- a/src/entry/caller-reading.ts
+++ b/src/entry/caller-reading.ts
@@ -4,7 +4,8 @@
 The parser pays for each chunk of a body, whatever its size, and reads up to 64 KiB from a connection at a time, several
 times in a row while more has arrived. So the body of one caller can take tens of milliseconds, and those of a crowd take
 them one after the other before anything else is read. A connection whose costly body is refused is not read any more. While
-bodies come in small chunks, the connections that may bring more of them are read a few at a time.
+bodies come in small chunks, the connections that may bring more of them are read a few at a time. So they are while
+requests come in rows: a read may bring thousands of short ones.
 */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
@@ -24,10 +25,12 @@
 
 /** Time after the last costly body for which new connections are read in turn as well, in milliseconds. */
 const crowdMilliseconds = 1000;
+/** Number of unanswered requests of a connection after which others are read first; callers send a few ahead. */
+const rowLength = 64;
 const ignore = () => undefined;
 
 /** Controls the reading from all connections that a server accepts from now on; `getNow` returns the present time in milliseconds of a monotonic clock. */
-export function createCallerReading(server: net.Server, exchanges: exchangesModule.Exchanges, getNow: () => number): CallerReading {
+export function createCallerReading(server: http.Server, exchanges: exchangesModule.Exchanges, getNow: () => number): CallerReading {
 	const sockets = new Set<net.Socket>();
 	const queue = readingQueue.createReadingQueue<net.Socket>();
 	/** Connections that are read in this turn. */
@@ -104,6 +107,22 @@
 		});
 	}
 
+	function yieldReading({socket: costly}: http.IncomingMessage): void {
+		crowdedUntil = getNow() + crowdMilliseconds;
+		for (const socket of sockets) {
+			const isDue = socket === costly || (!current.includes(socket) && !isWaiting(socket));
+			if (isDue && !queue.has(socket) && !stopped.has(socket)) {
+				defer(socket);
+			}
+		}
+	}
+
+	server.on('request', (request: http.IncomingMessage) => {
+		if (exchanges.countOn(request.socket) === rowLength) {
+			yieldReading(request);
+		}
+	});
+
 	return {
 		discard(request) {
 			const {socket} = request;
@@ -113,15 +132,7 @@
 			stopped.add(socket);
 			stop(socket);
 		},
-		yieldReading({socket: costly}) {
-			crowdedUntil = getNow() + crowdMilliseconds;
-			for (const socket of sockets) {
-				const isDue = socket === costly || (!current.includes(socket) && !isWaiting(socket));
-				if (isDue && !queue.has(socket) && !stopped.has(socket)) {
-					defer(socket);
-				}
-			}
-		},
+		yieldReading,
 		countDeferred: queue.size,
 	};
 }
--- a/src/entry/closing-connections.ts
+++ b/src/entry/closing-connections.ts
@@ -8,6 +8,7 @@
 */
 import type * as net from 'node:net';
 import type * as stream from 'node:stream';
+import * as stopParsing from './stop-parsing.ts';
 
 /** Connections of one server that are being closed. */
 export type ClosingConnections<Socket> = {
@@ -37,6 +38,7 @@
 		}
 
 		unread.add(socket);
+		stopParsing.stopParsing(socket);
 		// The server reads the socket natively until somebody else listens to its data.
 		socket.on('data', ignore);
 		socket.removeAllListeners('data');
