Close connections with rows of requests to the ports of addresses, readiness and metrics

Cause: each of the thousands of requests that are read at once gets the whole text of the metrics. Change: from the ninth unanswered request on, a connection is closed and the rest isn't parsed. Result: on the two tests 'rows of requests ..., on the port of the metrics' ended the process; they pass.

--- a/src/gateway/port-limits.ts
+++ b/src/gateway/port-limits.ts
@@ -8,6 +8,7 @@
 import type * as net from 'node:net';
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import {hasBody} from '../entry/receive-body.ts';
+import * as stopParsing from '../entry/stop-parsing.ts';
 
 /** Dependencies of the limits. */
 export type PortLimitsHost = {
@@ -16,7 +17,7 @@
 	readonly maximumSockets: number;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
-	/** Called when a connection is closed to make room. */
+	/** Called when a connection is closed to make room, or because of a row of requests. */
 	onClosed(group: trafficMemory.ClaimGroup): void;
 };
 
@@ -37,7 +38,7 @@
 /** Limited ports of an entry. */
 export type PortLimits = {
 	limitPort(server: net.Server, name: PortName): LimitedPort;
-	/** Limits a port that answers requests without reading their bodies: it closes connections on which a body follows. */
+	/** Limits a port that answers requests without reading their bodies: it closes connections on which a body follows, or a row of requests. Its server handles requests already. */
 	limitBodylessPort(server: http.Server, name: PortName): LimitedPort;
 	/** Number of open connections of all ports. */
 	countConnections(): number;
@@ -55,6 +56,8 @@
 	callers: 0.35, directory: 0.1, peers: 0.3, readiness: 0.02, metrics: 0.02,
 };
 const minimumConnections = 4;
+/** Maximum number of unanswered requests on a connection of a port without bodies; its callers send one at a time. */
+const maximumRequestsAhead = 8;
 
 type Connection = {
 	claim: trafficMemory.MemoryClaim | undefined;
@@ -139,10 +142,30 @@
 	return {
 		limitPort,
 		limitBodylessPort(server, name) {
-			server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
+			const handlers = server.listeners('request');
+			const unanswered = new WeakMap<net.Socket, number>();
+			server.removeAllListeners('request');
+			server.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
+				const {socket} = request;
+				const count = (unanswered.get(socket) ?? 0) + 1;
+				if (count > maximumRequestsAhead) {
+					stopParsing.stopParsing(socket);
+					socket.destroy();
+					host.onClosed(name);
+					return;
+				}
+
+				unanswered.set(socket, count);
+				response.once('finish', () => {
+					unanswered.set(socket, unanswered.get(socket)! - 1);
+				});
 				if (hasBody(request)) {
 					response.setHeader('connection', 'close');
 				}
+
+				for (const handle of handlers) {
+					Reflect.apply(handle, server, [request, response]);
+				}
 			});
 			return limitPort(server, name);
 		},
