Refuse more than 64 unanswered requests of a session of another entry

Cause: a request of 15 bytes costs the port for other entries a whole handling, thousands in a session. Change: the protocol's limit on concurrent streams, 64.

--- a/src/gateway/message-limits.ts
+++ b/src/gateway/message-limits.ts
@@ -7,13 +7,16 @@
 const readMaxBytes = 131_072;
 /** Memory that a message claims at first, in bytes; hundreds of entries may send one at the same moment. */
 const usualBytes = 16_384;
+/** Maximum number of unanswered requests of another entry; more of its own wait until it has answers, those of strangers are refused by the protocol. */
+const maximumStreams = 64;
 /** Time after which a message that is not complete claims the memory of the largest one, in milliseconds. */
 const usualMilliseconds = 250;
 
 /** Creates the options of the peer server: each message that is not complete claims memory. */
-export function createMessageLimits(memory: trafficMemory.TrafficMemory, getNow: () => number): Pick<peerServer.PeerServerOptions, 'readMaxBytes' | 'onRequest'> {
+export function createMessageLimits(memory: trafficMemory.TrafficMemory, getNow: () => number): Pick<peerServer.PeerServerOptions, 'readMaxBytes' | 'maximumStreams' | 'onRequest'> {
 	return {
 		readMaxBytes,
+		maximumStreams,
 		onRequest(request: http2.Http2ServerRequest) {
 			const claim = memory.claim('peer-messages', getNow(), () => {
 				request.stream.close();
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -15,6 +15,8 @@
 	readonly routes: readonly PeerRoutes[];
 	/** Maximum size of a received message in bytes. */
 	readonly readMaxBytes?: number;
+	/** Maximum number of unanswered requests of one session; unlimited if undefined. */
+	readonly maximumStreams?: number;
 	/** Called for each request before its message is read. */
 	onRequest?(request: http2.Http2ServerRequest): void;
 };
@@ -46,7 +48,8 @@
 }
 
 async function listen(options: PeerServerOptions): Promise<PeerServer> {
-	const server = http2.createServer(connectNodeAdapter({
+	const settings = options.maximumStreams === undefined ? {} : {maxConcurrentStreams: options.maximumStreams};
+	const server = http2.createServer({settings}, connectNodeAdapter({
 		readMaxBytes: options.readMaxBytes ?? defaultReadMaxBytes,
 		routes(router) {
 			for (const addRoutes of options.routes) {
