--- a/test/apart/crowds.test.ts
+++ b/test/apart/crowds.test.ts
@@ -11,63 +11,28 @@
 import * as crowds from '../support/crowd.ts';
 import * as gatewayProcess from '../support/gateway-process.ts';
 import * as gateways from '../support/gateways.ts';
+import * as smallMachine from '../support/small-machine.ts';
 
 const {afterEach, beforeEach, expect, test} = vitest;
 
-/** Limits of the machine; small, so that a small crowd suffices. */
-const machine = {memoryLimitMb: 200, maxFds: 300};
-/** Largest memory of the whole process: eight tenths of the machine's. */
-const maximumMegabytes = 160;
-const nodeOptions = ['--max-old-space-size=64', '--max-semi-space-size=2'];
 const crowdSize = 128;
 const maximumBodyBytes = 67_108_864;
-const routeTimeoutMilliseconds = 60_000;
 /** Enough for the whole crowd, so that none is refused by the upstream. */
 const otherUpstreamSlots = 1000;
 
 let standIns: gatewayProcess.StandIns;
 let gateway: gatewayProcess.GatewayProcess;
 
-function createConfiguration() {
-	const configuration = gateways.createConfiguration(5);
-	return {
-		...configuration,
-		limits: {...configuration.limits, maxBodyBytes: maximumBodyBytes},
-		listeners: configuration.listeners.map(listener => ({
-			...listener, rules: listener.rules.map(rule => ({...rule, targetLatencyMs: routeTimeoutMilliseconds, action: {...rule.action, timeoutMs: routeTimeoutMilliseconds}})),
-		})),
-	};
-}
-
 beforeEach(async () => {
 	standIns = await gatewayProcess.startStandIns();
-	standIns.store.put('keyed.op', 'config', createConfiguration());
-	gateway = gatewayProcess.start({
-		host: gatewayProcess.createHost(), storeAddress: standIns.store.address, limits: machine, nodeOptions,
-	});
-	await gateways.waitUntil(async () => gatewayProcess.isReady(gateway));
+	standIns.store.put('keyed.op', 'config', smallMachine.createConfiguration(maximumBodyBytes));
+	gateway = await smallMachine.start(standIns.store.address);
 });
 
 afterEach(gatewayProcess.close);
 
-async function gather(address: string, count: number, createText: (index: number) => string): Promise<void> {
-	const crowd = await crowds.gather(address, count, createText);
-	gatewayProcess.addCleanup(async () => {
-		crowd.close();
-	});
-	await crowds.waitUntilRead(address, gateway.hasEnded);
-}
-
-async function expectOrdinaryService(): Promise<void> {
-	expect(gateway.hasEnded(), 'the process has ended').toBe(false);
-	const {peakMegabytes, descriptors} = crowds.readResources(gateway.processId);
-	expect(peakMegabytes).toBeLessThan(maximumMegabytes);
-	expect(descriptors).toBeLessThan(machine.maxFds);
-	const {status} = await gateways.send(gateway.front, '/price/1', 'GET', '', {'deadline-ms': String(routeTimeoutMilliseconds)});
-	expect(status).toBe(200);
-	expect(gateway.hasEnded(), 'the process has ended').toBe(false);
-	expect(crowds.readResources(gateway.processId).peakMegabytes).toBeLessThan(maximumMegabytes);
-}
+const gather = async (address: string, count: number, createText: (index: number) => string) => smallMachine.gather(gateway, address, count, createText);
+const expectOrdinaryService = async () => smallMachine.expectOrdinaryService(gateway);
 
 async function startOtherUpstream(): Promise<void> {
 	const upstream = await platformUpstream.startPlatformUpstream('i-2', otherUpstreamSlots);
@@ -95,7 +60,7 @@
 
 // Guards against a process that runs out of memory by complete requests that it holds.
 test('bodies in large chunks that are held because the upstreams are busy', async () => {
-	standIns.upstream.setBehavior({kind: 'answer', milliseconds: routeTimeoutMilliseconds});
+	standIns.upstream.setBehavior({kind: 'answer', milliseconds: smallMachine.routeTimeoutMilliseconds});
 	await gather(gateway.front, crowdSize, index => `${crowds.createChunkedHead(index)}${crowds.largeChunks(15)}0\r\n\r\n`);
 	await startOtherUpstream();
 	await expectOrdinaryService();
@@ -103,13 +68,13 @@
 
 // Guards against a process that has no descriptors left because of callers that only connect.
 test('connections without a request', async () => {
-	await gather(gateway.front, 2 * machine.maxFds, () => '');
+	await gather(gateway.front, 2 * smallMachine.machine.maxFds, () => '');
 	await expectOrdinaryService();
 });
 
 // Guards against a process that runs out of memory by many requests on one connection.
 test('requests behind an unanswered one', async () => {
-	standIns.upstream.setBehavior({kind: 'answer', milliseconds: routeTimeoutMilliseconds});
+	standIns.upstream.setBehavior({kind: 'answer', milliseconds: smallMachine.routeTimeoutMilliseconds});
 	await gather(gateway.front, 8, index => crowds.createHead(2 * index, ['Content-Length: 0']).repeat(4000));
 	await startOtherUpstream();
 	await expectOrdinaryService();
@@ -118,14 +83,14 @@
 const otherPorts = ['directory', 'ready'] as const;
 
 test.each(otherPorts)('a crowd at the port of %s', async name => {
-	await gather(gateway[name], 2 * machine.maxFds, index => crowds.createChunkedHead(index) + crowds.smallChunks(5000));
+	await gather(gateway[name], 2 * smallMachine.machine.maxFds, index => crowds.createChunkedHead(index) + crowds.smallChunks(5000));
 	const answer = await gateways.send(gateway[name], name === 'ready' ? '/api/ready' : '/api/resolve?name=desk.example&region=east&zone=riverside');
 	expect(answer.status).toBe(200);
 	await expectOrdinaryService();
 });
 
 test('a crowd at the port of the metrics', async () => {
-	await gather(`${gateway.host}:${gatewayProcess.metricsPort}`, 2 * machine.maxFds, index => crowds.createChunkedHead(index) + crowds.smallChunks(5000));
+	await gather(`${gateway.host}:${gatewayProcess.metricsPort}`, 2 * smallMachine.machine.maxFds, index => crowds.createChunkedHead(index) + crowds.smallChunks(5000));
 	await expectOrdinaryService();
 });
 
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -31,32 +31,81 @@
 
 /** Opens connections, each of which sends its text and stays open. Resolves when each has sent all of it or is closed. */
 export async function gather(address: string, count: number, createText: (index: number) => string): Promise<Crowd> {
-	const sockets: net.Socket[] = [];
+	const {crowd, sockets} = connect(address, count);
+	for (const socket of sockets) {
+		socket.resume();
+	}
+
+	await Promise.all(sockets.map(async (socket, index) => send(socket, createText(index))));
+	return crowd;
+}
+
+/** Opens connections, each of which sends its text, reads nothing and stays open. The system may hold a part of the text. */
+export function gatherDeaf(address: string, count: number, createText: (index: number) => string): Crowd {
+	const {crowd, sockets} = connect(address, count);
+	for (const [index, socket] of sockets.entries()) {
+		void send(socket, createText(index));
+	}
+
+	return crowd;
+}
+
+/** Opens connections, each of which sends its text a byte at a time and stays open. */
+export async function gatherBytewise(address: string, count: number, createText: (index: number) => string): Promise<Crowd> {
+	const {crowd, sockets} = connect(address, count);
+	const texts = sockets.map((socket, index) => {
+		socket.resume();
+		socket.setNoDelay();
+		return createText(index);
+	});
+	const longest = Math.max(...texts.map(text => text.length));
+	for (let position = 0; position < longest; position++) {
+		await timers.setTimeout(1);
+		for (const [index, socket] of sockets.entries()) {
+			if (socket.writable && position < texts[index]!.length) {
+				socket.write(texts[index]![position]!, 'latin1');
+			}
+		}
+	}
+
+	return crowd;
+}
+
+function connect(address: string, count: number): {readonly crowd: Crowd; readonly sockets: readonly net.Socket[]} {
 	let closed = 0;
 	const [host, port] = address.split(':');
-	await Promise.all(Array.from({length: count}, async (_value, index) => new Promise<void>(resolve => {
+	const sockets = Array.from({length: count}, () => {
 		const socket = net.connect(Number(port), host);
-		sockets.push(socket);
 		socket.on('error', () => undefined);
 		socket.once('close', () => {
 			closed++;
-			resolve();
 		});
-		socket.resume();
-		socket.write(buffer.Buffer.from(createText(index), 'latin1'), () => {
-			resolve();
-		});
-	})));
+		return socket;
+	});
 	return {
-		countClosed: () => closed,
-		close() {
-			for (const socket of sockets) {
-				socket.destroy();
-			}
+		sockets,
+		crowd: {
+			countClosed: () => closed,
+			close() {
+				for (const socket of sockets) {
+					socket.destroy();
+				}
+			},
 		},
 	};
 }
 
+async function send(socket: net.Socket, text: string): Promise<void> {
+	return new Promise(resolve => {
+		socket.once('close', () => {
+			resolve();
+		});
+		socket.write(buffer.Buffer.from(text, 'latin1'), () => {
+			resolve();
+		});
+	});
+}
+
 /** Sends a request whose body comes in the given chunks. Resolves to the body of the response. */
 export async function sendStream(address: string, chunks: Iterable<string>, headers: Readonly<Record<string, string>>): Promise<string> {
 	return new Promise((resolve, reject) => {
@@ -90,6 +139,20 @@
 	}
 }
 
+/** Number of polls in a row without a change that show that a process reads no more from callers that don't read. */
+const unchangedPolls = 40;
+
+/** Resolves once a process reads nothing more that was sent to an address, although some of it may be unread, or has ended. */
+export async function waitUntilUnchanged(address: string, hasEnded: () => boolean): Promise<void> {
+	let bytes = countUnreadBytes(address);
+	for (let count = 0; count < unchangedPolls && !hasEnded(); count++) {
+		await timers.setTimeout(pollMilliseconds);
+		const latest = countUnreadBytes(address);
+		count = latest === bytes ? count : 0;
+		bytes = latest;
+	}
+}
+
 /** Counts the bytes that the system holds for the connections to an address, from both ends. */
 function countUnreadBytes(address: string): number {
 	const [host, port] = address.split(':');
