--- a/stand-ins/platform-upstream.ts
+++ b/stand-ins/platform-upstream.ts
@@ -6,6 +6,8 @@
 /** How the upstream handles a request. */
 export type PlatformUpstreamBehavior
 	= | {readonly kind: 'answer'; readonly milliseconds: number}
+	/** Responds to each request as its path requires. */
+		| {readonly kind: 'choose'; chooseResponse(path: string): ChosenResponse}
 	/** Responds that the request was not executed. */
 		| {readonly kind: 'refuse'}
 	/** Executes the request and resets the connection. */
@@ -17,6 +19,14 @@
 	/** Executes the request and responds with status 500. */
 		| {readonly kind: 'fail'};
 
+export type ChosenResponse = {
+	readonly milliseconds: number;
+	/** Length to which the body is padded. */
+	readonly bytes: number;
+	/** How the end of the body is marked; `connection` stands for a body that ends with its connection. */
+	readonly end: 'length' | 'chunks' | 'connection';
+};
+
 /** What happens to the connections of a client: they hang or are reset, all of them or only those that are new. */
 export type Partition = 'none' | 'hang' | 'reset' | 'hang-new' | 'reset-new';
 
@@ -29,10 +39,22 @@
 	readonly headers: http.IncomingHttpHeaders;
 	/** SHA-256 digest of the body in hexadecimal digits. */
 	readonly digest: string;
+	/** Length to which the body of the response is padded. */
+	readonly responseBytes: number;
 	/** Time of receipt in milliseconds of the monotonic clock. */
 	readonly receivedAt: number;
 };
 
+/** End of an executed request: its response was written, or its connection closed before. */
+export type EndedRequest = {
+	readonly requestId: string;
+	readonly hasResponded: boolean;
+	/** Time of receipt in milliseconds of the monotonic clock. */
+	readonly receivedAt: number;
+	/** Time of the end in milliseconds of the monotonic clock. */
+	readonly endedAt: number;
+};
+
 /** Running upstream. */
 export type PlatformUpstream = {
 	readonly id: string;
@@ -43,6 +65,7 @@
 	readonly receivedRequests: readonly ReceivedRequest[];
 	/** IDs of the requests whose connection closed before the response. */
 	readonly abortedRequestIds: readonly string[];
+	readonly endedRequests: readonly EndedRequest[];
 	/** Times at which load checks were received, in milliseconds of the monotonic clock. */
 	readonly checkTimes: readonly number[];
 	setBehavior(behaviour: PlatformUpstreamBehavior): void;
@@ -59,9 +82,9 @@
 
 const misdirectedStatus = 421;
 
-/** Creates the body of the response to an executed request. */
-export function createResponseBody(id: string, requestId: string, digest: string): string {
-	return `${id} ran ${requestId} ${digest}`;
+/** Creates the body of the response to an executed request, padded to a length. */
+export function createResponseBody(id: string, requestId: string, digest: string, bytes = 0): string {
+	return `${id} ran ${requestId} ${digest}`.padEnd(bytes, '.');
 }
 
 /** Starts an upstream on a free port of the loopback address; it executes at most `slots` requests concurrently. */
@@ -75,6 +98,7 @@
 	let statements: Readonly<Record<string, string>> = {};
 	const checkTimes: number[] = [];
 	const abortedRequestIds: string[] = [];
+	const endedRequests: EndedRequest[] = [];
 
 	let getPartition: (clientAddress: string) => Partition = () => 'none';
 	/** Sockets that hang for good. */
@@ -120,19 +144,27 @@
 		const requestId = String(request.headers['attempt-id'] ?? '');
 		const target = request.headers['target-instance'];
 		const isMisdirected = target !== undefined && target !== id;
+		const path = request.url ?? '';
+		const receivedAt = performance.now();
+		const hasRun = !isMisdirected && behaviour.kind !== 'refuse' && runningCount < slots;
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				abortedRequestIds.push(requestId);
 			}
+
+			if (hasRun) {
+				endedRequests.push({
+					requestId, hasResponded: response.writableFinished, receivedAt, endedAt: performance.now(),
+				});
+			}
 		});
-		const hasRun = !isMisdirected && behaviour.kind !== 'refuse' && runningCount < slots;
 		arrivals.push({
-			requestId, hasRun, method: request.method ?? '', path: request.url ?? '', headers: request.headers, digest, receivedAt: performance.now(),
+			requestId, hasRun, method: request.method ?? '', path, headers: request.headers, digest, responseBytes: behaviour.kind === 'choose' ? behaviour.chooseResponse(path).bytes : 0, receivedAt,
 		});
 		if (isMisdirected) {
 			response.writeHead(misdirectedStatus, {'instance-id': id, 'attempt-id': requestId}).end();
 		} else if (hasRun) {
-			execute(requestId, digest, response);
+			execute({requestId, path, digest}, response);
 		} else {
 			response.writeHead(503, {
 				'attempt-id': requestId, 'not-executed': '1', 'upstream-load': formatLoad(), ...statements,
@@ -140,7 +172,7 @@
 		}
 	}
 
-	function execute(requestId: string, digest: string, response: http.ServerResponse): void {
+	function execute({requestId, path, digest}: Pick<ReceivedRequest, 'requestId' | 'path' | 'digest'>, response: http.ServerResponse): void {
 		const createHeaders = () => ({
 			'attempt-id': requestId, 'upstream-signature': `signed-by-${id}`, 'upstream-load': formatLoad(), ...(isLeaving ? {connection: 'close'} : {}), ...statements,
 		});
@@ -155,6 +187,18 @@
 				break;
 			}
 
+			case 'choose': {
+				const {milliseconds, bytes, end} = behaviour.chooseResponse(path);
+				const body = createResponseBody(id, requestId, digest, bytes);
+				runningCount++;
+				setTimeout(() => {
+					runningCount--;
+					response.useChunkedEncodingByDefault = end === 'chunks';
+					response.writeHead(200, {...createHeaders(), ...(end === 'length' ? {'content-length': body.length} : {})}).end(body);
+				}, milliseconds);
+				break;
+			}
+
 			case 'lose': {
 				response.socket?.resetAndDestroy();
 				break;
@@ -207,6 +251,7 @@
 		receivedRequests: arrivals,
 		checkTimes,
 		abortedRequestIds,
+		endedRequests,
 		get executedRequestIds() {
 			return arrivals.filter(({hasRun}) => hasRun).map(({requestId}) => requestId);
 		},
