Judge in the soak that requests which were passed on are answered

Callers that saw the loss of answers were missing: those of the soak used one request at a time or left without reading. Now some send two to eight requests ahead, stay until the gateway ends the connection, read slowly and half-close at times. judge-answers.ts reports each request that ran at a sound upstream and has no complete answer, answers in the wrong place, and own answers that replace a running one after SIGTERM. In each run it is also fed with records from which an answer was taken away. Three series of signals overlap with the other faults: SIGHUP twice and then SIGTERM twice with SIGHUP, SIGTERM and SIGHUP at once, SIGSTOP and SIGCONT during a stop.

The series are drawn by a source of their own: the faults that a seed had, with their times and targets, are unchanged, and series are added.

--- a/bench/soak/fault-plan.ts
+++ b/bench/soak/fault-plan.ts
@@ -33,7 +33,14 @@
 	'gateway-reread',
 ] as const;
 
-export type FaultKind = typeof faultKinds[number];
+/** Series of signals that overlap. They are drawn by themselves, so that they don't change which other faults a seed has. */
+export const signalFaultKinds = [
+	'gateway-left-after-rereads',
+	'gateway-left-and-reread',
+	'gateway-left-with-pauses',
+] as const;
+
+export type FaultKind = typeof faultKinds[number] | typeof signalFaultKinds[number];
 
 export type PlannedFault = {
 	readonly kind: FaultKind;
@@ -47,6 +54,11 @@
 
 /** Mean time between faults that don't start together, in milliseconds; shorter than most faults, so that they overlap. */
 const meanGapMilliseconds = 900;
+/** Mean time between series of signals, in milliseconds. */
+const meanSignalGapMilliseconds = 1500;
+const signalSeedOffset = 500;
+/** Spreads consecutive seeds, whose first numbers are close to each other otherwise. */
+const seedFactor = 7919;
 const minimumDurationMilliseconds = 300;
 const maximumDurationMilliseconds = 4000;
 /** Probability that a fault has the same kind as the previous one. */
@@ -58,7 +70,7 @@
 export function createSoakPlan(seed: number, durationMilliseconds: number): readonly PlannedFault[] {
 	const randomSource = random.createRandomSource(seed);
 	const plan: PlannedFault[] = [];
-	let remainingKinds: FaultKind[] = [];
+	let remainingKinds: Array<typeof faultKinds[number]> = [];
 	let nextStartsAt = 0;
 	while (nextStartsAt < durationMilliseconds) {
 		const previousFault = plan.at(-1);
@@ -74,5 +86,20 @@
 		nextStartsAt += randomSource.nextFraction() < simultaneousStartProbability ? 0 : randomSource.nextInteger(2 * meanGapMilliseconds);
 	}
 
+	return [...plan, ...createSignalPlan(seed, durationMilliseconds)];
+}
+
+function createSignalPlan(seed: number, durationMilliseconds: number): readonly PlannedFault[] {
+	const randomSource = random.createRandomSource((seed + signalSeedOffset) * seedFactor);
+	const plan: PlannedFault[] = [];
+	let startsAt = randomSource.nextInteger(2 * meanSignalGapMilliseconds);
+	while (startsAt < durationMilliseconds) {
+		const kind = signalFaultKinds[randomSource.nextInteger(signalFaultKinds.length)]!;
+		plan.push({
+			kind, target: randomSource.nextInteger(1000), startsAt, endsAt: startsAt,
+		});
+		startsAt += randomSource.nextInteger(2 * meanSignalGapMilliseconds);
+	}
+
 	return plan;
 }
--- a/bench/soak/gateways.ts
+++ b/bench/soak/gateways.ts
@@ -21,8 +21,8 @@
 	/** Records that a partition from all upstreams begins or ends. */
 	recordPartition(): void;
 	signal(name: 'SIGHUP' | 'SIGSTOP' | 'SIGCONT'): void;
-	/** Stops the process with a signal and starts a new one after a pause. */
-	restart(signal: 'SIGKILL' | 'SIGTERM', pauseMilliseconds: number): Promise<void>;
+	/** Ends the process with a series of signals and starts a new one after a pause. */
+	restart(series: SignalSeries, pauseMilliseconds: number): Promise<void>;
 	/** Kills the process and closes its proxy; the gateway is not restarted. */
 	stop(): Promise<void>;
 	/** Counts the exits of the process that no signal of the soak caused. */
@@ -30,7 +30,7 @@
 };
 
 export type Disturbance = {
-	readonly kind: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP' | 'ended' | 'started' | 'cut-from-store' | 'cut-from-upstreams';
+	readonly kind: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP' | 'grace-over' | 'ended' | 'started' | 'cut-from-store' | 'cut-from-upstreams';
 	/** Time in milliseconds of the monotonic clock. */
 	readonly at: number;
 };
@@ -47,12 +47,17 @@
 
 /** Time between the stop signal and the kill of the process, in milliseconds, as on the platform. */
 export const stopGraceMilliseconds = 6000;
-/** Signals that follow a stop signal; none of them may have an effect. */
-const stopSignalSeries = [
-	{name: 'SIGHUP', afterMilliseconds: 20},
-	{name: 'SIGTERM', afterMilliseconds: 100},
-	{name: 'SIGTERM', afterMilliseconds: 1500},
-] as const;
+/** Signals that end a process, with their times after the first. Those after the first SIGTERM may have no effect. */
+const signalSeries = {
+	kill: [{name: 'SIGKILL', afterMilliseconds: 0}],
+	stop: [{name: 'SIGTERM', afterMilliseconds: 0}, {name: 'SIGHUP', afterMilliseconds: 20}, {name: 'SIGTERM', afterMilliseconds: 100}, {name: 'SIGTERM', afterMilliseconds: 1500}],
+	'stop-after-rereads': [{name: 'SIGHUP', afterMilliseconds: 0}, {name: 'SIGHUP', afterMilliseconds: 150}, {name: 'SIGTERM', afterMilliseconds: 300}, {name: 'SIGTERM', afterMilliseconds: 300}, {name: 'SIGHUP', afterMilliseconds: 300}, {name: 'SIGTERM', afterMilliseconds: 400}],
+	'stop-and-reread': [{name: 'SIGTERM', afterMilliseconds: 0}, {name: 'SIGHUP', afterMilliseconds: 0}],
+	'stop-with-pauses': [
+		{name: 'SIGTERM', afterMilliseconds: 0}, {name: 'SIGSTOP', afterMilliseconds: 100}, {name: 'SIGHUP', afterMilliseconds: 500}, {name: 'SIGCONT', afterMilliseconds: 1000}, {name: 'SIGSTOP', afterMilliseconds: 1200}, {name: 'SIGCONT', afterMilliseconds: 1500},
+	],
+} as const;
+export type SignalSeries = keyof typeof signalSeries;
 const listenPorts = {
 	front: 8144, ready: 8140, control: 8146, directory: 8143,
 } as const;
@@ -116,18 +121,31 @@
 		});
 	}
 
-	async function endProcess(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
-		isStopping = true;
-		recordDisturbance(signal);
+	async function endProcess(series: SignalSeries): Promise<void> {
 		child.signal('SIGCONT');
-		child.signal(signal);
-		const laterSignals = signal === 'SIGTERM' ? stopSignalSeries : [];
-		const repeats = laterSignals.map(({name, afterMilliseconds}) => setTimeout(() => {
+		let hasStopped = false;
+		const sendSignal = (name: typeof signalSeries[SignalSeries][number]['name']) => {
+			// A stop begins at its first signal.
+			const isRepeated = name === 'SIGTERM' && hasStopped;
+			hasStopped ||= name === 'SIGTERM';
+			isStopping ||= name === 'SIGTERM' || name === 'SIGKILL';
+			if (!isRepeated) {
+				recordDisturbance(name);
+			}
+
 			child.signal(name);
-		}, afterMilliseconds));
+		};
+
+		const repeats = signalSeries[series].filter(({afterMilliseconds}) => afterMilliseconds > 0).map(({name, afterMilliseconds}) => setTimeout(sendSignal, afterMilliseconds, name));
+		for (const {name} of signalSeries[series].filter(({afterMilliseconds}) => afterMilliseconds === 0)) {
+			sendSignal(name);
+		}
+
+		const stopsAfter = signalSeries[series].find(({name}) => name === 'SIGTERM')?.afterMilliseconds ?? 0;
 		const timer = setTimeout(() => {
+			recordDisturbance('grace-over');
 			child.signal('SIGKILL');
-		}, stopGraceMilliseconds);
+		}, stopsAfter + stopGraceMilliseconds);
 		await child.exited;
 		for (const repeat of [timer, ...repeats]) {
 			clearTimeout(repeat);
@@ -155,10 +173,10 @@
 			recordDisturbance(signal);
 			child.signal(signal);
 		},
-		async restart(signal, pauseMilliseconds) {
+		async restart(series, pauseMilliseconds) {
 			// Restarts are serialized, since a second stop signal has no effect on a process that is already ending.
 			pendingRestart = pendingRestart.then(async () => {
-				await endProcess(signal);
+				await endProcess(series);
 				await new Promise(resolve => {
 					setTimeout(resolve, pauseMilliseconds);
 				});
@@ -169,7 +187,7 @@
 		},
 		async stop() {
 			await pendingRestart;
-			await endProcess('SIGKILL');
+			await endProcess('kill');
 			await storeProxy.close();
 		},
 		countUnexpectedExits: () => unexpectedExits,
--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -98,7 +98,8 @@
 	}
 
 	const answeringUpstream = executingUpstreams.find(({standIn}) => signature === `signed-by-${standIn.id}`);
-	const isExpectedAnswer = answeringUpstream !== undefined && request.body === platformUpstream.createResponseBody(answeringUpstream.standIn.id, id, request.requestBodyDigest);
+	const isExpectedAnswer = answeringUpstream?.standIn.receivedRequests.some(({requestId, hasRun, responseBytes}) => hasRun && requestId === id
+		&& request.body === platformUpstream.createResponseBody(answeringUpstream.standIn.id, id, request.requestBodyDigest, responseBytes)) === true;
 	if (status >= 200 && status < 300 && !isExpectedAnswer) {
 		violations.push(`wrong-answer ${label} signature ${signature} body ${request.body.slice(0, 100)}`);
 	}
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -5,18 +5,20 @@
 import * as timers from 'node:timers/promises';
 import {assertNever} from '../../src/decisions/assert-never.ts';
 import type * as faultProxy from '../../stand-ins/fault-proxy.ts';
-import type * as platformUpstream from '../../stand-ins/platform-upstream.ts';
 import type * as storeStandIn from '../../stand-ins/store.ts';
 import {type Callers, startCallers} from './callers.ts';
 import {type SoakGateway, startGateways} from './gateways.ts';
 import type * as judgePartitions from './judge-partitions.ts';
 import {judgeSoak, type SoakVerdict} from './judge.ts';
 import * as judgeHeld from './judge-held.ts';
+import * as judgeAnswers from './judge-answers.ts';
 import * as leavingCallers from './leaving-callers.ts';
+import * as stayingCallers from './staying-callers.ts';
 import {createSoakPlan, type FaultKind, type PlannedFault} from './fault-plan.ts';
 import {
-	failureDomains, serviceNames, type SoakPlatform, type SoakStatement, type SoakUpstream, startSoakPlatform, type TimeSpan,
+	failureDomains, type SoakPlatform, startSoakPlatform, type TimeSpan,
 } from './soak-platform.ts';
+import * as upstreamFaults from './upstream-faults.ts';
 
 export type SoakOptions = {
 	readonly seed: number;
@@ -34,25 +36,15 @@
 	readonly print: (line: string) => void;
 };
 
-type UpstreamFaultKind = Extract<FaultKind, `upstream-${string}`>;
 type StoreFaultKind = Extract<FaultKind, `store-${string}`>;
 type GatewayFaultKind = Extract<FaultKind, `gateway-${string}`>;
 
 type SoakDeployment = {readonly platform: SoakPlatform; readonly gateways: readonly SoakGateway[]; readonly storeFaults: TimeSpan[]; readonly partitions: judgePartitions.SoakPartition[]};
 
 const restartMilliseconds = 300;
-/** Time after which the registration of a silent upstream is removed, in milliseconds: three heartbeats. */
-const heartbeatTimeoutMilliseconds = 4500;
-/** Time for which a draining upstream continues to serve, in milliseconds. */
-const drainMilliseconds = 3000;
-/** Time for which an upstream states a rate limit in addition to the time of the fault, in milliseconds; a limit must hold after 3 s. */
-const limitMilliseconds = 7000;
-const limitedRequestsPerSecond = 2.2;
-const pauseMilliseconds = 2500;
 /** Time for which gateways are partitioned in addition to the time of the fault, in milliseconds. */
 const partitionMilliseconds = 4000;
 const slowStoreMilliseconds = 250;
-const proxyDelayMilliseconds = 100;
 /** Time within which requests must succeed again, in milliseconds, from the rules. */
 const recoveryMilliseconds = 15_000;
 /** Share of recent requests that must succeed. */
@@ -60,9 +52,6 @@
 const recoveryCheckMilliseconds = 1000;
 /** Time for which callers still use a withdrawn route, in milliseconds. */
 const withdrawnRouteMilliseconds = 5000;
-/** Number of serving upstreams that a service keeps while one is disturbed. */
-const minimumUpstreamsPerService = 2;
-const defaultBehaviour: platformUpstream.PlatformUpstreamBehavior = {kind: 'answer', milliseconds: 20};
 
 /** Runs a soak and returns its verdict. The logs of the gateways stay in the folder that is printed first. */
 export async function runSoak(options: SoakOptions): Promise<SoakVerdict> {
@@ -81,23 +70,32 @@
 			listRoutes: () => platform.routes.filter(({withdrawnAt}) => withdrawnAt === undefined || performance.now() < withdrawnAt + withdrawnRouteMilliseconds),
 		};
 		const callers = startCallers({...callersOptions, count: options.callers, directoryAddresses: gateways.map(({directoryAddress: directory}) => directory)});
-		const leaving = leavingCallers.startLeavingCallers({...callersOptions, count: Math.ceil(options.callers / 4), addresses: gateways.map(({callerAddress}) => callerAddress)});
+		const aheadOptions = {...callersOptions, count: Math.ceil(options.callers / 4), addresses: gateways.map(({callerAddress}) => callerAddress)};
+		const leaving = leavingCallers.startLeavingCallers(aheadOptions);
+		const staying = stayingCallers.startStayingCallers(aheadOptions);
 		const isServingAtStart = await waitUntilServing(callers);
 		options.print(isServingAtStart ? 'serving' : 'not serving at the start');
 		await Promise.all(createSoakPlan(options.seed, options.seconds * 1000).map(async planned => runPlannedFault(planned, deployment, options.print)));
 		const hasRecovered = await waitUntilServing(callers);
-		const requests = [...await callers.stop(), ...await leaving.stop()];
+		const [requests, leavingRequests, connections] = await Promise.all([callers.stop(), leaving.stop(), staying.stop()]);
 		const heldViolations = await judgeHeld.judgeHeld(gateways);
 		const verdict = judgeSoak({
-			requests, upstreams: platform.upstreams, gateways, storeFaults: deployment.storeFaults, partitions: deployment.partitions, hasRecovered: isServingAtStart && hasRecovered,
+			requests: [...requests, ...leavingRequests, ...connections.flatMap(connection => stayingCallers.listObservedRequests(connection))], upstreams: platform.upstreams, gateways, storeFaults: deployment.storeFaults, partitions: deployment.partitions, hasRecovered: isServingAtStart && hasRecovered,
 		}, options.hasTimeBounds);
-		return {...verdict, violations: [...verdict.violations, ...heldViolations]};
+		return {...verdict, violations: [...verdict.violations, ...judgeConnections({...deployment, upstreams: platform.upstreams, connections}, options.print), ...heldViolations]};
 	} finally {
 		await Promise.all(gateways.map(async gateway => gateway.stop()));
 		await platform.close();
 	}
 }
 
+/** Judges the answers to requests that were sent ahead, and verifies that the judge notices answers that are taken away. */
+function judgeConnections(record: judgeAnswers.AnswersRecord, print: (line: string) => void): readonly string[] {
+	const {removed, noticed} = judgeAnswers.countNoticedRemovals(record);
+	print(`sent ahead: ${record.connections.length} connections, ${record.connections.flatMap(({requests}) => requests).length} requests; noticed ${noticed} of ${removed} answers taken away`);
+	return [...judgeAnswers.judgeAnswers(record), ...(noticed === 0 ? ['blind-judge no answer taken away was noticed'] : [])];
+}
+
 /** Waits until enough of the requests of one second succeed; resolves to false if that takes too long. */
 async function waitUntilServing(callers: Callers): Promise<boolean> {
 	const deadlineAt = performance.now() + recoveryMilliseconds;
@@ -126,8 +124,8 @@
 async function startFault({kind, target}: PlannedFault, deployment: SoakDeployment): Promise<(() => unknown) | undefined> {
 	const {platform, gateways} = deployment;
 	if (isUpstreamFault(kind)) {
-		const upstream = chooseUpstream(platform, target);
-		return upstream && startUpstreamFault(kind, upstream, platform);
+		const upstream = upstreamFaults.chooseUpstream(platform, target);
+		return upstream && upstreamFaults.startUpstreamFault(kind, upstream, platform);
 	}
 
 	if (isStoreFault(kind)) {
@@ -135,7 +133,7 @@
 	}
 
 	if (kind === 'all-gateways-killed') {
-		await Promise.all(gateways.map(async gateway => gateway.restart('SIGKILL', restartMilliseconds)));
+		await Promise.all(gateways.map(async gateway => gateway.restart('kill', restartMilliseconds)));
 		return undefined;
 	}
 
@@ -147,18 +145,33 @@
 	return startGatewayFault(kind, {target, gateway: gateways[target % gateways.length]!}, deployment);
 }
 
-const isUpstreamFault = (kind: FaultKind): kind is UpstreamFaultKind => kind.startsWith('upstream-');
+const isUpstreamFault = (kind: FaultKind): kind is upstreamFaults.UpstreamFaultKind => kind.startsWith('upstream-');
 const isStoreFault = (kind: FaultKind): kind is StoreFaultKind => kind.startsWith('store-');
 
 async function startGatewayFault(kind: GatewayFaultKind, {target, gateway}: {readonly target: number; readonly gateway: SoakGateway}, deployment: SoakDeployment): Promise<(() => unknown) | undefined> {
 	switch (kind) {
 		case 'gateway-killed': {
-			await gateway.restart('SIGKILL', restartMilliseconds);
+			await gateway.restart('kill', restartMilliseconds);
 			return undefined;
 		}
 
 		case 'gateway-left': {
-			await gateway.restart('SIGTERM', restartMilliseconds);
+			await gateway.restart('stop', restartMilliseconds);
+			return undefined;
+		}
+
+		case 'gateway-left-after-rereads': {
+			await gateway.restart('stop-after-rereads', restartMilliseconds);
+			return undefined;
+		}
+
+		case 'gateway-left-and-reread': {
+			await gateway.restart('stop-and-reread', restartMilliseconds);
+			return undefined;
+		}
+
+		case 'gateway-left-with-pauses': {
+			await gateway.restart('stop-with-pauses', restartMilliseconds);
 			return undefined;
 		}
 
@@ -262,125 +275,6 @@
 	};
 }
 
-/** Chooses an upstream of a service with enough other serving upstreams; undefined if there is none. */
-function chooseUpstream(platform: SoakPlatform, target: number): SoakUpstream | undefined {
-	const servingUpstreams = platform.listServingUpstreams();
-	const redundantServices = new Set(serviceNames.filter(name => servingUpstreams.filter(({service}) => service === name).length > minimumUpstreamsPerService));
-	const candidates = servingUpstreams.filter(({service}) => redundantServices.has(service));
-	return candidates[target % Math.max(1, candidates.length)];
-}
-
-async function startUpstreamFault(kind: UpstreamFaultKind, upstream: SoakUpstream, platform: SoakPlatform): Promise<() => unknown> {
-	const setBehaviour = (behaviour: platformUpstream.PlatformUpstreamBehavior) => {
-		upstream.standIn.setBehavior(behaviour);
-		return () => {
-			upstream.standIn.setBehavior(defaultBehaviour);
-		};
-	};
-
-	const setProxyFaults = (faults: Partial<faultProxy.FaultProxyFaults>) => {
-		upstream.proxy.setFaults(faults);
-		return () => {
-			upstream.proxy.setFaults({});
-		};
-	};
-
-	switch (kind) {
-		case 'upstream-crashed': {
-			await platform.crashUpstream(upstream);
-			await platform.startUpstream(upstream.service);
-			await timers.setTimeout(heartbeatTimeoutMilliseconds);
-			platform.removeUpstream(upstream);
-			return () => undefined;
-		}
-
-		case 'upstream-left': {
-			await platform.startUpstream(upstream.service);
-			platform.drainUpstream(upstream);
-			await timers.setTimeout(drainMilliseconds);
-			await platform.crashUpstream(upstream);
-			platform.removeUpstream(upstream);
-			return () => undefined;
-		}
-
-		case 'upstream-silent': {
-			return setProxyFaults({silent: 'open'});
-		}
-
-		case 'upstream-loses-answers': {
-			return setProxyFaults({loseAnswers: true});
-		}
-
-		case 'upstream-delayed': {
-			return setProxyFaults({delayMilliseconds: proxyDelayMilliseconds});
-		}
-
-		case 'upstream-cuts-answers': {
-			return setBehaviour({kind: 'cut'});
-		}
-
-		case 'upstream-repeats-answers': {
-			return setBehaviour({kind: 'repeat'});
-		}
-
-		case 'upstream-refuses': {
-			return setBehaviour({kind: 'refuse'});
-		}
-
-		case 'upstream-fails': {
-			return setBehaviour({kind: 'fail'});
-		}
-
-		case 'upstream-restarted': {
-			await platform.crashUpstream(upstream);
-			platform.removeUpstream(upstream);
-			await platform.startUpstream(upstream.service);
-			return () => undefined;
-		}
-
-		case 'upstream-limits-rate': {
-			const endStatement = startStatement(upstream, {kind: 'rate-limit', requestsPerSecond: limitedRequestsPerSecond}, {'server-limit': String(limitedRequestsPerSecond)});
-			await timers.setTimeout(limitMilliseconds);
-			return endStatement;
-		}
-
-		case 'upstream-states-leaving': {
-			startStatement(upstream, {kind: 'leaving'}, {'server-leaving': '1'});
-			await platform.startUpstream(upstream.service);
-			await timers.setTimeout(2 * drainMilliseconds);
-			await platform.crashUpstream(upstream);
-			platform.removeUpstream(upstream);
-			return () => undefined;
-		}
-
-		case 'upstream-asks-for-pause': {
-			const endStatement = startStatement(upstream, {kind: 'pause', milliseconds: pauseMilliseconds}, {'retry-after': String(pauseMilliseconds / 1000)});
-			const endRefusal = setBehaviour({kind: 'refuse'});
-			return () => {
-				endRefusal();
-				endStatement();
-			};
-		}
-
-		default: {
-			return assertNever(kind);
-		}
-	}
-}
-
-type StatementWithoutSpan<Statement extends SoakStatement = SoakStatement> = Statement extends SoakStatement ? Omit<Statement, 'span'> : never;
-
-/** Lets an upstream state something in its answers; returns a function that ends it. */
-function startStatement(upstream: SoakUpstream, statement: StatementWithoutSpan, headers: Readonly<Record<string, string>>): () => void {
-	const span: TimeSpan = {from: performance.now(), to: Number.POSITIVE_INFINITY};
-	upstream.statements.push({...statement, span});
-	upstream.standIn.setStatements(headers);
-	return () => {
-		upstream.standIn.setStatements({});
-		span.to = performance.now();
-	};
-}
-
 /** Formats a verdict as one line. */
 export function formatSoakVerdict(seed: number, {violations, requests, served, statuses}: SoakVerdict): string {
 	const counts = Object.entries(statuses).map(([status, count]) => `${status}=${count}`).join(' ');
--- a/bench/soak/soak-platform.ts
+++ b/bench/soak/soak-platform.ts
@@ -2,6 +2,7 @@
 import * as faultProxy from '../../stand-ins/fault-proxy.ts';
 import * as platformUpstream from '../../stand-ins/platform-upstream.ts';
 import * as storeStandIn from '../../stand-ins/store.ts';
+import * as responseForms from './response-forms.ts';
 
 export const serviceNames = ['desk', 'office'] as const;
 export type ServiceName = typeof serviceNames[number];
@@ -25,6 +26,8 @@
 	readonly standIn: platformUpstream.PlatformUpstream;
 	readonly proxy: faultProxy.FaultProxy;
 	readonly statements: SoakStatement[];
+	/** Times in which the upstream or its link doesn't work as it should. */
+	readonly faults: TimeSpan[];
 	/** Time at which the store recorded that the upstream drains or is removed, in milliseconds of the monotonic clock. */
 	retiredAt: number | undefined;
 	isClosed: boolean;
@@ -61,8 +64,9 @@
 	close(): Promise<void>;
 };
 
+/** Behaviour of upstreams without a fault. */
+export const defaultBehaviour: platformUpstream.PlatformUpstreamBehavior = {kind: 'choose', chooseResponse: responseForms.readForm};
 const slots = 4;
-const processingMilliseconds = 20;
 export const failureDomains = ['courthouse', 'riverside', 'pinehill'];
 const registryTopic = 'keyed.servers';
 const operatorTopic = 'keyed.op';
@@ -111,12 +115,12 @@
 	async function startUpstream(service: ServiceName): Promise<SoakUpstream> {
 		const id = `${service}-${++lastSerialNumber}`;
 		const standIn = await platformUpstream.startPlatformUpstream(id, slots);
-		standIn.setBehavior({kind: 'answer', milliseconds: processingMilliseconds});
+		standIn.setBehavior(defaultBehaviour);
 		const [targetHost, targetPort] = standIn.address.split(':');
 		const proxy = await faultProxy.createFaultProxy({targetHost: targetHost!, targetPort: Number(targetPort)});
 		proxy.setPartition(getPartition);
 		const upstream: SoakUpstream = {
-			service, standIn, proxy, statements: [], retiredAt: undefined, isClosed: false,
+			service, standIn, proxy, statements: [], faults: [], retiredAt: undefined, isClosed: false,
 		};
 		upstreams.push(upstream);
 		register(upstream, 'ready');
@@ -162,6 +166,7 @@
 		async crashUpstream(upstream) {
 			if (!upstream.isClosed) {
 				upstream.isClosed = true;
+				upstream.faults.push({from: performance.now(), to: Number.POSITIVE_INFINITY});
 				await Promise.all([upstream.standIn.close(), upstream.proxy.close()]);
 			}
 		},
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -10,6 +10,7 @@
 /**
 Seeds for CI, including seeds that failed before.
 
+3 and 37: requests sent ahead were passed on and lost with their connection.
 37: with time bounds, a request crossed the close of its connection at the end of a stop, which the rules allow.
 */
 const seeds = [3, 37];
