--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -10,6 +10,7 @@
 import type * as codec from '../peers/sharing-codec.ts';
 import {type SharingClient, type SharingError} from '../peers/sharing.ts';
 import * as followerUpdates from './follower-updates.ts';
+import * as newerState from './newer-state.ts';
 import {type PlatformState} from './platform-state.ts';
 import type * as statementRecorder from './statement-recorder.ts';
 import {type StoreReader} from './store-reader.ts';
@@ -325,37 +326,18 @@
 		}
 	}
 
-	/** Gets the set of evacuated failure domains if it is newer than the follower's. */
-	function getEvacuations({evacuationsPosition}: codec.SharingRequest) {
-		const set = platformState.evacuations.getSet();
-		return positions.isLater({era: set.era, offset: set.version}, resolveEra(evacuationsPosition, set.era)) ? set : undefined;
-	}
-
-	/** Gets the active configuration if it is newer than the follower's. */
-	function getConfigurationUpdate({configurationVersion, configurationEra}: codec.SharingRequest): Pick<codec.SharingUpdate, 'configuration' | 'configurationEra'> {
-		const active = platformState.getActiveConfiguration();
-		if (!active) {
-			return {configuration: undefined, configurationEra: undefined};
-		}
-
-		const {configuration, era} = active;
-		const isNewer = configuration.version > configurationVersion || (configuration.version === configurationVersion && era > (configurationEra ?? era));
-		return isNewer ? {configuration, configurationEra: era} : {configuration: undefined, configurationEra: undefined};
-	}
-
 	function getStatementUpdate({membersSource, statementsRevision}: codec.SharingRequest) {
 		const {revision, statements} = host.statements.getUpdate(membersSource === self.incarnation ? statementsRevision : -1);
 		return {statementsRevision: revision, statements};
 	}
 
-	const getRegistryUpdate = ({registryPosition}: codec.SharingRequest) => updates.getRegistryUpdate(resolveEra(registryPosition, platformState.registry.getPosition().era));
+	const getRegistryUpdate = ({registryPosition}: codec.SharingRequest) => updates.getRegistryUpdate(newerState.resolveEra(registryPosition, platformState.registry.getPosition().era));
 
 	function hasUpdate(request: codec.SharingRequest): boolean {
 		const update = getRegistryUpdate(request);
-		const changedPosition = platformState.evacuations.getChangedPosition();
-		return getConfigurationUpdate(request).configuration !== undefined
+		return newerState.getConfigurationUpdate(platformState, request).configuration !== undefined
 			|| (update !== undefined && (update.changes.length > 0 || update.isComplete))
-			|| positions.isLater(changedPosition, resolveEra(request.evacuationsPosition, changedPosition.era))
+			|| newerState.haveEvacuationsChanged(platformState, request)
 			|| request.membersSource !== self.incarnation
 			|| host.statements.getUpdate(request.statementsRevision).statements.length > 0
 			|| request.membersRevision < announcedRevision;
@@ -394,9 +376,9 @@
 				storeEra: platformState.getEra(),
 				ageMilliseconds: Math.max(0, platformState.getAge(host.getNow())),
 				recoveryMilliseconds: Math.max(0, (platformState.getRecoveryEnd(host.getNow()) ?? 0) - host.getNow()),
-				...getConfigurationUpdate(request),
+				...newerState.getConfigurationUpdate(platformState, request),
 				registryUpdate: getRegistryUpdate(request),
-				evacuations: getEvacuations(request),
+				evacuations: newerState.getEvacuations(platformState, request),
 				membersSource: self.incarnation,
 				memberUpdate: updates.getMemberUpdate(request.membersSource === self.incarnation ? request.membersRevision : -1),
 				...getStatementUpdate(request),
@@ -413,8 +395,3 @@
 		},
 	};
 }
-
-/** Completes the position of a follower whose version of the program states no era. */
-function resolveEra({era, offset}: codec.FollowerPosition, ownEra: number): positions.Position {
-	return {era: era ?? ownEra, offset};
-}
