--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -55,25 +55,25 @@
 
 afterEach(gatewayProcess.close);
 
-/** Sends requests to all entries in turn until it is stopped; resolves to the statuses that were not expected. */
+/** Sends requests to all entries in turn until it is stopped; resolves to the answers that were not expected, with their log lines. */
 function startRequests(path: string, expectedStatus: number) {
-	const unexpected: string[] = [];
+	const unexpected: Array<() => string> = [];
 	const pending: Array<Promise<void>> = [];
 	let count = 0;
 	const timer = setInterval(() => {
 		const entry = entries[count++ % entries.length]!;
 		pending.push(gateways.send(entry.front, path).then(({status, id}) => {
 			if (status !== expectedStatus) {
-				unexpected.push(`${status} ${entry.listLogged(`id=${id} `).join(' ')}`);
+				unexpected.push(() => `${status} ${entry.listLogged(id).join(' ')}`);
 			}
 		}, (error: unknown) => {
-			unexpected.push(`${entry.host} ${String(error)}`);
+			unexpected.push(() => `${entry.host} ${String(error)}`);
 		}));
 	}, requestIntervalMilliseconds);
 	return async () => {
 		clearInterval(timer);
 		await Promise.all(pending);
-		return {count, unexpected};
+		return {count, unexpected: unexpected.map(describe => describe())};
 	};
 }
 
