--- a/bench/soak/fault-plan.ts
+++ b/bench/soak/fault-plan.ts
@@ -40,7 +40,10 @@
 	'gateway-left-with-pauses',
 ] as const;
 
-export type FaultKind = typeof faultKinds[number] | typeof signalFaultKinds[number];
+/** Losses of the store, drawn by themselves as well. */
+export const lossFaultKinds = ['store-returns-older'] as const;
+
+export type FaultKind = typeof faultKinds[number] | typeof signalFaultKinds[number] | typeof lossFaultKinds[number];
 
 export type PlannedFault = {
 	readonly kind: FaultKind;
@@ -59,6 +62,9 @@
 const signalSeedOffset = 500;
 /** Spreads consecutive seeds, whose first numbers are close to each other otherwise. */
 const seedFactor = 7919;
+/** Mean time between losses of the store, in milliseconds. */
+const meanLossGapMilliseconds = 5000;
+const lossSeedOffset = 5000;
 const minimumDurationMilliseconds = 300;
 const maximumDurationMilliseconds = 4000;
 /** Probability that a fault has the same kind as the previous one. */
@@ -86,19 +92,23 @@
 		nextStartsAt += randomSource.nextFraction() < simultaneousStartProbability ? 0 : randomSource.nextInteger(2 * meanGapMilliseconds);
 	}
 
-	return [...plan, ...createSignalPlan(seed, durationMilliseconds)];
+	return [
+		...plan,
+		...createPlanOf(signalFaultKinds, seed + signalSeedOffset, durationMilliseconds, meanSignalGapMilliseconds),
+		...createPlanOf(lossFaultKinds, seed + lossSeedOffset, durationMilliseconds, meanLossGapMilliseconds),
+	];
 }
 
-function createSignalPlan(seed: number, durationMilliseconds: number): readonly PlannedFault[] {
-	const randomSource = random.createRandomSource((seed + signalSeedOffset) * seedFactor);
+function createPlanOf(kinds: readonly FaultKind[], seed: number, durationMilliseconds: number, meanMilliseconds: number): readonly PlannedFault[] {
+	const randomSource = random.createRandomSource(seed * seedFactor);
 	const plan: PlannedFault[] = [];
-	let startsAt = randomSource.nextInteger(2 * meanSignalGapMilliseconds);
+	let startsAt = randomSource.nextInteger(2 * meanMilliseconds);
 	while (startsAt < durationMilliseconds) {
-		const kind = signalFaultKinds[randomSource.nextInteger(signalFaultKinds.length)]!;
+		const kind = kinds[randomSource.nextInteger(kinds.length)]!;
 		plan.push({
 			kind, target: randomSource.nextInteger(1000), startsAt, endsAt: startsAt,
 		});
-		startsAt += randomSource.nextInteger(2 * meanSignalGapMilliseconds);
+		startsAt += randomSource.nextInteger(2 * meanMilliseconds);
 	}
 
 	return plan;
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -44,6 +44,10 @@
 const restartMilliseconds = 300;
 /** Time for which gateways are partitioned in addition to the time of the fault, in milliseconds. */
 const partitionMilliseconds = 4000;
+/** Ages of the copies from which a store returns, in milliseconds. */
+const lostMilliseconds = [500, 2000, 4000];
+/** Time between two heartbeats of an upstream, after which lost records are written again, in milliseconds. */
+const heartbeatMilliseconds = 1500;
 const slowStoreMilliseconds = 250;
 /** Time within which requests must succeed again, in milliseconds, from the rules. */
 const recoveryMilliseconds = 15_000;
@@ -129,7 +133,7 @@
 	}
 
 	if (isStoreFault(kind)) {
-		return startStoreFault(kind, deployment);
+		return startStoreFault(kind, target, deployment);
 	}
 
 	if (kind === 'all-gateways-killed') {
@@ -235,7 +239,7 @@
 	};
 }
 
-function startStoreFault(kind: StoreFaultKind, {platform, storeFaults}: SoakDeployment): (() => void) | undefined {
+async function startStoreFault(kind: StoreFaultKind, target: number, {platform, storeFaults}: SoakDeployment): Promise<(() => void) | undefined> {
 	switch (kind) {
 		case 'store-refuses': {
 			return setStoreFault(platform, storeFaults, {kind: 'refuse', statusCode: 503});
@@ -253,6 +257,16 @@
 			return setStoreFault(platform, storeFaults, {kind: 'slow', milliseconds: slowStoreMilliseconds});
 		}
 
+		case 'store-returns-older': {
+			const span: TimeSpan = {from: performance.now(), to: Number.POSITIVE_INFINITY};
+			storeFaults.push(span);
+			await platform.store.returnFromCopy({
+				awayMilliseconds: target, lostMilliseconds: lostMilliseconds[target % lostMilliseconds.length]!, rewriteMilliseconds: heartbeatMilliseconds,
+			});
+			span.to = performance.now();
+			return undefined;
+		}
+
 		case 'store-forgets': {
 			platform.store.expireHistory('keyed.servers');
 			platform.store.expireHistory('keyed.op');
