Close sessions of other entries that bring rows of requests and their resets

Cause: a request that is reset doesn't count as unanswered, so some thousand of a session are read and handled at once. Change: a session that begins more than 128 requests in a turn of the event loop is closed; 64 may be unanswered.

--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -37,6 +37,8 @@
 };
 
 const defaultReadMaxBytes = 16 * 1024 * 1024;
+/** Maximum number of requests that a session begins in a turn, in multiples of those that may be unanswered: entries give up some and ask again while this one is late. */
+const turnStreams = 2;
 
 /** Creates a server with the given services and starts to listen on the peer port. */
 export function createPeerServer(options: PeerServerOptions): ResultAsync<PeerServer, PeerServerError> {
@@ -60,6 +62,10 @@
 	server.prependListener('request', (request: http2.Http2ServerRequest) => {
 		options.onRequest?.(request);
 	});
+	if (options.maximumStreams !== undefined) {
+		closeSessionsWithRows(server, turnStreams * options.maximumStreams);
+	}
+
 	const sessions = trackSessions(server);
 	const sockets = trackSockets(server);
 	await new Promise<void>((resolve, reject) => {
@@ -76,6 +82,25 @@
 	};
 }
 
+/** Closes each session that begins too many requests in a turn of the event loop; more than may be unanswered begin only if some are reset. */
+function closeSessionsWithRows(server: http2.Http2Server, maximumRequests: number): void {
+	server.on('session', session => {
+		let begun = 0;
+		session.on('stream', () => {
+			begun++;
+			if (begun === 1) {
+				setImmediate(() => {
+					begun = 0;
+				});
+			}
+
+			if (begun > maximumRequests) {
+				session.destroy();
+			}
+		});
+	});
+}
+
 function trackSessions(server: http2.Http2Server): ReadonlySet<http2.ServerHttp2Session> {
 	const sessions = new Set<http2.ServerHttp2Session>();
 	server.on('session', session => {
