Never send an outdated state of the sender in a reused list of members

Callers' requests reached an upstream that had said it leaves: an entry took the one that it asked at its start for unready for 2.5 s, read the store by itself meanwhile, and heard late what upstreams had told the others. Cause: the complete list of members is reused for 200 ms, also when the sender has become ready since; an entry that follows gets the change with the next update, but one that only asks adds members and changes none. Change: the list is reused only while the state of the sender itself is the same.

--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -30,6 +30,8 @@
 	getRevision(): number;
 	/** Gets the revision of the latest change other than of a member's demand, which followers need at once. */
 	getUrgentRevision(): number;
+	/** Gets the revision of the latest such change of this entry itself. */
+	getOwnRevision(): number;
 	/** Gets the changes after a revision of this list; the complete list if the revision is too old or -1. */
 	getUpdate(since: number): types.MemberUpdate;
 };
@@ -52,6 +54,7 @@
 	const removals = new Map<string, number>();
 	let revision = 0;
 	let urgentRevision = 0;
+	let ownRevision = 0;
 	let self = getSelf();
 	let selfChangedAt = 0;
 	/** Oldest revision of a follower for which an incremental update is possible. */
@@ -104,6 +107,7 @@
 		selfChangedAt = ++revision;
 		if (!isSameState(self, next)) {
 			urgentRevision = revision;
+			ownRevision = revision;
 		}
 
 		self = next;
@@ -177,6 +181,10 @@
 			refreshSelf();
 			return urgentRevision;
 		},
+		getOwnRevision() {
+			refreshSelf();
+			return ownRevision;
+		},
 		getUpdate(since) {
 			refreshSelf();
 			if (since < oldestIncrementalRevision) {
--- a/src/gateway/follower-updates.test.ts
+++ b/src/gateway/follower-updates.test.ts
@@ -100,6 +100,17 @@
 	expect(getDueTimes()).toEqual([1700]);
 });
 
+// Guards against an entry that takes the one that it asks for unready, and reads the store by itself, because that has just become ready.
+test('a reused list of members never has an outdated state of its sender', () => {
+	const {registry} = createFleetState();
+	let isReady = false;
+	const members = memberList.createMemberList(() => ({...createMember(0), isReady}));
+	const updates = followerUpdates.createFollowerUpdates({registry, members, getNow: () => 0});
+	expect(updates.getMemberUpdate(-1).members[0]!.isReady).toBe(false);
+	isReady = true;
+	expect(updates.getMemberUpdate(-1).members[0]!.isReady).toBe(true);
+});
+
 test('whenever followers ask, they end with the registry of their source', () => {
 	const operation = fastCheck.oneof(
 		fastCheck.record({kind: fastCheck.constant('record' as const), id: fastCheck.nat(3), isRemoved: fastCheck.boolean()}),
--- a/src/gateway/follower-updates.ts
+++ b/src/gateway/follower-updates.ts
@@ -13,7 +13,7 @@
 /** Dependencies of the updates. */
 export type FollowerUpdatesHost = {
 	readonly registry: Pick<upstreamRegistry.UpstreamRegistry, 'getPosition' | 'getRevision' | 'getNextRemovalAt' | 'getUpdate'>;
-	readonly members: Pick<memberList.MemberList, 'getUpdate'>;
+	readonly members: Pick<memberList.MemberList, 'getUpdate' | 'getOwnRevision'>;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 };
@@ -38,7 +38,7 @@
 	const {registry} = host;
 	let completeRegistry: Complete<upstreamRegistry.RegistryUpdate> | undefined;
 	let eraRegistry: Complete<upstreamRegistry.RegistryUpdate> | undefined;
-	let completeMembers: Complete<sharing.MemberUpdate> | undefined;
+	let completeMembers: Complete<sharing.MemberUpdate> & {readonly ownRevision: number} | undefined;
 	let incremental = {revision: -1, updates: new Map<number, upstreamRegistry.RegistryUpdate>()};
 
 	const isRecent = ({madeAt}: {readonly madeAt: number}, now: number) => now - madeAt <= reuseMilliseconds;
@@ -112,8 +112,10 @@
 			}
 
 			const now = host.getNow();
-			if (!completeMembers || !isRecent(completeMembers, now)) {
-				completeMembers = {update: host.members.getUpdate(since), madeAt: now};
+			const ownRevision = host.members.getOwnRevision();
+			// An entry that only asks once must not take this one for unready.
+			if (!completeMembers || completeMembers.ownRevision !== ownRevision || !isRecent(completeMembers, now)) {
+				completeMembers = {update: host.members.getUpdate(since), madeAt: now, ownRevision};
 			}
 
 			return completeMembers.update;
