--- a/src/gateway/follower-updates.ts
+++ b/src/gateway/follower-updates.ts
@@ -114,7 +114,7 @@
 			const now = host.getNow();
 			const ownRevision = host.members.getOwnRevision();
 			// An entry that only asks once must not take this one for unready.
-			if (!completeMembers || completeMembers.ownRevision !== ownRevision || !isRecent(completeMembers, now)) {
+			if (completeMembers?.ownRevision !== ownRevision || !isRecent(completeMembers, now)) {
 				completeMembers = {update: host.members.getUpdate(since), madeAt: now, ownRevision};
 			}
 
