Let the test of a late connection take its time from the request

Cause: the test read the clock before it created the request, whose deadline is 1,000 ms after its own reading, and then put its clock 1,001 ms forward. When 2 ms or more pass between the two readings, the time is not over, the request is sent, and the upstream of the test never answers. A fault of the test: the product was right to send.

The check is the same: the connection comes 1 ms after the deadline.

--- a/test/caller-leaves.test.ts
+++ b/test/caller-leaves.test.ts
@@ -47,11 +47,12 @@
 // Guards against requests that reach an upstream after their deadline because their timers fire late.
 test('a request that gets its connection after its deadline is not sent, and its upstream has not failed', async () => {
 	const {upstream, connections, getRequestCount} = await startBusyUpstream();
-	let now = hostileUpstream.getNow();
+	const request = createRequest('idempotent');
+	let now = request.receivedAt;
 	const ended = new Promise<retryDecision.AttemptEnd>(resolve => {
-		hostileUpstream.startAttempt(upstream, createRequest('idempotent'), () => now, resolve);
+		hostileUpstream.startAttempt(upstream, request, () => now, resolve);
 	});
-	now += 1001;
+	now = request.deadlineAt + 1;
 	upstream.pool.release(connections[0]!);
 	expect(await ended).toEqual({kind: 'not-sent', reason: 'expired'});
 	await timers.setTimeout(arrivalMilliseconds);
