Hold requests for a sound upstream instead of sending them to one that fails

Cause: an upstream that answers nothing has a free slot all the time. A request for which the sound upstreams have no slot at the moment went to it, although each of its recent attempts had failed; so did a request that a sound upstream had refused as busy, since a repeat goes to untried ones.

A failing upstream gets a request only if no other is sound, or once held requests have had no room for eight rounds, as for those that report themselves unhealthy. A repeat goes to a sound upstream that was tried rather than to a failing one. A held request that its only upstream has refused is sent there again; it was held until its time was over.

Four tests of the selection fail on the code before.

--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -4,7 +4,7 @@
 import {
 	createSelector, type Selection, type SelectionRequest, type Selector,
 } from './selection.ts';
-import {createUpstreams, type Upstreams} from './upstreams.ts';
+import {createUpstreams, type Upstream, type Upstreams} from './upstreams.ts';
 
 const {afterEach, expect, test} = vitest;
 let now = 1000;
@@ -126,3 +126,59 @@
 	selector.onAttemptEnded(upstreams.listUsable('desk')[0]!);
 	expect(selection).toMatchObject({kind: 'selected', upstream: {registration: {id: 'b'}}});
 });
+
+function fail(upstreams: Upstreams, id: string): Upstream {
+	const upstream = upstreams.listUsable('desk').find(({registration}) => registration.id === id)!;
+	for (let count = 0; count < 5; count++) {
+		upstream.record.recordStart(now);
+		upstream.record.recordFailure(now);
+	}
+
+	return upstream;
+}
+
+// Guards against requests that fail at an upstream which answers nothing and therefore always has a free slot.
+test.each([[[]], [['a']]])('a request that has tried %j waits for a sound upstream, although a failing one has room', tried => {
+	const {selector, upstreams} = createParts(['a', 'b']);
+	const failing = fail(upstreams, 'b');
+	setLoad(upstreams, 'a', 4);
+	setLoad(upstreams, 'b', 0);
+	let selection: Selection | undefined;
+	selector.select({...createRequest(), tried: new Set(tried)}, selected => {
+		selection = selected;
+	});
+	selector.onAttemptEnded(failing);
+	expect(selection).toBeUndefined();
+	now += 1;
+	setLoad(upstreams, 'a', 0);
+	selector.onAttemptEnded(upstreams.listUsable('desk').find(({registration}) => registration.id === 'a')!);
+	expect(selection).toMatchObject({kind: 'selected', upstream: {registration: {id: 'a'}}});
+});
+
+// Guards against requests that are held until their time is over, since the only upstream has refused them once.
+test('a held request goes again to the only upstream, which has refused it', () => {
+	const {selector, upstreams} = createParts(['a']);
+	setLoad(upstreams, 'a', 4);
+	let selection: Selection | undefined;
+	selector.select({...createRequest(), tried: new Set(['a'])}, selected => {
+		selection = selected;
+	});
+	now += 1;
+	setLoad(upstreams, 'a', 0);
+	selector.onAttemptEnded(upstreams.listUsable('desk')[0]!);
+	expect(selection).toMatchObject({kind: 'selected', upstream: {registration: {id: 'a'}}});
+});
+
+test('held requests go to a failing upstream once the sound ones have had no room for some rounds', async () => {
+	const {selector, upstreams} = createParts(['a', 'b']);
+	fail(upstreams, 'b');
+	let selection: Selection | undefined;
+	setLoad(upstreams, 'a', 4);
+	setLoad(upstreams, 'b', 0);
+	selector.select(createRequest(), selected => {
+		selection = selected;
+	});
+	expect(selection).toBeUndefined();
+	await vitest.vi.waitUntil(() => selection);
+	expect(selection).toMatchObject({kind: 'selected', upstream: {registration: {id: 'b'}}});
+});
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -100,7 +100,7 @@
 const localObjectiveShare = 0.6;
 /** Time between two rounds of queries for held requests, in milliseconds. */
 const heldRoundIntervalMilliseconds = 10;
-/** Round from which held requests may go to upstreams that report themselves unhealthy, since such reports can be wrong. */
+/** Round from which held requests may go to upstreams that fail or report themselves unhealthy, since both can be wrong. */
 const firstRoundWithUnhealthy = 8;
 
 /** Creates the selector of an entry. */
@@ -109,9 +109,11 @@
 	const roundsByService = new Map<string, number>();
 	let heldRoundTimer: NodeJS.Timeout | undefined;
 
-	const {sampleUpstreams, sampleWarmUpstreams} = upstreamSampler.createUpstreamSampler(host);
+	const {createEligibility, sampleUpstreams, sampleWarmUpstreams} = upstreamSampler.createUpstreamSampler(host);
 	const findHeld = (service: string) => heldByService.get(service);
 
+	const isLastResort = (service: string) => (roundsByService.get(service) ?? 0) >= firstRoundWithUnhealthy;
+
 	const isHoldOver = ({expiresAt}: PendingSelection, now: number) => now >= Math.min(expiresAt, host.getHoldEnd());
 
 	function finish(pending: PendingSelection, selection: Selection): void {
@@ -302,14 +304,12 @@
 	}
 
 	function queryForHeld(service: string): void {
-		const round = (roundsByService.get(service) ?? 0) + 1;
-		roundsByService.set(service, round);
-		const noneTried = new Set<string>();
-		const local = sampleUpstreams(service, true, heldSampleSize, noneTried);
-		const remote = sampleUpstreams(service, false, heldSampleSize - local.length, noneTried);
+		roundsByService.set(service, (roundsByService.get(service) ?? 0) + 1);
+		const local = sampleUpstreams(service, true, heldSampleSize, isLastResort(service));
+		const remote = sampleUpstreams(service, false, heldSampleSize - local.length, isLastResort(service));
 		queryUpstreams(host, {service, upstreams: [...local, ...remote], purpose: 'held'}, results => {
 			for (const [upstream, result] of results) {
-				const isUsable = result ? result.kind === 'healthy' || (result.kind === 'unhealthy' && round >= firstRoundWithUnhealthy) : isUsableWithoutCheck(upstream);
+				const isUsable = result ? result.kind === 'healthy' || (result.kind === 'unhealthy' && isLastResort(service)) : isUsableWithoutCheck(upstream);
 				const connection = result?.kind === 'healthy' ? result.connection : undefined;
 				if (!isUsable || !assignHeld(upstream, connection)) {
 					release(new Map([[upstream, result]]));
@@ -318,12 +318,20 @@
 		});
 	}
 
+	/** Lists the held requests that may be sent to an upstream. */
+	function listEligible(held: ReadonlySet<PendingSelection>, upstream: Upstream): readonly PendingSelection[] {
+		const {service} = upstream.registration;
+		const isEligible = (tried: ReadonlySet<string>) => createEligibility(service, {tried, isLastResort: isLastResort(service)})(upstream);
+		const isEligibleUntried = isEligible(new Set());
+		return [...held].filter(({request: {tried}}) => tried.size === 0 ? isEligibleUntried : isEligible(tried));
+	}
+
 	/** Assigns the next held request to an upstream if it has capacity. Returns whether a request was assigned. */
 	function assignHeld(upstream: Upstream, connection: Connection | undefined): boolean {
 		const now = host.getNow();
-		const {id, service} = upstream.registration;
+		const {service} = upstream.registration;
 		const held = host.upstreams.isUsable(upstream) ? findHeld(service) : undefined;
-		const pending = held && findNextRequest([...held].filter(({request}) => !request.tried.has(id)), now);
+		const pending = held && findNextRequest(listEligible(held, upstream), now);
 		if (!pending) {
 			return false;
 		}
