Take late attempts that are given up for a sign of a slow upstream

What callers saw: with an upstream that takes requests and answers none of them in time, each request that was first sent there waited for its second attempt, and without one left it failed.

Cause: the slowness of an upstream was learned from whole answers only. Once a second attempt is answered, the first is given up, so the later an upstream is, the less was learned of it: only its fastest answers counted.

Change: an attempt that was given up after its expected time counts as an answer that took at least so long. It can only raise the slowness, and one alone shows nothing, since the median of three counts, as before.

The two new tests need the new record; with an end that shows nothing, as before, the slowness stays 1 in both.

--- a/src/decisions/routing/upstream-statistics.test.ts
+++ b/src/decisions/routing/upstream-statistics.test.ts
@@ -35,3 +35,40 @@
 
 	expect(statistics.getState(1500).slowness).toBeGreaterThan(3);
 });
+
+// Guards against an upstream that stays selected because all its late attempts are given up once another one was answered.
+test('an upstream whose attempts are given up late is known as slow after a few, and one late attempt shows nothing', () => {
+	const statistics = upstreamStatistics.createUpstreamStatistics();
+	const giveUp = (milliseconds: number, now: number) => {
+		statistics.recordStart(now);
+		statistics.recordGivenUp(milliseconds, 200, now);
+		return statistics.getState(now);
+	};
+
+	statistics.recordStart(0);
+	statistics.recordAnswer(200, 200, 0);
+	expect(giveUp(1000, 0).slowness).toBe(1);
+	expect(giveUp(100, 0).slowness).toBe(1);
+	for (let attempt = 1; attempt < 15; attempt++) {
+		giveUp(1000, attempt * 100);
+	}
+
+	expect(statistics.getState(1500)).toMatchObject({inFlight: 0});
+	expect(statistics.getState(1500).slowness).toBeGreaterThan(3);
+});
+
+test('answers of the usual duration end the slowness that attempts given up have shown', () => {
+	const statistics = upstreamStatistics.createUpstreamStatistics();
+	for (let attempt = 0; attempt < 10; attempt++) {
+		statistics.recordStart(attempt);
+		statistics.recordGivenUp(1000, 200, attempt);
+	}
+
+	expect(statistics.getState(10).slowness).toBeGreaterThan(3);
+	for (let answer = 0; answer < 15; answer++) {
+		statistics.recordStart(10);
+		statistics.recordAnswer(200, 200 * statistics.getState(10).slowness, 10);
+	}
+
+	expect(statistics.getState(10).slowness).toBeLessThan(1.3);
+});
--- a/src/decisions/routing/upstream-statistics.ts
+++ b/src/decisions/routing/upstream-statistics.ts
@@ -13,7 +13,9 @@
 	recordFailure(now: number): void;
 	/** Records that no connection could be opened or that a load check was not answered. */
 	recordUnreachable(now: number): void;
-	/** Records that a started attempt ended without evidence about the upstream, e.g. because it was cancelled. */
+	/** Records that a started attempt was given up after `milliseconds`, so that its answer would have arrived later. */
+	recordGivenUp(milliseconds: number, expectedMilliseconds: number, now: number): void;
+	/** Records that a started attempt ended without evidence about the upstream. */
 	recordEnd(): void;
 	/** Returns the share of recent attempts that failed, from 0 to 1. */
 	getFailureShare(now: number): number;
@@ -55,6 +57,15 @@
 		failureUpdatedAt = now;
 	}
 
+	function addDurationRatio(milliseconds: number, expectedMilliseconds: number): void {
+		durationRatios = [...durationRatios, Math.min(maximumSlowness, milliseconds / Math.max(1, expectedMilliseconds))].slice(-ratioCount);
+	}
+
+	function getCorrectedSlowness(now: number): number {
+		const corrected = getSlowness(now) * (1 + (slownessWeight * (getMedian(durationRatios) - 1)));
+		return Math.min(maximumSlowness, Math.max(1, corrected));
+	}
+
 	return {
 		recordReading(newer) {
 			if (reading && newer.readAt < reading.readAt) {
@@ -71,9 +82,8 @@
 		recordAnswer(milliseconds, expectedMilliseconds, now) {
 			inFlight--;
 			updateFailureShare(0, now);
-			durationRatios = [...durationRatios, Math.min(maximumSlowness, milliseconds / Math.max(1, expectedMilliseconds))].slice(-ratioCount);
-			slowness = Math.max(1, getSlowness(now) * (1 + (slownessWeight * (getMedian(durationRatios) - 1))));
-			slowness = Math.min(maximumSlowness, slowness);
+			addDurationRatio(milliseconds, expectedMilliseconds);
+			slowness = getCorrectedSlowness(now);
 			slownessUpdatedAt = now;
 		},
 		recordFailure(now) {
@@ -83,6 +93,17 @@
 		recordUnreachable(now) {
 			updateFailureShare(1, now);
 		},
+		recordGivenUp(milliseconds, expectedMilliseconds, now) {
+			inFlight--;
+			// An attempt that is not late yet shows nothing, since most are given up before their answer for other reasons.
+			if (milliseconds <= expectedMilliseconds) {
+				return;
+			}
+
+			addDurationRatio(milliseconds, expectedMilliseconds);
+			slowness = Math.max(getSlowness(now), getCorrectedSlowness(now));
+			slownessUpdatedAt = now;
+		},
 		recordEnd() {
 			inFlight--;
 		},
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -235,7 +235,7 @@
 
 			case 'broken': {
 				if (end.reason === 'given-up') {
-					record.recordEnd();
+					record.recordGivenUp(milliseconds, expectedMilliseconds, now);
 				} else {
 					record.recordFailure(now);
 				}
