Refresh what is known of members from answers to questions, and ask again soon

Cause: an entry that asks one of its settings before that is ready knows it as unready. Answers to questions only added members, so this stood until the member counted as silent; and questions went out every 2 s as soon as any member was known. Change: an answer counts as heard from the entry that gives it, and changes what is known of others that were not heard themselves within the silence; it confirms none of those. A later process replaces an earlier one, as before. While no ready entry is known and none is followed, an entry asks after 0.1 s, then ever less often, at least every 2 s. When it loses the entry that it follows it asks at once. An entry that follows another one asks nothing.

--- a/src/decisions/sharing/member-list.ts
+++ b/src/decisions/sharing/member-list.ts
@@ -1,8 +1,8 @@
 /**
 Maintains the list of running entries as observed by this entry.
 
-Members are learned from their own requests or from the member list of the source, which is the entry that this entry
-follows. A member that neither confirms for `silenceMilliseconds` is removed. Each change increments the revision of the
+Members are learned from their own requests and answers or from the member list of the source, which is the entry that
+this entry follows. A member that neither confirms for `silenceMilliseconds` is removed. Each change increments the revision of the
 list, so that a follower receives only the changes after its own revision.
 */
 import type * as types from './types.ts';
@@ -18,8 +18,11 @@
 	recordMember(member: types.Member, now: number): boolean;
 	/** Applies an update of the source's list. A complete update replaces all members that were listed earlier. */
 	applyUpdate(update: types.MemberUpdate, now: number): void;
-	/** Adds the members that aren't in the list yet, from an entry other than the source. */
-	addNewMembers(members: readonly types.Member[], now: number): void;
+	/**
+	Applies the answer of an entry other than the source, which states its own incarnation. Its own description counts as
+	heard; those of the others add members and change what was not heard of them lately, but confirm none.
+	*/
+	applyAnswer(update: types.MemberUpdate, answeringIncarnation: string, now: number): void;
 	/** Removes the members that were not confirmed for `silenceMilliseconds`. Returns their names. */
 	removeSilentMembers(now: number): readonly string[];
 	/** Lists all members, including this entry, in the order of their names. */
@@ -43,10 +46,14 @@
 	readonly heardAt: number;
 	/** Time at which the source's list last contained the member; minus infinity if it doesn't. */
 	readonly listedAt: number;
+	/** Time at which an answer of an entry other than the source introduced the member; minus infinity if none did. */
+	readonly introducedAt: number;
 	/** Revision of the latest change of the member. */
 	readonly changedAt: number;
 };
 
+const neverConfirmed = {heardAt: Number.NEGATIVE_INFINITY, listedAt: Number.NEGATIVE_INFINITY, introducedAt: Number.NEGATIVE_INFINITY} as const;
+
 /** Creates a list that contains only this entry; `getSelf` returns its current description. */
 export function createMemberList(getSelf: () => types.Member): MemberList {
 	const others = new Map<string, TrackedMember>();
@@ -60,7 +67,7 @@
 	/** Oldest revision of a follower for which an incremental update is possible. */
 	let oldestIncrementalRevision = 0;
 
-	function updateMember(member: types.Member, times: Partial<Pick<TrackedMember, 'heardAt' | 'listedAt'>>): boolean {
+	function updateMember(member: types.Member, times: Partial<Pick<TrackedMember, 'heardAt' | 'listedAt' | 'introducedAt'>>): boolean {
 		if (member.name === self.name) {
 			return false;
 		}
@@ -72,7 +79,7 @@
 
 		const isSame = current !== undefined && isUnchanged(current.member, member);
 		others.set(member.name, {
-			heardAt: Number.NEGATIVE_INFINITY, listedAt: Number.NEGATIVE_INFINITY, ...current, ...times, member, changedAt: isSame ? current.changedAt : ++revision,
+			...neverConfirmed, ...current, ...times, member, changedAt: isSame ? current.changedAt : ++revision,
 		});
 		removals.delete(member.name);
 		const isUrgent = current === undefined || !isSameState(current.member, member);
@@ -136,6 +143,16 @@
 		}
 	}
 
+	/** Applies what an entry other than the source says of a member that isn't itself. */
+	function applyReport(member: types.Member, now: number): void {
+		const current = others.get(member.name);
+		if (!current || current.member.startedAt < member.startedAt) {
+			updateMember(member, {introducedAt: now});
+		} else if (current.heardAt + silenceMilliseconds < now) {
+			updateMember(member, {});
+		}
+	}
+
 	function list(): readonly types.Member[] {
 		refreshSelf();
 		return [self, ...[...others.values()].map(({member}) => member)].toSorted((left, right) => left.name < right.name ? -1 : 1);
@@ -156,15 +173,19 @@
 
 			confirmListedMembers(now);
 		},
-		addNewMembers(members, now) {
-			for (const member of members) {
-				if (!others.has(member.name)) {
-					updateMember(member, {heardAt: now});
-				}
+		applyAnswer(update, answeringIncarnation, now) {
+			const known = [...others.values()].find(({member}) => member.incarnation === answeringIncarnation)?.member;
+			const answering = update.members.find(({incarnation}) => incarnation === answeringIncarnation) ?? known;
+			if (answering) {
+				updateMember(answering, {heardAt: now});
+			}
+
+			for (const member of update.members.filter(({incarnation}) => incarnation !== answeringIncarnation)) {
+				applyReport(member, now);
 			}
 		},
 		removeSilentMembers(now) {
-			const silentNames = [...others].filter(([, {heardAt, listedAt}]) => Math.max(heardAt, listedAt) + silenceMilliseconds < now).map(([name]) => name);
+			const silentNames = [...others].filter(([, {heardAt, listedAt, introducedAt}]) => Math.max(heardAt, listedAt, introducedAt) + silenceMilliseconds < now).map(([name]) => name);
 			for (const name of silentNames) {
 				remove(name);
 			}
--- a/src/decisions/sharing/sharing.test.ts
+++ b/src/decisions/sharing/sharing.test.ts
@@ -3,7 +3,7 @@
 import {chooseCallerAddresses} from './entry-selection.ts';
 import {createMemberList, silenceMilliseconds} from './member-list.ts';
 import {avoidanceMilliseconds, createSourceSelector, getPauseAfterFailures} from './source-selector.ts';
-import {type Member} from './types.ts';
+import {type Member, type MemberUpdate} from './types.ts';
 
 const {expect, test} = vitest;
 
@@ -13,6 +13,10 @@
 	};
 }
 
+const createAnswer = (...members: readonly Member[]): MemberUpdate => ({
+	revision: 1, isComplete: false, members, removed: [],
+});
+
 test('all members follow the longest-running member, which reads the store itself', () => {
 	const members = [createMember('b', 5), createMember('a', 7), createMember('c', 5)];
 	expect(createSourceSelector({name: 'a'}).selectSource(members, 0)).toBe('b');
@@ -165,11 +169,36 @@
 test('members from other entries are added if they are new, and do not confirm existing members', () => {
 	const list = createMemberList(() => createMember('self'));
 	list.recordMember(createMember('a'), 0);
-	list.addNewMembers([createMember('a'), createMember('b')], silenceMilliseconds);
+	list.applyAnswer(createAnswer(createMember('a'), createMember('b')), 'other', silenceMilliseconds);
 	expect(list.list().map(({name}) => name)).toEqual(['a', 'b', 'self']);
 	expect(list.removeSilentMembers(silenceMilliseconds + 1)).toEqual(['a']);
 });
 
+// Guards against an entry that takes those it asked at its start for unready until they were silent, and reads the store meanwhile.
+test('an answer changes what is known of its sender, and of members that were not heard lately', () => {
+	const list = createMemberList(() => createMember('self'));
+	const getReady = () => list.list().filter(({name, isReady}) => name !== 'self' && isReady).map(({name}) => name);
+	list.recordMember(createMember('heard', 0, {isReady: false}), 0);
+	list.applyAnswer(createAnswer(createMember('sender', 0, {isReady: false}), createMember('reported', 0, {isReady: false})), 'sender-0', 0);
+	expect(getReady()).toEqual([]);
+	const later = createAnswer(createMember('sender'), createMember('heard'), createMember('reported'));
+	list.applyAnswer(later, 'sender-0', 100);
+	expect(getReady()).toEqual(['reported', 'sender']);
+	list.applyAnswer(later, 'sender-0', silenceMilliseconds + 1);
+	expect(getReady()).toEqual(['heard', 'reported', 'sender']);
+	expect(list.removeSilentMembers(silenceMilliseconds + 1)).toEqual(['heard', 'reported']);
+});
+
+test('an answer without changes confirms its sender, and a later process of a member replaces an earlier one', () => {
+	const list = createMemberList(() => createMember('self'));
+	list.recordMember(createMember('a', 5), 0);
+	list.applyAnswer(createAnswer(createMember('sender')), 'sender-0', 0);
+	list.applyAnswer(createAnswer(createMember('a', 6, {isReady: false})), 'sender-0', 100);
+	list.applyAnswer(createAnswer(createMember('a', 5)), 'sender-0', 200);
+	expect(list.list()).toMatchObject([{name: 'a', startedAt: 6, isReady: false}, {name: 'self'}, {name: 'sender'}]);
+	expect(list.removeSilentMembers(150 + silenceMilliseconds)).toEqual(['a']);
+});
+
 test('callers get the ready entries of their failure domain, or all ready entries if there are none', () => {
 	const members = [createMember('a'), createMember('b', 0, {failureDomain: 'b'}), createMember('c', 0, {failureDomain: 'b', isReady: false})];
 	expect(chooseCallerAddresses(members, {failureDomain: 'b', region: 'east'}, 64)).toEqual(['b:1']);
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -5,6 +5,7 @@
 import * as positions from '../decisions/registry/positions.ts';
 import {type Member} from '../decisions/sharing/types.ts';
 import {createMemberList, type MemberList} from '../decisions/sharing/member-list.ts';
+import type * as seedSchedule from '../decisions/sharing/seed-schedule.ts';
 import * as sourceSelection from '../decisions/sharing/source-selector.ts';
 import {type Logger} from '../observability/logger.ts';
 import type * as codec from '../peers/sharing-codec.ts';
@@ -12,6 +13,7 @@
 import * as followerUpdates from './follower-updates.ts';
 import * as newerState from './newer-state.ts';
 import {type PlatformState} from './platform-state.ts';
+import * as seedQueries from './seed-queries.ts';
 import type * as statementRecorder from './statement-recorder.ts';
 import {type StoreReader} from './store-reader.ts';
 
@@ -54,10 +56,6 @@
 const maximumWaitMilliseconds = 5000;
 /** Pause after a failure, and between two checks of the age of the platform state, in milliseconds. */
 const pauseMilliseconds = 50;
-/** Time between two requests to seeds, in milliseconds, and its initial value while no other entry is known, which doubles after each request. */
-const seedIntervalMilliseconds = 2000;
-const firstSeedIntervalMilliseconds = 100;
-const firstSeedIndexBound = 1000;
 /** Time for which an entry waits for a seed when all entries start for the first time, in milliseconds; they start within about 0.3 s of each other. */
 const seedWaitMilliseconds = 2000;
 /** Time between two reads of the store while the followed entry has no fresh data, in milliseconds, and its maximum while reads fail. */
@@ -73,6 +71,8 @@
 /** Number of entries that are asked for their state after a gap in the own knowledge, and the time for their answers in milliseconds. */
 const catchUpSources = 3;
 const catchUpMilliseconds = 300;
+/** Name of the source while this entry reads the store for itself. */
+const storeSource = 'store';
 const noVersion = {source: '', membersRevision: -1, statementsRevision: -1};
 
 /** Creates the loop of an entry; call `start` to begin. */
@@ -176,7 +176,7 @@
 		while (!stopping.signal.aborted) {
 			const name = findSource();
 			if (name === undefined) {
-				recordSource('store');
+				recordSource(storeSource);
 				await reader.readWhile(() => !stopping.signal.aborted && findSource() === undefined);
 				await recoverFromReadFailure();
 				continue;
@@ -264,25 +264,16 @@
 		}
 	}
 
-	/**
-	Queries the seeds while no other entry is known, and while this entry reads the store, to find other readers.
-
-	The entry queries the seeds in turn with increasing intervals, because all entries may query the same few seeds after
-	all processes were lost.
-	*/
-	async function querySeeds(): Promise<void> {
-		let seedIndex = host.random.nextInteger(firstSeedIndexBound);
-		let interval = firstSeedIntervalMilliseconds;
-		while (!stopping.signal.aborted) {
-			const seeds = host.getSeeds().filter(address => address !== self.peerAddress);
-			const address = seeds[seedIndex++ % Math.max(1, seeds.length)];
-			if (address !== undefined && (members.count() === 1 || findSource() === undefined)) {
-				await querySeed(address);
-			}
+	function getKnownEntries(): seedSchedule.KnownEntries {
+		if (source !== '' && source !== storeSource) {
+			return 'followed';
+		}
 
-			await timers.setTimeout(members.count() === 1 ? interval * (1 + host.random.nextFraction()) : seedIntervalMilliseconds);
-			interval = Math.min(seedIntervalMilliseconds, interval * 2);
+		if (members.count() === 1) {
+			return 'none';
 		}
+
+		return members.list().some(({name, isReady}) => name !== self.name && isReady) ? 'ready' : 'unready';
 	}
 
 	async function querySeed(address: string): Promise<void> {
@@ -291,7 +282,7 @@
 			return;
 		}
 
-		members.addNewMembers(result.value.memberUpdate.members, host.getNow());
+		members.applyAnswer(result.value.memberUpdate, result.value.membersSource, host.getNow());
 		applyPublishedData(result.value, address);
 	}
 
@@ -350,7 +341,9 @@
 			void follow();
 			void readWhileStale();
 			void retryLostStore();
-			void querySeeds();
+			void seedQueries.querySeeds({
+				random: host.random, getSeeds: () => host.getSeeds().filter(address => address !== self.peerAddress), getKnownEntries, query: querySeed, getNow: host.getNow,
+			}, stopping.signal);
 			void expireMembers();
 		},
 		async respond(request) {
