Confirm at once what an entry has when it begins to read the store

Cause, from a trace of three processes beside load: the store is back at 07.78, the first entry that reads again asks for the operators' log from its position, a request that waits 0.5 s for records, and confirms its configuration at 08.30 only. What the entries know is 0.7 s old from the outage, 1.2 s is stale: entries that asked this one at 08.05 and 08.14 got news 1.34 s old, passed it over for 3 s, and read the store by themselves until 13.0. The same delay follows each change of the reader. Change: the first read of the configuration doesn't wait; it costs one call each time that an entry begins to read.

--- a/src/gateway/store-reader.test.ts
+++ b/src/gateway/store-reader.test.ts
@@ -240,3 +240,34 @@
 	await starting.readOnce();
 	expect(reads.at(-1)).toBe('newest');
 });
+
+// Guards against followers that pass an entry over for three seconds and read the store by themselves, because it began to read after an outage and its first read of the configuration waited for records.
+test('an entry that begins to read knows at once that what it has is current', async () => {
+	const store = createStore();
+	const state = createState();
+	const reader = createReader({
+		...store.host,
+		configuration: {
+			...store.host.configuration,
+			async read(position, options) {
+				await new Promise(resolve => {
+					setTimeout(resolve, options.waitMilliseconds);
+				});
+				return store.host.configuration.read(position, options);
+			},
+		},
+	}, state);
+	const isRead = reader.readOnce();
+	await vi.advanceTimersByTimeAsync(1000);
+	expect(await isRead).toBe(true);
+	let isStopped = false;
+	const ended = reader.readWhile(() => !isStopped);
+	await vi.advanceTimersByTimeAsync(1);
+	expect(state.getAge(getNow())).toBeLessThanOrEqual(1);
+	const callsBefore = store.calls.count;
+	await vi.advanceTimersByTimeAsync(4000);
+	expect(store.calls.count - callsBefore).toBeLessThanOrEqual(16);
+	isStopped = true;
+	await vi.advanceTimersByTimeAsync(1000);
+	await ended;
+});
--- a/src/gateway/store-reader.ts
+++ b/src/gateway/store-reader.ts
@@ -311,13 +311,19 @@
 			}
 
 			let hasFailed = false;
+			// A read that waits confirms nothing until its end, so that followers would take this entry for stale meanwhile.
+			let nextWaitMilliseconds = 0;
 			const canContinue = () => !hasFailed && shouldContinue();
 			const markFailed = () => {
 				hasFailed = true;
 			};
 
 			await Promise.all([
-				readRepeatedly(async () => readConfiguration(configurationWaitMilliseconds), 0, canContinue).finally(markFailed),
+				readRepeatedly(async () => {
+					const waitMilliseconds = nextWaitMilliseconds;
+					nextWaitMilliseconds = configurationWaitMilliseconds;
+					return readConfiguration(waitMilliseconds);
+				}, 0, canContinue).finally(markFailed),
 				readRepeatedly(readRegistry, registryIntervalMilliseconds, canContinue).finally(markFailed),
 			]);
 		},
