Wait once more for load checks while this entry itself stood still

Cause, from the log of that entry: its event loop was 691 ms late (event-loop-late). Timers run before sockets are read, so the query of 25 ms and the check of 300 ms ended as silent although the answer may have been waiting; the time for which the request may be held was over too, and it was refused. A check that ends so also counts as a failure of the upstream, and as one towards being cut off from all of them. Change: a timer that waits for answers of upstreams and is 5 ms late or more waits once more for the same time.

--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import * as attempt from '../entry/attempt.ts';
 import {type Connection} from '../entry/connection-pool.ts';
+import * as patientTimer from './patient-timer.ts';
 import {type Upstream} from './upstreams.ts';
 import type * as statementRecorder from './statement-recorder.ts';
 import {type HeaderHost, type ResponseMetadata} from './types.ts';
@@ -56,7 +57,7 @@
 		}
 
 		isOver = true;
-		clearTimeout(timer);
+		timer.stop();
 		const now = host.getNow();
 		host.recordCheck(upstream, result.kind, now - startedAt);
 		if (result.kind === 'silent') {
@@ -146,12 +147,12 @@
 			finish({kind: 'silent'});
 		}
 	});
-	const timer = setTimeout(() => {
+	const timer = patientTimer.startPatientTimer(timeoutMilliseconds, host.getNow, () => {
 		cancelAcquire();
 		runningAttempt?.abort();
 		finish({kind: 'silent'});
 		pool.closeInactiveSince(startedAt);
-	}, timeoutMilliseconds);
+	});
 
 	return {
 		detach() {
--- a/src/gateway/query-upstreams.ts
+++ b/src/gateway/query-upstreams.ts
@@ -3,6 +3,7 @@
 import {
 	type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck,
 } from './load-check.ts';
+import * as patientTimer from './patient-timer.ts';
 import {type Upstream, type Upstreams} from './upstreams.ts';
 
 /** Result for each upstream; undefined for one that was not checked. */
@@ -40,7 +41,7 @@
 	const results = new Map<Upstream, CheckResult | undefined>();
 	const runningChecks = new Map<Upstream, LoadCheck>();
 	let checks = 0;
-	let timer: NodeJS.Timeout | undefined;
+	let timer: patientTimer.PatientTimer | undefined;
 	let isOver = false;
 
 	function end(): void {
@@ -49,7 +50,7 @@
 		}
 
 		isOver = true;
-		clearTimeout(timer);
+		timer?.stop();
 		for (const [upstream, check] of runningChecks) {
 			check.detach();
 			results.set(upstream, {kind: 'silent'});
@@ -85,8 +86,8 @@
 		if (runningChecks.size === 0) {
 			end();
 		} else if (result.kind === 'healthy' && isWithoutDelay(upstream)) {
-			clearTimeout(timer);
-			timer = setTimeout(end, lingerMilliseconds);
+			timer?.stop();
+			timer = patientTimer.startPatientTimer(lingerMilliseconds, host.getNow, end);
 		}
 	}
 
@@ -102,7 +103,7 @@
 	if (runningChecks.size === 0) {
 		end();
 	} else {
-		timer = setTimeout(end, waitMilliseconds);
+		timer = patientTimer.startPatientTimer(waitMilliseconds, host.getNow, end);
 	}
 
 	return () => {
@@ -111,7 +112,7 @@
 		}
 
 		isOver = true;
-		clearTimeout(timer);
+		timer?.stop();
 		for (const check of runningChecks.values()) {
 			check.detach();
 		}
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -1,12 +1,14 @@
+import * as http from 'node:http';
 import * as vitest from 'vitest';
 import type * as registry from '../decisions/registry/types.ts';
 import {createRandomSource} from '../decisions/random.ts';
+import * as loadCheck from './load-check.ts';
 import {
-	createSelector, type Selection, type SelectionRequest, type Selector,
+	createSelector, type Selection, type SelectionHost, type SelectionRequest, type Selector,
 } from './selection.ts';
 import {createUpstreams, type Upstreams} from './upstreams.ts';
 
-const {afterEach, expect, test} = vitest;
+const {afterEach, beforeEach, describe, expect, test, vi} = vitest;
 let now = 1000;
 const getNow = () => now;
 const cleanups: Array<() => void> = [];
@@ -23,17 +25,19 @@
 	};
 }
 
-/** Creates a selector without a budget for load checks, so that it uses only the recorded load readings. */
-function createParts(ids: readonly string[]): {selector: Selector; upstreams: Upstreams} {
+/** Creates a selector that makes load checks if the upstreams have an address, and uses only the recorded load readings otherwise. */
+function createParts(ids: readonly string[], address?: string): {selector: Selector; upstreams: Upstreams; host: SelectionHost} {
 	const upstreams = createUpstreams({
 		getMaximumConnections: () => 10, countEntries: () => 1, getAccess: () => ({kind: 'open', selectionShare: 1}), isEvacuated: () => false, getNow,
 	}, 'here');
-	upstreams.update(ids.map(id => createRegistration(id)));
-	const selector = createSelector({
+	upstreams.update(ids.map(id => createRegistration(id, {address: address ?? '127.0.0.1:1'})));
+	const host: SelectionHost = {
 		headers: {
 			readRequest: () => ({id: undefined, deadlineMilliseconds: undefined, relayedExecutions: undefined}),
 			readResponse: () => ({
-				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: undefined, acceptance: {
+				requestId: undefined, isSigned: false, isNotRun: false, upstreamId: undefined, load: {
+					running: 0, waiting: 0, slots: 4, durationFactor: 1,
+				}, acceptance: {
 					requestsPerSecond: {kind: 'absent'}, leaving: {kind: 'absent'}, retryAfterMilliseconds: {kind: 'absent'}, coldMilliseconds: {kind: 'absent'},
 				},
 			}),
@@ -55,13 +59,14 @@
 		getHealthPath: () => '/healthz',
 		recordCheck: () => undefined,
 		recordStatements: () => undefined,
-		tryChargeCheck: () => false,
+		tryChargeCheck: () => address !== undefined,
 		getHoldEnd: () => Number.POSITIVE_INFINITY,
 		recordLoadSupport: () => undefined,
 		reportsLoad: () => true,
-	});
+	};
+	const selector = createSelector(host);
 	cleanups.push(selector.close, upstreams.close);
-	return {selector, upstreams};
+	return {selector, upstreams, host};
 }
 
 function setLoad(upstreams: Upstreams, id: string, running: number): void {
@@ -126,3 +131,85 @@
 	selector.onAttemptEnded(upstreams.listUsable('desk')[0]!);
 	expect(selection).toMatchObject({kind: 'selected', upstream: {registration: {id: 'b'}}});
 });
+
+describe('load checks whose answers the test holds', () => {
+	beforeEach(() => {
+		vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
+	});
+
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	/** Starts an upstream; returns its address, and the functions that answer the checks in the order of their receipt. */
+	async function startHeldUpstream() {
+		const answers: Array<() => void> = [];
+		const server = http.createServer((_request, response) => {
+			answers.push(() => {
+				response.writeHead(200, {'content-length': '0'}).end();
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		cleanups.push(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		const address = server.address();
+		return {address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`, answers};
+	}
+
+	/** Lets the event loop read from its sockets until a condition holds. */
+	async function waitUntil(condition: () => boolean): Promise<void> {
+		while (!condition()) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
+	function pass(milliseconds: number): void {
+		now += milliseconds;
+		vi.advanceTimersByTime(milliseconds);
+	}
+
+	// Guards against a refusal by an entry that stood still while the upstream answered its check.
+	test('a check that was answered while the entry stood still selects the upstream', async () => {
+		const {address, answers} = await startHeldUpstream();
+		const {selector} = createParts(['a'], address);
+		const selections: Selection[] = [];
+		selector.select(createRequest(), selection => {
+			selections.push(selection);
+		});
+		await waitUntil(() => answers.length === 1);
+		now += 700;
+		vi.advanceTimersByTime(25);
+		expect(selections).toEqual([]);
+		answers[0]!();
+		await waitUntil(() => selections.length > 0);
+		expect(selections).toMatchObject([{kind: 'selected'}]);
+	});
+
+	// Guards against an entry that takes all upstreams for unreachable because it stood still itself.
+	test('a check whose time is over while the entry stood still may still be answered, but not for long', async () => {
+		const {address, answers} = await startHeldUpstream();
+		const {upstreams, host} = createParts(['a'], address);
+		const [upstream] = upstreams.listUsable('desk');
+		const results: string[] = [];
+		for (let count = 0; count < 2; count++) {
+			loadCheck.startLoadCheck(host, upstream!, ({kind}) => {
+				results.push(kind);
+			});
+		}
+
+		await waitUntil(() => answers.length === 2);
+		now += 700;
+		vi.advanceTimersByTime(300);
+		answers[0]!();
+		await waitUntil(() => results.length > 0);
+		expect(results).toEqual(['healthy']);
+		pass(300);
+		expect(results).toEqual(['healthy', 'silent']);
+	});
+});
