Send a held request to an upstream that answers its check late

Cause, from a trace with each check: a query ends after 25 ms, and an answer that comes later updates the reading and gives its connection back, but no held request is looked at. Each round asks again and waits 25 ms again, so where answers take longer nothing is ever chosen. Change: a healthy answer that comes after the end of its query takes a held request, if the upstream has room, as an ended request does; otherwise its connection goes back to the pool, as before. Result: the new test failed before and passes.

--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -31,8 +31,8 @@
 
 /** A load check in progress. */
 export type LoadCheck = {
-	/** Prevents the call of the listener; the connection returns to its pool when the response arrives. */
-	detach(): void;
+	/** Prevents the call of the listener; the connection of a healthy response that arrives later returns to its pool unless `takeLate` takes it. */
+	detach(takeLate: (connection: Connection) => boolean): void;
 };
 
 const okStatus = 200;
@@ -47,7 +47,7 @@
 	const startedAt = host.getNow();
 	let runningAttempt: attempt.Attempt | undefined;
 	let isOver = false;
-	let isDetached = false;
+	let takeLate: ((connection: Connection) => boolean) | undefined;
 	let receivedBytes = 0;
 	let responseHead: {readonly statusCode: number; readonly headers: http.IncomingHttpHeaders} | undefined;
 
@@ -64,9 +64,9 @@
 			record.recordUnreachable(now);
 		}
 
-		if (!isDetached) {
+		if (!takeLate) {
 			listener(result);
-		} else if (result.kind === 'healthy') {
+		} else if (result.kind === 'healthy' && !takeLate(result.connection)) {
 			pool.release(result.connection);
 		}
 	}
@@ -155,8 +155,8 @@
 	});
 
 	return {
-		detach() {
-			isDetached = true;
+		detach(newTakeLate) {
+			takeLate = newTakeLate;
 		},
 	};
 }
--- a/src/gateway/query-upstreams.ts
+++ b/src/gateway/query-upstreams.ts
@@ -1,5 +1,6 @@
 /** Queries the load of several upstreams in parallel. */
 import {type CheckPurpose} from '../decisions/measurement/check-budget.ts';
+import {type Connection} from '../entry/connection-pool.ts';
 import {
 	type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck,
 } from './load-check.ts';
@@ -16,6 +17,8 @@
 	tryChargeCheck(upstream: Upstream, purpose: CheckPurpose, now: number): boolean;
 	/** Records whether the upstreams of a service report their load. */
 	recordLoadSupport(service: string, reportsLoad: boolean): void;
+	/** Uses the connection of a healthy response that came after the end of its query. Returns whether it was used. */
+	takeLate(upstream: Upstream, connection: Connection): boolean;
 	/** Whether the upstreams of a service report their load; assumed to be true until a response shows otherwise. */
 	reportsLoad(service: string): boolean;
 };
@@ -52,7 +55,7 @@
 		isOver = true;
 		timer?.stop();
 		for (const [upstream, check] of runningChecks) {
-			check.detach();
+			check.detach(connection => host.takeLate(upstream, connection));
 			results.set(upstream, {kind: 'silent'});
 		}
 
@@ -113,8 +116,8 @@
 
 		isOver = true;
 		timer?.stop();
-		for (const check of runningChecks.values()) {
-			check.detach();
+		for (const [upstream, check] of runningChecks) {
+			check.detach(connection => host.takeLate(upstream, connection));
 		}
 
 		for (const [upstream, result] of results) {
--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -191,6 +191,23 @@
 		expect(selections).toMatchObject([{kind: 'selected'}]);
 	});
 
+	// Guards against refusals while a free upstream is further away, or the machine busier, than the time for which a choice waits.
+	test('a held request goes to an upstream that answers a check after the end of its query', async () => {
+		const {address, answers} = await startHeldUpstream();
+		const {selector} = createParts(['a'], address);
+		const selections: Selection[] = [];
+		selector.select(createRequest(), selection => {
+			selections.push(selection);
+		});
+		await waitUntil(() => answers.length === 1);
+		pass(25);
+		expect(selector.hasHeldRequests('desk')).toBe(true);
+		now += 5;
+		answers[0]!();
+		await waitUntil(() => selections.length > 0);
+		expect(selections).toMatchObject([{kind: 'selected', connection: {isClosed: false}}]);
+	});
+
 	// Guards against an entry that takes all upstreams for unreachable because it stood still itself.
 	test('a check whose time is over while the entry stood still may still be answered, but not for long', async () => {
 		const {address, answers} = await startHeldUpstream();
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -61,7 +61,7 @@
 };
 
 /** Dependencies of a selector. */
-export type SelectionHost = UpstreamQueryHost & {
+export type SelectionHost = Omit<UpstreamQueryHost, 'takeLate'> & {
 	readonly upstreams: Upstreams;
 	readonly permits: Pick<permits.Permits, 'take' | 'areNeeded' | 'getWaitMilliseconds'>;
 	readonly relays: Pick<relays.Relays, 'choose'>;
@@ -109,6 +109,7 @@
 	const roundsByService = new Map<string, number>();
 	let heldRoundTimer: NodeJS.Timeout | undefined;
 
+	const queryHost: UpstreamQueryHost = {...host, takeLate: assignHeld};
 	const {sampleUpstreams, sampleWarmUpstreams} = upstreamSampler.createUpstreamSampler(host);
 	const findHeld = (service: string) => heldByService.get(service);
 
@@ -133,7 +134,7 @@
 	function queryLocal(pending: PendingSelection): void {
 		const {service, tried} = pending.request;
 		const local = sampleWarmUpstreams(service, true, localSampleSize, tried);
-		pending.cancelQuery = queryUpstreams(host, {service, upstreams: local, purpose: 'choice'}, (results, checks) => {
+		pending.cancelQuery = queryUpstreams(queryHost, {service, upstreams: local, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const best = chooseBest(pending, results);
 			if (best && best.expectedMilliseconds <= localObjectiveShare * pending.request.work.objectiveMilliseconds) {
@@ -147,7 +148,7 @@
 	function queryRemote(pending: PendingSelection, local: QueryResults): void {
 		const {service, tried} = pending.request;
 		const remote = sampleWarmUpstreams(service, false, remoteSampleSize, tried);
-		pending.cancelQuery = queryUpstreams(host, {service, upstreams: remote, purpose: 'choice'}, (results, checks) => {
+		pending.cancelQuery = queryUpstreams(queryHost, {service, upstreams: remote, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const all: QueryResults = new Map([...local, ...results]);
 			const best = chooseBest(pending, all);
@@ -307,7 +308,7 @@
 		const noneTried = new Set<string>();
 		const local = sampleUpstreams(service, true, heldSampleSize, noneTried);
 		const remote = sampleUpstreams(service, false, heldSampleSize - local.length, noneTried);
-		queryUpstreams(host, {service, upstreams: [...local, ...remote], purpose: 'held'}, results => {
+		queryUpstreams(queryHost, {service, upstreams: [...local, ...remote], purpose: 'held'}, results => {
 			for (const [upstream, result] of results) {
 				const isUsable = result ? result.kind === 'healthy' || (result.kind === 'unhealthy' && round >= firstRoundWithUnhealthy) : isUsableWithoutCheck(upstream);
 				const connection = result?.kind === 'healthy' ? result.connection : undefined;
