Ask a source once more if this entry stood still while it waited

Cause, from a trace of three processes on a machine with a load of 34: an entry was 426 ms late, and took its source for lost 3 ms later, "the operation timed out". The time of a request ends before the sockets are read, so the answer may have been there. The source is passed over for 3 s; where two entries do so to each other, both read. Change: a request to the source that fails 0.1 s or more after its time is repeated once; if that fails too, or the entry was not late, the source is passed over as before. What it does for the calls of the three processes is not measured yet.

--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -9,7 +9,7 @@
 import * as sourceSelection from '../decisions/sharing/source-selector.ts';
 import {type Logger} from '../observability/logger.ts';
 import type * as codec from '../peers/sharing-codec.ts';
-import {type SharingClient, type SharingError} from '../peers/sharing.ts';
+import {answerGraceMilliseconds, type SharingClient, type SharingError} from '../peers/sharing.ts';
 import * as followerUpdates from './follower-updates.ts';
 import * as newerState from './newer-state.ts';
 import {type PlatformState} from './platform-state.ts';
@@ -22,7 +22,7 @@
 	readonly logger: Logger;
 	readonly platformState: PlatformState;
 	readonly reader: StoreReader;
-	readonly statements: statementRecorder.StatementRecorder;
+	readonly statements: Pick<statementRecorder.StatementRecorder, 'getUpdate' | 'recordShared'>;
 	readonly client: SharingClient;
 	/** Whether all entries start for the first time. */
 	readonly isFirstStart: boolean;
@@ -54,6 +54,8 @@
 const followWaitMilliseconds = 400;
 /** Maximum wait that a follower may request, in milliseconds. */
 const maximumWaitMilliseconds = 5000;
+/** Lateness of a failed request from which on this entry stood still, in milliseconds; the answer may wait in its socket. */
+const standstillMilliseconds = 100;
 /** Pause after a failure, and between two checks of the age of the platform state, in milliseconds. */
 const pauseMilliseconds = 50;
 /** Time for which an entry waits for a seed when all entries start for the first time, in milliseconds; they start within about 0.3 s of each other. */
@@ -87,6 +89,8 @@
 	let followAbort = new AbortController();
 	/** Number of sources in a row that failed or returned stale data. */
 	let failedSources = 0;
+	/** Whether the latest request failed while this entry stood still. */
+	let hasStoodStill = false;
 	let source = '';
 	/** Source and revisions of the member list and the statements that were last received from the followed entry. */
 	let receivedVersion = noVersion;
@@ -186,8 +190,12 @@
 			const {peerAddress} = members.list().find(member => member.name === name)!;
 			followAbort = new AbortController();
 			const {revision} = host.statements.getUpdate(sentStatementsRevision);
+			const askedAt = host.getNow();
 			const result = await client.follow(peerAddress, createRequest(followWaitMilliseconds), followAbort.signal);
-			if (!followAbort.signal.aborted) {
+			// One more request tells whether the followed entry or this one was to blame.
+			const isExcused = result.isErr() && !hasStoodStill && host.getNow() - askedAt > followWaitMilliseconds + answerGraceMilliseconds + standstillMilliseconds;
+			hasStoodStill = isExcused;
+			if (!followAbort.signal.aborted && !isExcused) {
 				recordSentStatements(result, revision);
 				await handleFollowResult(name, result);
 			}
--- a/src/peers/sharing.ts
+++ b/src/peers/sharing.ts
@@ -19,7 +19,7 @@
 };
 
 /** Time for an answer in addition to the requested wait; a busy entry needs some tens of milliseconds. */
-const answerGraceMilliseconds = 250;
+export const answerGraceMilliseconds = 250;
 
 /**
 Creates a client with its own connections.
