Look at the answers once more before held requests are refused after a standstill

Cause: the round that gives held requests up is a timer too, and runs before the sockets are read. Change: a round that is 5 ms late or more is put off by one interval of 10 ms, as the waits for checks are.

--- a/src/gateway/selection.test.ts
+++ b/src/gateway/selection.test.ts
@@ -208,6 +208,38 @@
 		expect(selections).toMatchObject([{kind: 'selected', connection: {isClosed: false}}]);
 	});
 
+	// Guards against refusals of held requests by an entry that stood still while an upstream answered.
+	test('a held request whose time ended while the entry stood still goes to an upstream that has answered meanwhile', async () => {
+		const {address, answers} = await startHeldUpstream();
+		const {selector} = createParts(['a'], address);
+		const selections: Selection[] = [];
+		selector.select(createRequest(), selection => {
+			selections.push(selection);
+		});
+		await waitUntil(() => answers.length === 1);
+		pass(25);
+		now += 700;
+		vi.advanceTimersByTime(10);
+		expect(selections).toEqual([]);
+		answers[0]!();
+		await waitUntil(() => selections.length > 0);
+		expect(selections).toMatchObject([{kind: 'selected'}]);
+	});
+
+	test('a held request is refused once its time is over', async () => {
+		const {address, answers} = await startHeldUpstream();
+		const {selector} = createParts(['a'], address);
+		const selections: Selection[] = [];
+		selector.select(createRequest(), selection => {
+			selections.push(selection);
+		});
+		await waitUntil(() => answers.length === 1);
+		pass(25);
+		now += 700;
+		vi.advanceTimersByTime(20);
+		expect(selections).toMatchObject([{kind: 'no-room'}]);
+	});
+
 	// Guards against an entry that takes all upstreams for unreachable because it stood still itself.
 	test('a check whose time is over while the entry stood still may still be answered, but not for long', async () => {
 		const {address, answers} = await startHeldUpstream();
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -18,6 +18,7 @@
 import {
 	queryUpstreams, type UpstreamQueryHost, type QueryResults, maximumReadingAgeMilliseconds,
 } from './query-upstreams.ts';
+import * as patientTimer from './patient-timer.ts';
 import type * as permits from './permits.ts';
 import type * as relays from './relays.ts';
 import * as upstreamSampler from './upstream-sampler.ts';
@@ -107,7 +108,7 @@
 export function createSelector(host: SelectionHost): Selector {
 	const heldByService = new Map<string, Set<PendingSelection>>();
 	const roundsByService = new Map<string, number>();
-	let heldRoundTimer: NodeJS.Timeout | undefined;
+	let heldRoundTimer: patientTimer.PatientTimer | undefined;
 
 	const queryHost: UpstreamQueryHost = {...host, takeLate: assignHeld};
 	const {sampleUpstreams, sampleWarmUpstreams} = upstreamSampler.createUpstreamSampler(host);
@@ -208,7 +209,7 @@
 
 		const held = findHeld(service) ?? new Set<PendingSelection>();
 		heldByService.set(service, held.add(pending));
-		heldRoundTimer ??= setTimeout(runHeldRound, heldRoundIntervalMilliseconds);
+		scheduleHeldRound();
 	}
 
 	/** Rejects a request if no upstream of its service will accept it in time. Returns whether it was rejected. */
@@ -274,6 +275,10 @@
 		}
 	}
 
+	function scheduleHeldRound(): void {
+		heldRoundTimer ??= patientTimer.startPatientTimer(heldRoundIntervalMilliseconds, host.getNow, runHeldRound);
+	}
+
 	/** Gives up the held requests whose time is over, and queries a few upstreams for the others. */
 	function runHeldRound(): void {
 		heldRoundTimer = undefined;
@@ -298,7 +303,7 @@
 		}
 
 		if (heldByService.size > 0) {
-			heldRoundTimer = setTimeout(runHeldRound, heldRoundIntervalMilliseconds);
+			scheduleHeldRound();
 		}
 	}
 
@@ -385,7 +390,7 @@
 			}
 		},
 		close() {
-			clearTimeout(heldRoundTimer);
+			heldRoundTimer?.stop();
 		},
 	};
 }
