--- a/src/gateway/load-check.ts
+++ b/src/gateway/load-check.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import * as attempt from '../entry/attempt.ts';
 import {type Connection} from '../entry/connection-pool.ts';
+import * as patientTimer from './patient-timer.ts';
 import {type Upstream} from './upstreams.ts';
 import type * as statementRecorder from './statement-recorder.ts';
 import {type HeaderHost, type ResponseMetadata} from './types.ts';
@@ -30,8 +31,8 @@
 
 /** A load check in progress. */
 export type LoadCheck = {
-	/** Prevents the call of the listener; the connection returns to its pool when the response arrives. */
-	detach(): void;
+	/** Prevents the call of the listener; the connection of a healthy response that arrives later returns to its pool unless `takeLate` takes it. */
+	detach(takeLate: (connection: Connection) => boolean): void;
 };
 
 const okStatus = 200;
@@ -46,7 +47,7 @@
 	const startedAt = host.getNow();
 	let runningAttempt: attempt.Attempt | undefined;
 	let isOver = false;
-	let isDetached = false;
+	let takeLate: ((connection: Connection) => boolean) | undefined;
 	let receivedBytes = 0;
 	let responseHead: {readonly statusCode: number; readonly headers: http.IncomingHttpHeaders} | undefined;
 
@@ -56,16 +57,16 @@
 		}
 
 		isOver = true;
-		clearTimeout(timer);
+		timer.stop();
 		const now = host.getNow();
 		host.recordCheck(upstream, result.kind, now - startedAt);
 		if (result.kind === 'silent') {
 			record.recordUnreachable(now);
 		}
 
-		if (!isDetached) {
+		if (!takeLate) {
 			listener(result);
-		} else if (result.kind === 'healthy') {
+		} else if (result.kind === 'healthy' && !takeLate(result.connection)) {
 			pool.release(result.connection);
 		}
 	}
@@ -146,16 +147,16 @@
 			finish({kind: 'silent'});
 		}
 	});
-	const timer = setTimeout(() => {
+	const timer = patientTimer.startPatientTimer(timeoutMilliseconds, host.getNow, () => {
 		cancelAcquire();
 		runningAttempt?.abort();
 		finish({kind: 'silent'});
 		pool.closeInactiveSince(startedAt);
-	}, timeoutMilliseconds);
+	});
 
 	return {
-		detach() {
-			isDetached = true;
+		detach(newTakeLate) {
+			takeLate = newTakeLate;
 		},
 	};
 }
--- a/src/gateway/query-upstreams.ts
+++ b/src/gateway/query-upstreams.ts
@@ -1,8 +1,10 @@
 /** Queries the load of several upstreams in parallel. */
 import {type CheckPurpose} from '../decisions/measurement/check-budget.ts';
+import {type Connection} from '../entry/connection-pool.ts';
 import {
 	type CheckResult, type LoadCheck, type LoadCheckHost, startLoadCheck,
 } from './load-check.ts';
+import * as patientTimer from './patient-timer.ts';
 import {type Upstream, type Upstreams} from './upstreams.ts';
 
 /** Result for each upstream; undefined for one that was not checked. */
@@ -15,6 +17,8 @@
 	tryChargeCheck(upstream: Upstream, purpose: CheckPurpose, now: number): boolean;
 	/** Records whether the upstreams of a service report their load. */
 	recordLoadSupport(service: string, reportsLoad: boolean): void;
+	/** Uses the connection of a healthy response that came after the end of its query. Returns whether it was used. */
+	takeLate(upstream: Upstream, connection: Connection): boolean;
 	/** Whether the upstreams of a service report their load; assumed to be true until a response shows otherwise. */
 	reportsLoad(service: string): boolean;
 };
@@ -40,7 +44,7 @@
 	const results = new Map<Upstream, CheckResult | undefined>();
 	const runningChecks = new Map<Upstream, LoadCheck>();
 	let checks = 0;
-	let timer: NodeJS.Timeout | undefined;
+	let timer: patientTimer.PatientTimer | undefined;
 	let isOver = false;
 
 	function end(): void {
@@ -49,9 +53,9 @@
 		}
 
 		isOver = true;
-		clearTimeout(timer);
+		timer?.stop();
 		for (const [upstream, check] of runningChecks) {
-			check.detach();
+			check.detach(connection => host.takeLate(upstream, connection));
 			results.set(upstream, {kind: 'silent'});
 		}
 
@@ -85,8 +89,8 @@
 		if (runningChecks.size === 0) {
 			end();
 		} else if (result.kind === 'healthy' && isWithoutDelay(upstream)) {
-			clearTimeout(timer);
-			timer = setTimeout(end, lingerMilliseconds);
+			timer?.stop();
+			timer = patientTimer.startPatientTimer(lingerMilliseconds, host.getNow, end);
 		}
 	}
 
@@ -102,7 +106,7 @@
 	if (runningChecks.size === 0) {
 		end();
 	} else {
-		timer = setTimeout(end, waitMilliseconds);
+		timer = patientTimer.startPatientTimer(waitMilliseconds, host.getNow, end);
 	}
 
 	return () => {
@@ -111,9 +115,9 @@
 		}
 
 		isOver = true;
-		clearTimeout(timer);
-		for (const check of runningChecks.values()) {
-			check.detach();
+		timer?.stop();
+		for (const [upstream, check] of runningChecks) {
+			check.detach(connection => host.takeLate(upstream, connection));
 		}
 
 		for (const [upstream, result] of results) {
--- a/src/gateway/selection.ts
+++ b/src/gateway/selection.ts
@@ -18,6 +18,7 @@
 import {
 	queryUpstreams, type UpstreamQueryHost, type QueryResults, maximumReadingAgeMilliseconds,
 } from './query-upstreams.ts';
+import * as patientTimer from './patient-timer.ts';
 import type * as permits from './permits.ts';
 import type * as relays from './relays.ts';
 import * as upstreamSampler from './upstream-sampler.ts';
@@ -61,7 +62,7 @@
 };
 
 /** Dependencies of a selector. */
-export type SelectionHost = UpstreamQueryHost & {
+export type SelectionHost = Omit<UpstreamQueryHost, 'takeLate'> & {
 	readonly upstreams: Upstreams;
 	readonly permits: Pick<permits.Permits, 'take' | 'areNeeded' | 'getWaitMilliseconds'>;
 	readonly relays: Pick<relays.Relays, 'choose'>;
@@ -107,8 +108,9 @@
 export function createSelector(host: SelectionHost): Selector {
 	const heldByService = new Map<string, Set<PendingSelection>>();
 	const roundsByService = new Map<string, number>();
-	let heldRoundTimer: NodeJS.Timeout | undefined;
+	let heldRoundTimer: patientTimer.PatientTimer | undefined;
 
+	const queryHost: UpstreamQueryHost = {...host, takeLate: assignHeld};
 	const {createEligibility, sampleUpstreams, sampleWarmUpstreams} = upstreamSampler.createUpstreamSampler(host);
 	const findHeld = (service: string) => heldByService.get(service);
 
@@ -135,7 +137,7 @@
 	function queryLocal(pending: PendingSelection): void {
 		const {service, tried} = pending.request;
 		const local = sampleWarmUpstreams(service, true, localSampleSize, tried);
-		pending.cancelQuery = queryUpstreams(host, {service, upstreams: local, purpose: 'choice'}, (results, checks) => {
+		pending.cancelQuery = queryUpstreams(queryHost, {service, upstreams: local, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const best = chooseBest(pending, results);
 			if (best && best.expectedMilliseconds <= localObjectiveShare * pending.request.work.objectiveMilliseconds) {
@@ -149,7 +151,7 @@
 	function queryRemote(pending: PendingSelection, local: QueryResults): void {
 		const {service, tried} = pending.request;
 		const remote = sampleWarmUpstreams(service, false, remoteSampleSize, tried);
-		pending.cancelQuery = queryUpstreams(host, {service, upstreams: remote, purpose: 'choice'}, (results, checks) => {
+		pending.cancelQuery = queryUpstreams(queryHost, {service, upstreams: remote, purpose: 'choice'}, (results, checks) => {
 			pending.checks += checks;
 			const all: QueryResults = new Map([...local, ...results]);
 			const best = chooseBest(pending, all);
@@ -209,7 +211,7 @@
 
 		const held = findHeld(service) ?? new Set<PendingSelection>();
 		heldByService.set(service, held.add(pending));
-		heldRoundTimer ??= setTimeout(runHeldRound, heldRoundIntervalMilliseconds);
+		scheduleHeldRound();
 	}
 
 	/** Rejects a request if no upstream of its service will accept it in time. Returns whether it was rejected. */
@@ -275,6 +277,10 @@
 		}
 	}
 
+	function scheduleHeldRound(): void {
+		heldRoundTimer ??= patientTimer.startPatientTimer(heldRoundIntervalMilliseconds, host.getNow, runHeldRound);
+	}
+
 	/** Gives up the held requests whose time is over, and queries a few upstreams for the others. */
 	function runHeldRound(): void {
 		heldRoundTimer = undefined;
@@ -299,7 +305,7 @@
 		}
 
 		if (heldByService.size > 0) {
-			heldRoundTimer = setTimeout(runHeldRound, heldRoundIntervalMilliseconds);
+			scheduleHeldRound();
 		}
 	}
 
@@ -307,7 +313,7 @@
 		roundsByService.set(service, (roundsByService.get(service) ?? 0) + 1);
 		const local = sampleUpstreams(service, true, heldSampleSize, isLastResort(service));
 		const remote = sampleUpstreams(service, false, heldSampleSize - local.length, isLastResort(service));
-		queryUpstreams(host, {service, upstreams: [...local, ...remote], purpose: 'held'}, results => {
+		queryUpstreams(queryHost, {service, upstreams: [...local, ...remote], purpose: 'held'}, results => {
 			for (const [upstream, result] of results) {
 				const isUsable = result ? result.kind === 'healthy' || (result.kind === 'unhealthy' && isLastResort(service)) : isUsableWithoutCheck(upstream);
 				const connection = result?.kind === 'healthy' ? result.connection : undefined;
@@ -392,7 +398,7 @@
 			}
 		},
 		close() {
-			clearTimeout(heldRoundTimer);
+			heldRoundTimer?.stop();
 		},
 	};
 }
--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -5,13 +5,15 @@
 import * as positions from '../decisions/registry/positions.ts';
 import {type Member} from '../decisions/sharing/types.ts';
 import {createMemberList, type MemberList} from '../decisions/sharing/member-list.ts';
+import type * as seedSchedule from '../decisions/sharing/seed-schedule.ts';
 import * as sourceSelection from '../decisions/sharing/source-selector.ts';
 import {type Logger} from '../observability/logger.ts';
 import type * as codec from '../peers/sharing-codec.ts';
-import {type SharingClient, type SharingError} from '../peers/sharing.ts';
+import {answerGraceMilliseconds, type SharingClient, type SharingError} from '../peers/sharing.ts';
 import * as followerUpdates from './follower-updates.ts';
 import * as newerState from './newer-state.ts';
 import {type PlatformState} from './platform-state.ts';
+import * as seedQueries from './seed-queries.ts';
 import type * as statementRecorder from './statement-recorder.ts';
 import {type StoreReader} from './store-reader.ts';
 
@@ -20,7 +22,7 @@
 	readonly logger: Logger;
 	readonly platformState: PlatformState;
 	readonly reader: StoreReader;
-	readonly statements: statementRecorder.StatementRecorder;
+	readonly statements: Pick<statementRecorder.StatementRecorder, 'getUpdate' | 'recordShared'>;
 	readonly client: SharingClient;
 	/** Whether all entries start for the first time. */
 	readonly isFirstStart: boolean;
@@ -52,12 +54,10 @@
 const followWaitMilliseconds = 400;
 /** Maximum wait that a follower may request, in milliseconds. */
 const maximumWaitMilliseconds = 5000;
+/** Lateness of a failed request from which on this entry stood still, in milliseconds; the answer may wait in its socket. */
+const standstillMilliseconds = 100;
 /** Pause after a failure, and between two checks of the age of the platform state, in milliseconds. */
 const pauseMilliseconds = 50;
-/** Time between two requests to seeds, in milliseconds, and its initial value while no other entry is known, which doubles after each request. */
-const seedIntervalMilliseconds = 2000;
-const firstSeedIntervalMilliseconds = 100;
-const firstSeedIndexBound = 1000;
 /** Time for which an entry waits for a seed when all entries start for the first time, in milliseconds; they start within about 0.3 s of each other. */
 const seedWaitMilliseconds = 2000;
 /** Time between two reads of the store while the followed entry has no fresh data, in milliseconds, and its maximum while reads fail. */
@@ -73,6 +73,8 @@
 /** Number of entries that are asked for their state after a gap in the own knowledge, and the time for their answers in milliseconds. */
 const catchUpSources = 3;
 const catchUpMilliseconds = 300;
+/** Name of the source while this entry reads the store for itself. */
+const storeSource = 'store';
 const noVersion = {source: '', membersRevision: -1, statementsRevision: -1};
 
 /** Creates the loop of an entry; call `start` to begin. */
@@ -87,6 +89,8 @@
 	let followAbort = new AbortController();
 	/** Number of sources in a row that failed or returned stale data. */
 	let failedSources = 0;
+	/** Whether the latest request failed while this entry stood still. */
+	let hasStoodStill = false;
 	let source = '';
 	/** Source and revisions of the member list and the statements that were last received from the followed entry. */
 	let receivedVersion = noVersion;
@@ -176,7 +180,7 @@
 		while (!stopping.signal.aborted) {
 			const name = findSource();
 			if (name === undefined) {
-				recordSource('store');
+				recordSource(storeSource);
 				await reader.readWhile(() => !stopping.signal.aborted && findSource() === undefined);
 				await recoverFromReadFailure();
 				continue;
@@ -186,8 +190,12 @@
 			const {peerAddress} = members.list().find(member => member.name === name)!;
 			followAbort = new AbortController();
 			const {revision} = host.statements.getUpdate(sentStatementsRevision);
+			const askedAt = host.getNow();
 			const result = await client.follow(peerAddress, createRequest(followWaitMilliseconds), followAbort.signal);
-			if (!followAbort.signal.aborted) {
+			// One more request tells whether the followed entry or this one was to blame.
+			const isExcused = result.isErr() && !hasStoodStill && host.getNow() - askedAt > followWaitMilliseconds + answerGraceMilliseconds + standstillMilliseconds;
+			hasStoodStill = isExcused;
+			if (!followAbort.signal.aborted && !isExcused) {
 				recordSentStatements(result, revision);
 				await handleFollowResult(name, result);
 			}
@@ -264,25 +272,16 @@
 		}
 	}
 
-	/**
-	Queries the seeds while no other entry is known, and while this entry reads the store, to find other readers.
-
-	The entry queries the seeds in turn with increasing intervals, because all entries may query the same few seeds after
-	all processes were lost.
-	*/
-	async function querySeeds(): Promise<void> {
-		let seedIndex = host.random.nextInteger(firstSeedIndexBound);
-		let interval = firstSeedIntervalMilliseconds;
-		while (!stopping.signal.aborted) {
-			const seeds = host.getSeeds().filter(address => address !== self.peerAddress);
-			const address = seeds[seedIndex++ % Math.max(1, seeds.length)];
-			if (address !== undefined && (members.count() === 1 || findSource() === undefined)) {
-				await querySeed(address);
-			}
+	function getKnownEntries(): seedSchedule.KnownEntries {
+		if (source !== '' && source !== storeSource) {
+			return 'followed';
+		}
 
-			await timers.setTimeout(members.count() === 1 ? interval * (1 + host.random.nextFraction()) : seedIntervalMilliseconds);
-			interval = Math.min(seedIntervalMilliseconds, interval * 2);
+		if (members.count() === 1) {
+			return 'none';
 		}
+
+		return members.list().some(({name, isReady}) => name !== self.name && isReady) ? 'ready' : 'unready';
 	}
 
 	async function querySeed(address: string): Promise<void> {
@@ -291,7 +290,7 @@
 			return;
 		}
 
-		members.addNewMembers(result.value.memberUpdate.members, host.getNow());
+		members.applyAnswer(result.value.memberUpdate, result.value.membersSource, host.getNow());
 		applyPublishedData(result.value, address);
 	}
 
@@ -350,7 +349,9 @@
 			void follow();
 			void readWhileStale();
 			void retryLostStore();
-			void querySeeds();
+			void seedQueries.querySeeds({
+				random: host.random, getSeeds: () => host.getSeeds().filter(address => address !== self.peerAddress), getKnownEntries, query: querySeed, getNow: host.getNow,
+			}, stopping.signal);
 			void expireMembers();
 		},
 		async respond(request) {
