--- a/stand-ins/store.ts
+++ b/stand-ins/store.ts
@@ -21,6 +21,8 @@
 		| {readonly kind: 'silent'}
 		| {readonly kind: 'slow'; readonly milliseconds: number};
 
+export type EraText = string | readonly string[] | undefined;
+
 /** Times of a return from an older copy, in milliseconds. */
 export type CopyReturn = {
 	/** How long the store is away before it returns. */
@@ -44,8 +46,8 @@
 	setFault(fault: StoreFault): void;
 	/** Goes away, returns from an older copy in the next era, and gets the lost records again; resolves after that. The fault that was set holds again from the return on. */
 	returnFromCopy(copyReturn: CopyReturn): Promise<void>;
-	/** Replaces the header that states the era; undefined leaves it out. */
-	setEraText(text: string | undefined): void;
+	/** Replaces the header that states the era, in the answers about one topic or all; undefined leaves it out, several texts are sent as several headers. */
+	setEraText(text: EraText, topic?: string): void;
 	/** Returns the number of requests since the start. */
 	countCalls(): number;
 	close(): Promise<void>;
@@ -74,7 +76,7 @@
 	let fault: StoreFault = {kind: 'none'};
 	let callCount = 0;
 	let era = 1;
-	let getEraText = (): string | undefined => String(era);
+	let getEraText = (_topic: string): EraText => String(era);
 	let isAway = false;
 
 	function getTopic(name: string): Topic {
@@ -186,15 +188,15 @@
 		});
 	}
 
-	function stateEra(response: http.ServerResponse): void {
-		const eraText = getEraText();
+	function stateEra(request: http.IncomingMessage, response: http.ServerResponse): void {
+		const eraText = getEraText(new URL(request.url ?? '/', 'http://store').searchParams.get('topic') ?? '');
 		if (eraText !== undefined) {
 			response.setHeader(eraHeader, eraText);
 		}
 	}
 
 	async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-		stateEra(response);
+		stateEra(request, response);
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://store');
 		const topic = getTopic(searchParams.get('topic') ?? '');
 		switch (pathname) {
@@ -229,7 +231,7 @@
 			}
 
 			case 'refuse': {
-				stateEra(response);
+				stateEra(request, response);
 				sendJson(response, fault.statusCode, {});
 				break;
 			}
@@ -280,8 +282,9 @@
 			fault = newFault;
 		},
 		returnFromCopy,
-		setEraText(text) {
-			getEraText = () => text;
+		setEraText(text, topic) {
+			const getPreviousText = getEraText;
+			getEraText = name => topic === undefined || name === topic ? text : getPreviousText(name);
 		},
 		countCalls: () => callCount,
 		async close() {
