Take an era beyond 2^40 for bad input

What was seen: a Store-Era of, once, was taken for a rise. No later era is above it, and a fraction of an era added to it is the same number, so neither a stated loss nor an offset that is gone would count as a rise any more.

--- a/test/store-era-headers.test.ts
+++ b/test/store-era-headers.test.ts
@@ -55,6 +55,7 @@
 	{name: 'is a power', text: '1e3', problem: 'invalid'},
 	{name: 'is empty', text: '', problem: 'invalid'},
 	{name: 'is too large for a number', text: '9'.repeat(400), problem: 'invalid'},
+	{name: 'is as large as numbers get', text: String(Number.MAX_SAFE_INTEGER), problem: 'invalid'},
 	{name: 'is a long text', text: 'x'.repeat(8000), problem: 'invalid'},
 	{name: 'is stated by two headers', text: ['6', '5'], problem: 'invalid'},
 	{name: 'is missing', text: undefined, problem: 'absent'},
