End a caller's request whose handling throws, and nothing else, on the gateway

Callers: an error thrown while one request was handled (its head read, its headers forwarded, its answer written) ended the process in order; errors while an answer was read were taken for a failing upstream and logged nowhere.

Cause: the port for callers, its calls and their attempts had no boundary for errors.

Change: one boundary each for the exchange (request-boundary.ts), the call and the attempt.

Tests: hosts of other tests throw what recordFailure gets, so that nothing is swallowed there.

--- a/src/decisions/outcomes/retry-decision.test.ts
+++ b/src/decisions/outcomes/retry-decision.test.ts
@@ -43,3 +43,12 @@
 		expect(canRetry({...history, plannedExecutions: 1}, end)).toBe(false);
 	}
 });
+
+test('a request whose sending failed by an error of the program is not sent again, since it would fail again', () => {
+	const history = {
+		kind: 'idempotent', possibleExecutions: 0, plannedExecutions: 0, maximumAttempts: 2,
+	} as const;
+	expect(canRetry(history, {kind: 'not-sent', reason: 'handler-failed'})).toBe(false);
+	expect(canRetry(history, {kind: 'not-sent', reason: 'unreachable'})).toBe(true);
+	expect(canRetry({...history, possibleExecutions: 1}, {kind: 'broken', reason: 'handler-failed'})).toBe(true);
+});
--- a/src/decisions/outcomes/retry-decision.ts
+++ b/src/decisions/outcomes/retry-decision.ts
@@ -2,8 +2,8 @@
 import {assertNever} from '../assert-never.ts';
 import type * as configuration from '../configuration/types.ts';
 
-/** Why a request was not sent; only `unreachable` says something about the upstream. */
-export type UnsentReason = 'unreachable' | 'given-up' | 'expired';
+/** Why a request was not sent; only `unreachable` says something about the upstream. After `handler-failed`, an error of this program, it would fail again. */
+export type UnsentReason = 'unreachable' | 'given-up' | 'expired' | 'handler-failed';
 
 /** How an attempt at an upstream ended. */
 export type AttemptEnd
@@ -35,6 +35,10 @@
 	switch (end.kind) {
 		case 'not-sent':
 		case 'not-run': {
+			if (end.kind === 'not-sent' && end.reason === 'handler-failed') {
+				return false;
+			}
+
 			return (history.possibleExecutions === 0 && history.plannedExecutions === 0) || (history.kind === 'idempotent' && hasAttemptLeft);
 		}
 
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -16,6 +16,7 @@
 import {
 	createGatewayAttempt, type AttemptRequest, type AttemptResponse, type GatewayAttempt, type GatewayAttemptHost,
 } from './gateway-attempt.ts';
+import * as attemptRecords from './attempt-records.ts';
 import type * as callReport from './call-report.ts';
 import {type GatewayResponse, type GatewayRequest} from './types.ts';
 import type * as upstreams from './upstreams.ts';
@@ -60,6 +61,10 @@
 /** Status in reports of requests whose caller disconnected before the response. */
 const callerLeftStatus = 499;
 
+const createFailure = (statusCode: number, headers: HeaderPairs): GatewayResponse => ({
+	statusCode, headers, body: new Uint8Array(), hasOwnEnd: true, isOwn: true,
+});
+
 /** Starts to run a request. */
 export function startCall(host: CallRunnerHost, request: GatewayRequest, target: ResponseTarget): RunningCall {
 	const {route, service} = request;
@@ -80,6 +85,27 @@
 	/** Executions that attempts which are not sent yet may lead to. */
 	const unsent = new Map<GatewayAttempt, number>();
 
+	/** Runs what only records; the call goes on after an error. */
+	function observe(run: () => void): void {
+		try {
+			run();
+		} catch (error) {
+			host.recordFailure(error, request.id);
+		}
+	}
+
+	/** Runs a part of the call; an error ends the call. */
+	function guard(run: () => void): void {
+		try {
+			run();
+		} catch (error) {
+			host.recordFailure(error, request.id);
+			if (!isAnswered) {
+				finish(createFailure(retryDecision.getFailureStatus(getHistory(), 'failed'), []), 'failed', 'handler-failed');
+			}
+		}
+	}
+
 	function countPlanned(): number {
 		return [...unsent.values()].reduce((sum, executions) => sum + executions, cancelSelection ? 1 : 0);
 	}
@@ -92,6 +118,10 @@
 	const mayStart = () => mayHaveRunOn > 0 || host.canFinish(request);
 
 	function selectUpstream(): void {
+		guard(selectGuarded);
+	}
+
+	function selectGuarded(): void {
 		const objectiveEndsAt = request.receivedAt + route.objectiveMilliseconds;
 		const holdUntil = Math.min(objectiveEndsAt, request.receivedAt + (maximumHoldShare * (request.deadlineAt - request.receivedAt)));
 		let isSelected = false;
@@ -114,7 +144,9 @@
 			isSelected = true;
 			cancelSelection = undefined;
 			checks += selection.checks;
-			handleSelection(selection);
+			guard(() => {
+				handleSelection(selection);
+			});
 		});
 		if (!isSelected) {
 			cancelSelection = cancel;
@@ -124,7 +156,7 @@
 	function handleSelection(selection: Selection): void {
 		switch (selection.kind) {
 			case 'selected': {
-				if (mayStart()) {
+				if (!isAnswered && mayStart()) {
 					send(selection);
 					break;
 				}
@@ -184,11 +216,19 @@
 					mayHaveRunOn -= maximumExecutions;
 				}
 
-				recordEnd(selected, end, now - sentAt, now);
-				host.observeAttempt(upstream, end);
-				handleEnd(end, response);
+				observe(() => {
+					attemptRecords.recordEnd({
+						learner: host.learner, request, milliseconds: now - sentAt, now,
+					}, selected, end);
+					host.observeAttempt(upstream, end);
+				});
+				guard(() => {
+					handleEnd(end, response);
+				});
 				endIfOver();
-				host.selector.onAttemptEnded(upstream);
+				observe(() => {
+					host.selector.onAttemptEnded(upstream);
+				});
 			},
 		});
 		running.add(attempt);
@@ -196,11 +236,11 @@
 		attempt.start();
 		if (route.kind === 'idempotent') {
 			clearTimeout(hedgeTimer);
-			hedgeTimer = setTimeout(startHedge, hedgeDelay.getHedgeDelay({
+			hedgeTimer = setTimeout(guard, hedgeDelay.getHedgeDelay({
 				expectedMilliseconds,
 				secondExpectedMilliseconds: host.learner.getRouteMilliseconds(route.name),
 				objectiveMilliseconds: request.receivedAt + route.objectiveMilliseconds - sentAt,
-			}));
+			}), startHedge);
 		}
 	}
 
@@ -218,52 +258,6 @@
 		}
 	}
 
-	function recordEnd({upstream, expectedMilliseconds}: SelectedUpstream, end: retryDecision.AttemptEnd, milliseconds: number, now: number): void {
-		const {record} = upstream;
-		switch (end.kind) {
-			case 'answered': {
-				if (end.statusCode >= 500) {
-					record.recordFailure(now);
-					break;
-				}
-
-				const pace = Math.max(0.1, record.getState(now).reading?.durationFactor ?? 1);
-				record.recordAnswer(milliseconds, expectedMilliseconds, now);
-				host.learner.recordAnswer(route.name, service, milliseconds, pace);
-				break;
-			}
-
-			case 'broken': {
-				if (end.reason === 'given-up') {
-					record.recordEnd();
-				} else {
-					record.recordFailure(now);
-				}
-
-				break;
-			}
-
-			case 'not-sent': {
-				if (end.reason === 'unreachable') {
-					record.recordFailure(now);
-				} else {
-					record.recordEnd();
-				}
-
-				break;
-			}
-
-			case 'not-run': {
-				record.recordEnd();
-				break;
-			}
-
-			default: {
-				assertNever(end);
-			}
-		}
-	}
-
 	function handleEnd(end: retryDecision.AttemptEnd, response: AttemptResponse | undefined): void {
 		if (isAnswered) {
 			return;
@@ -305,9 +299,7 @@
 
 		const statusCode = retryDecision.getFailureStatus(getHistory(), reason);
 		const headers: HeaderPairs = statusCode === 503 ? host.headers.createRetryHeaders(retryAfterMilliseconds) : [];
-		finish({
-			statusCode, headers, body: new Uint8Array(), hasOwnEnd: true, isOwn: true,
-		}, statusCode === 503 ? 'refused' : 'failed', reason);
+		finish(createFailure(statusCode, headers), statusCode === 503 ? 'refused' : 'failed', reason);
 	}
 
 	/** Time after which a refused caller should retry, in milliseconds; short if the upstreams refused although they have capacity. */
@@ -343,40 +335,46 @@
 
 	function report(statusCode: number, outcome: callReport.CallReport['outcome'], reason: string): void {
 		const now = host.getNow();
-		host.onEnd({
-			request, statusCode, outcome, reason, attempts, heldMilliseconds: Math.round((firstSentAt ?? now) - request.receivedAt), milliseconds: Math.round(now - request.receivedAt), checks,
+		observe(() => {
+			host.onEnd({
+				request, statusCode, outcome, reason, attempts, heldMilliseconds: Math.round((firstSentAt ?? now) - request.receivedAt), milliseconds: Math.round(now - request.receivedAt), checks,
+			});
 		});
 	}
 
-	const deadlineTimer = setTimeout(() => {
+	const deadlineTimer = setTimeout(guard, Math.max(1, request.deadlineAt + deadlineSlackMilliseconds - host.getNow()), () => {
 		if (isAnswered) {
 			stop();
 		} else {
 			giveUp('time-over');
 		}
-	}, Math.max(1, request.deadlineAt + deadlineSlackMilliseconds - host.getNow()));
+	});
 	host.budget.countRequest(service, host.getNow());
 	selectUpstream();
 
-	return {
-		cancel() {
-			if (isAnswered) {
-				return;
-			}
-
-			if (route.kind === 'non-idempotent' && [...running].some(attempt => attempt.isSent())) {
-				// The upstream may finish its work until the deadline.
-				isAnswered = true;
-				for (const attempt of [...running].filter(unsent => !unsent.isSent())) {
-					attempt.giveUp();
-				}
+	function cancel(): void {
+		if (isAnswered) {
+			return;
+		}
 
-				report(callerLeftStatus, 'cancelled', 'caller-left');
-				return;
+		if (route.kind === 'non-idempotent' && [...running].some(attempt => attempt.isSent())) {
+			// The upstream may finish its work until the deadline.
+			isAnswered = true;
+			for (const attempt of [...running].filter(unsent => !unsent.isSent())) {
+				attempt.giveUp();
 			}
 
-			stop();
 			report(callerLeftStatus, 'cancelled', 'caller-left');
+			return;
+		}
+
+		stop();
+		report(callerLeftStatus, 'cancelled', 'caller-left');
+	}
+
+	return {
+		cancel() {
+			guard(cancel);
 		},
 	};
 }
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -37,6 +37,7 @@
 	beginExchange(request: http.IncomingMessage, response: http.ServerResponse): exchangesModule.Exchange;
 	/** Records that the request of an exchange is passed on, so that its caller must be told how it ended. */
 	recordPassedOn(exchange: exchangesModule.Exchange): void;
+	isPassedOn(exchange: exchangesModule.Exchange): boolean;
 	/** Resets a connection, whatever is in progress on it. */
 	cut(socket: net.Socket, reason: CutReason): void;
 	/** Number of exchanges that have not ended. */
@@ -121,6 +122,7 @@
 		recordPassedOn(exchange) {
 			passedOn.add(exchange);
 		},
+		isPassedOn: exchange => passedOn.has(exchange),
 		cut,
 		countExchanges: exchanges.count,
 		countExchangesOn: exchanges.countOn,
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -319,7 +319,10 @@
 	const runningCalls = runningCallsModule.createRunningCalls({logger, getNow});
 	const canFinish = ({deadlineAt, route}: Pick<GatewayRequest, 'deadlineAt' | 'route'>) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: learner.getRouteMilliseconds(route.name)}, getNow());
 	const learner = createWorkEstimator();
+	const requestGuard = {logger, recordFailedHandler: metrics.recordFailedHandler};
+	const recordFailure = guardedRequests.createFailureRecorder(requestGuard, 'callers');
 	const callRunnerHost = {
+		recordFailure,
 		selector,
 		headers: platform.headers,
 		memory,
@@ -363,6 +366,7 @@
 			});
 			metrics.recordRequest('none', 'refused', reason, 0, 0);
 		},
+		recordFailure,
 		recordRequestAhead: metrics.recordRequestAhead,
 		recordCut(cut) {
 			logger.warn('connection-cut', {...cut});
@@ -384,7 +388,6 @@
 	}, settings.longestAddressLifetimeSeconds);
 	const directoryServer = platform.createDirectoryServer(directory);
 	const readinessServer = platform.createReadinessServer(directory);
-	const requestGuard = {logger, recordFailedHandler: metrics.recordFailedHandler};
 	guardedRequests.guardRequests(requestGuard, 'directory', directoryServer);
 	guardedRequests.guardRequests(requestGuard, 'readiness', readinessServer);
 	const metricsServer = http.createServer(guardedRequests.createGuardedListener(requestGuard, 'metrics', async (request, response) => {
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -4,7 +4,6 @@
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
-import type * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import * as responseDelivery from '../decisions/outcomes/response-delivery.ts';
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import {type RandomSource} from '../decisions/random.ts';
@@ -17,10 +16,12 @@
 import * as forwardedHeaders from './forwarded-headers.ts';
 import * as frontRefusals from './front-refusals.ts';
 import * as badConnectionsModule from './bad-connections.ts';
+import * as callerIdentification from './caller-identification.ts';
 import * as callStarter from './call-starter.ts';
 import * as callerConnections from './caller-connections.ts';
 import {type ActiveConfiguration} from './platform-state.ts';
 import type * as portLimits from './port-limits.ts';
+import * as requestBoundary from './request-boundary.ts';
 import * as requestReception from './request-reception.ts';
 import * as responseOrder from './response-order.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
@@ -52,6 +53,8 @@
 	getAllowanceRetryMilliseconds(): number;
 	startCall(request: GatewayRequest, target: ResponseTarget): RunningCall;
 	recordRefusal(reason: frontRefusals.FrontRefusal, id: string | undefined, statusCode: number): void;
+	/** Records that a handler threw an error. */
+	recordFailure(error: unknown, id: string | undefined): void;
 	/** Records that a request arrived while another one of its connection was in progress. */
 	recordRequestAhead(): void;
 	/** Records that a connection ended with requests that were not answered, although its caller had not left. */
@@ -85,9 +88,6 @@
 const maximumRelayedRequests = 64;
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
-type IdentifiedCaller
-	= | {readonly kind: 'identified'; readonly workspace: configuration.Workspace | undefined}
-		| {readonly kind: 'refused'; readonly reason: 'key-unreadable' | 'key-unknown' | 'key-undecided'};
 
 /** Creates the server; the caller starts and stops it. */
 export function createFrontServer(host: FrontServerHost): FrontServer {
@@ -106,6 +106,9 @@
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
 	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
 	const order = responseOrder.createResponseOrder(connections.exchanges);
+	const {guard} = requestBoundary.createRequestBoundary({
+		recordFailure: host.recordFailure, readId: ({request}) => host.headers.readRequest(request.headers).id, isPassedOn: connections.isPassedOn, respond,
+	});
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		if (connections.closing.isClosing(request.socket)) {
@@ -120,6 +123,13 @@
 
 		const receivedAt = host.getNow();
 		const exchange = connections.beginExchange(request, response);
+		guard(exchange, () => {
+			handleExchange(exchange, receivedAt);
+		});
+	}
+
+	function handleExchange(exchange: exchanges.Exchange, receivedAt: number): void {
+		const {request} = exchange;
 		const metadata = host.headers.readRequest(request.headers);
 		if (metadata.relayedExecutions !== undefined) {
 			relayedRequests++;
@@ -155,7 +165,9 @@
 			return;
 		}
 
-		const caller = identifyCaller(request, keys, route);
+		const caller = callerIdentification.identifyCaller(request, {
+			headers: host.headers, keys, isPublic: route.isPublic, isStale: host.isStale(),
+		});
 		if (caller.kind !== 'identified') {
 			refuse(exchange, caller.reason, metadata.id);
 			return;
@@ -183,7 +195,9 @@
 		};
 		admit(exchange, context, () => {
 			reception.receive(exchange, requestLimits, result => {
-				handleReceived(exchange, result, context);
+				guard(exchange, () => {
+					handleReceived(exchange, result, context);
+				});
 			});
 		});
 	}
@@ -196,6 +210,13 @@
 		}
 
 		const withdraw = host.admit(workspace, admission => {
+			guard(exchange, () => {
+				handleAdmission(admission);
+			});
+		});
+		exchange.onEnd(withdraw);
+
+		function handleAdmission(admission: allowances.Admission): void {
 			switch (admission) {
 				case 'admitted': {
 					proceed();
@@ -216,29 +237,6 @@
 					exhaustiveness.assertNever(admission);
 				}
 			}
-		});
-		exchange.onEnd(withdraw);
-	}
-
-	/** Identifies the calling workspace. */
-	function identifyCaller(request: http.IncomingMessage, keys: workspaceKeys.KeyTable, route: configuration.Route): IdentifiedCaller {
-		const identification = keys.identify(keys.isActive ? host.headers.readCredentials(request) : {kind: 'absent'}, route.isPublic, host.isStale());
-		switch (identification.kind) {
-			case 'identified': {
-				return {kind: 'identified', workspace: identification.workspace};
-			}
-
-			case 'unreadable': {
-				return {kind: 'refused', reason: 'key-unreadable'};
-			}
-
-			case 'unknown': {
-				return {kind: 'refused', reason: 'key-unknown'};
-			}
-
-			case 'undecided': {
-				return {kind: 'refused', reason: 'key-undecided'};
-			}
 		}
 	}
 
@@ -257,7 +255,9 @@
 
 			case 'complete': {
 				starter.schedule(exchange, {...context, expectedMilliseconds: host.getExpectedMilliseconds(context)}, () => {
-					start(exchange, result.body, context);
+					guard(exchange, () => {
+						start(exchange, result.body, context);
+					});
 				});
 				break;
 			}
@@ -276,13 +276,10 @@
 			return;
 		}
 
+		const headers = forwardedHeaders.createForwardedHeaders(host.headers, request, body, context.workspace !== undefined || host.getActiveConfiguration()?.keys.isActive === true);
 		connections.recordPassedOn(exchange);
 		const running = host.startCall({
-			...context,
-			method: request.method ?? 'GET',
-			path: request.url ?? '/',
-			headers: forwardedHeaders.createForwardedHeaders(host.headers, request, body, context.workspace !== undefined || host.getActiveConfiguration()?.keys.isActive === true),
-			body,
+			...context, method: request.method ?? 'GET', path: request.url ?? '/', headers, body,
 		}, {
 			respond(gatewayResponse) {
 				respond(exchange, gatewayResponse);
@@ -305,26 +302,28 @@
 		}
 
 		respond(exchange, {
-			statusCode,
-			headers: frontRefusals.createRefusalHeaders(host, reason),
-			body: new Uint8Array(),
-			hasOwnEnd: true,
-			isOwn: true,
+			statusCode, headers: frontRefusals.createRefusalHeaders(host, reason), body: new Uint8Array(), hasOwnEnd: true, isOwn: true,
 		});
 	}
 
 	function respond(exchange: exchanges.Exchange, gatewayResponse: GatewayResponse): void {
-		claimResponse(exchange, gatewayResponse.body.length);
+		guard(exchange, () => {
+			claimResponse(exchange, gatewayResponse.body.length);
+		});
+		const write = () => {
+			guard(exchange, () => {
+				writeResponse(exchange, gatewayResponse);
+			});
+		};
+
 		order.deliver(exchange, () => {
 			if (!host.isLeaving()) {
-				writeResponse(exchange, gatewayResponse);
+				write();
 				return;
 			}
 
 			// Requests that arrived together with this one are read first, since the last response closes the connection.
-			setImmediate(() => {
-				writeResponse(exchange, gatewayResponse);
-			});
+			setImmediate(write);
 		});
 	}
 
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -28,6 +28,8 @@
 	readonly memory: trafficMemory.TrafficMemory;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
+	/** Records that handling a request threw an error. */
+	recordFailure(error: unknown, id: string): void;
 	/** Records what an upstream stated about itself in its response. */
 	recordStatements(upstream: upstreams.Upstream, metadata: ResponseMetadata, exchange: statementRecorder.Exchange): void;
 };
@@ -91,7 +93,25 @@
 		}
 	}
 
+	/** Runs a part of the attempt; an error ends the attempt, and nothing else. */
+	function guard(connection: Connection, run: () => void): void {
+		try {
+			run();
+		} catch (error) {
+			host.recordFailure(error, request.id);
+			pool.discard(connection);
+			finish({kind: isSent ? 'broken' : 'not-sent', reason: 'handler-failed'});
+			runningAttempt?.abort();
+		}
+	}
+
 	function use(connection: Connection): void {
+		guard(connection, () => {
+			useGuarded(connection);
+		});
+	}
+
+	function useGuarded(connection: Connection): void {
 		if (request.refusedOn.has(connection)) {
 			pool.discard(connection);
 			acquire();
@@ -134,39 +154,29 @@
 		}, {
 			onSent() {
 				isSent = true;
-				claim = host.memory.claim('responses', host.getNow(), () => {
-					chunks.length = 0;
-					failAttempt(connection, 'memory-full');
+				guard(connection, () => {
+					handleSent(connection);
 				});
-				watchProgress(connection);
-				listener.onSent();
 			},
 			onInterim() {
 				interimResponses++;
 			},
 			onHead(statusCode, headers) {
-				const metadata = host.headers.readResponse(headers);
-				finalParts++;
-				responseHead = {statusCode, headers, metadata};
-				if (upstream.kind === 'upstream' && metadata.requestId === request.id && statusCode !== misdirectedStatus) {
-					host.recordStatements(upstream, metadata, {kind: 'request', statusCode});
-				}
+				guard(connection, () => {
+					handleHead(statusCode, headers);
+				});
 			},
 			onData(chunk) {
-				chunks.push(chunk);
-				finalParts++;
-				receivedBytes += chunk.length;
-				if (receivedBytes > maximumResponseBytes) {
-					failAttempt(connection, 'answer-too-large');
-				} else {
-					claim?.resize(receivedBytes, host.getNow());
-				}
-
+				guard(connection, () => {
+					handleData(connection, chunk);
+				});
 				return true;
 			},
 			onEnd(isComplete) {
-				connection.lastActiveAt = host.getNow();
-				classifyResponse(connection, isComplete);
+				guard(connection, () => {
+					connection.lastActiveAt = host.getNow();
+					classifyResponse(connection, isComplete);
+				});
 			},
 			onFailed(error) {
 				pool.discard(connection);
@@ -175,6 +185,35 @@
 		});
 	}
 
+	function handleSent(connection: Connection): void {
+		claim = host.memory.claim('responses', host.getNow(), () => {
+			chunks.length = 0;
+			failAttempt(connection, 'memory-full');
+		});
+		watchProgress(connection);
+		listener.onSent();
+	}
+
+	function handleHead(statusCode: number, headers: http.IncomingHttpHeaders): void {
+		const metadata = host.headers.readResponse(headers);
+		finalParts++;
+		responseHead = {statusCode, headers, metadata};
+		if (upstream.kind === 'upstream' && metadata.requestId === request.id && statusCode !== misdirectedStatus) {
+			host.recordStatements(upstream, metadata, {kind: 'request', statusCode});
+		}
+	}
+
+	function handleData(connection: Connection, chunk: Uint8Array): void {
+		chunks.push(chunk);
+		finalParts++;
+		receivedBytes += chunk.length;
+		if (receivedBytes > maximumResponseBytes) {
+			failAttempt(connection, 'answer-too-large');
+		} else {
+			claim?.resize(receivedBytes, host.getNow());
+		}
+	}
+
 	/** Fails the attempt if the response has no end. A request that can't be sent again has nothing to gain by that before its deadline. */
 	function watchProgress({socket}: Connection): void {
 		if (request.route.kind !== 'idempotent') {
--- a/src/gateway/guarded-requests.ts
+++ b/src/gateway/guarded-requests.ts
@@ -13,10 +13,20 @@
 
 const internalErrorStatus = 500;
 
+/** Creates a function that logs and counts an error of a handler of a port. */
+export function createFailureRecorder(host: RequestGuardHost, port: string): (error: unknown, id: string | undefined) => void {
+	return (error, id) => {
+		host.logger.error('handler-failed', {port, id, reason: formatError(error)});
+		host.recordFailedHandler(port);
+	};
+}
+
+const formatError = (error: unknown) => error instanceof Error ? error.stack ?? error.message : String(error);
+
 /** Creates a listener that calls a handler, and answers for it if it throws or its promise is rejected. */
 export function createGuardedListener(host: RequestGuardHost, port: string, handler: RequestHandler): http.RequestListener {
 	function handleError(request: http.IncomingMessage, response: http.ServerResponse, error: unknown): void {
-		host.logger.error('handler-failed', {port, method: request.method, reason: error instanceof Error ? error.stack ?? error.message : String(error)});
+		host.logger.error('handler-failed', {port, method: request.method, reason: formatError(error)});
 		host.recordFailedHandler(port);
 		if (response.headersSent) {
 			// The caller must not take the response for complete.
--- a/test/response-order.test.ts
+++ b/test/response-order.test.ts
@@ -71,6 +71,9 @@
 			return {cancel: () => undefined};
 		},
 		recordRefusal: () => undefined,
+		recordFailure(error) {
+			throw error;
+		},
 		recordRequestAhead: () => undefined,
 		recordCut(cut) {
 			cuts.push(cut);
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -8,7 +8,7 @@
 import * as hostileUpstream from './hostile-upstream.ts';
 
 /** Starts a call. */
-export function startCallAt(upstream: upstreamsModule.Upstream, request: types.GatewayRequest, respond: (response: types.GatewayResponse) => void): callRunner.RunningCall {
+export function startCallAt(upstream: upstreamsModule.Upstream, request: types.GatewayRequest, respond: (response: types.GatewayResponse) => void, changes: Partial<callRunner.CallRunnerHost> = {}): callRunner.RunningCall {
 	return callRunner.startCall({
 		selector: {
 			select(_request, listener) {
@@ -32,5 +32,9 @@
 		onEnd: () => undefined,
 		canFinish: () => true,
 		beginCall: () => () => undefined,
+		recordFailure(error) {
+			throw error;
+		},
+		...changes,
 	}, request, {respond});
 }
--- a/test/support/gateways.ts
+++ b/test/support/gateways.ts
@@ -6,6 +6,7 @@
 import * as createPlatform from '../../platform/create-platform.ts';
 import * as platformSettings from '../../platform/settings.ts';
 import * as createGateway from '../../src/gateway/create-gateway.ts';
+import type * as types from '../../src/gateway/types.ts';
 import type * as logger from '../../src/observability/logger.ts';
 import * as gatewayMetrics from '../../src/observability/gateway-metrics.ts';
 import type * as platformUpstream from '../../stand-ins/platform-upstream.ts';
@@ -54,6 +55,10 @@
 	readonly localAddress?: string | undefined;
 	/** Receives the log lines; none by default. */
 	readonly logger?: logger.Logger;
+	/** Port of the metrics; a free one by default. */
+	readonly metricsPort?: number;
+	/** Replaces functions that read and create the headers of the platform. */
+	changeHeaders?(headers: types.HeaderHost): types.HeaderHost;
 };
 
 const silentLogger: logger.Logger = {
@@ -79,11 +84,12 @@
 		unknown: 'ignored',
 	})._unsafeUnwrap();
 	const getNow = () => performance.now();
+	const platform = createPlatform.createPlatform(storeAddress, getNow, () => undefined);
 	const gateway = await createGateway.createGateway(settings, {
-		platform: createPlatform.createPlatform(storeAddress, getNow, () => undefined),
+		platform: {...platform, headers: options.changeHeaders?.(platform.headers) ?? platform.headers},
 		logger: options.logger ?? silentLogger,
 		metrics: gatewayMetrics.createGatewayMetrics(),
-		metricsPort: 0,
+		metricsPort: options.metricsPort ?? 0,
 		getNow,
 		getWallTime: () => Date.now(),
 		localAddress: options.localAddress,
--- a/test/support/hostile-upstream.ts
+++ b/test/support/hostile-upstream.ts
@@ -75,7 +75,9 @@
 export type AttemptResult = {readonly end: retryDecision.AttemptEnd; readonly answer: gatewayAttempt.AttemptResponse | undefined};
 
 const createAttemptHost = (getTime: () => number): gatewayAttempt.GatewayAttemptHost => ({
-	headers: headerHost.createHeaderHost(), memory, getNow: getTime, recordStatements: () => undefined,
+	headers: headerHost.createHeaderHost(), memory, getNow: getTime, recordStatements: () => undefined, recordFailure(error) {
+		throw error;
+	},
 });
 
 const createSelection = (upstream: upstreamsModule.Upstream) => ({
