End a call whose handling throws, and nothing else, on an entry

Callers: an error in a route of the entry itself (status, metrics), in the classification, the trace, the start of a call or the writing of its answer ended the process in order, and the request had no answer.

Cause: answerBuiltInRoute had no catch, and the handling of calls no boundary.

Change: errors are logged (handler-failed) and counted (fescuering_failed_handlers_total). A call that wasn't handed over gets 500 and its outcome, one that was gets 502 with unknown and is cancelled; what is written later is ignored.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -8,13 +8,14 @@
 import {type AnswerSink, type Call, type CallBody} from './call.ts';
 import {type Classification, classifyRequest} from './classify-request.ts';
 import {getForwardedRequestHeaders, headerNames} from './headers.ts';
+import {createGuardedSink} from './guarded-sink.ts';
 import {createHttpSink} from './http-sink.ts';
 import {
-	createProblemAnswer, type Problem, type ProblemKind, writeProblem,
+	createProblemAnswer, type Problem, problemDescriptions, type ProblemKind, writeProblem,
 } from './problem.ts';
 import * as bodyCollector from './body-collector.ts';
 import {
-	getReservedBytes, hasBody, receiveBody, type ReceiveLimits,
+	getReservedBytes, hasBody, type ReceivedBody, receiveBody, type ReceiveLimits,
 } from './receive-body.ts';
 import * as callerReading from './caller-reading.ts';
 import * as closingConnections from './closing-connections.ts';
@@ -46,6 +47,8 @@
 	isLeaving(): boolean;
 	/** Whether a caller whose entry list has this version should fetch the list again. */
 	isEntryListStale(version: string | undefined): boolean;
+	/** Records that a handler threw an error. */
+	recordFailure(error: unknown, id: number | undefined): void;
 	/** Executes a call. */
 	handle(call: Call, sink: AnswerSink): CallExecution;
 };
@@ -136,7 +139,14 @@
 		const path = getPath(request.url ?? '');
 		const route = host.builtInRoutes.get(path);
 		if (route) {
-			void answerBuiltInRoute(request, response, route);
+			answerBuiltInRoute(request, response, route).catch((error: unknown) => {
+				host.recordFailure(error, undefined);
+				if (response.headersSent) {
+					response.destroy();
+				} else {
+					response.writeHead(problemDescriptions['handler-failed'].statusCode, {'content-length': '0'}).end();
+				}
+			});
 			return;
 		}
 
@@ -147,84 +157,128 @@
 		const {request, response} = exchange;
 		const receivedAt = host.getNow();
 		let execution: CallExecution | undefined;
+		let callId: number | undefined;
 		let isRefused = false;
-		const sink = createHttpSink(response, {
+		let hasFailed = false;
+		const httpSink = createHttpSink(response, {
 			entryName: host.entryName,
 			isLast: () => isLast(exchange, isRefused),
 			isEntryListStale: () => host.isEntryListStale(getSingleValue(request.headers[headerNames.entriesVersion])),
 		});
+		const {sink, detach} = createGuardedSink(httpSink, guard);
 		exchange.onEnd(end => {
 			if (end === 'caller-left') {
-				execution?.cancel();
+				guard(() => execution?.cancel());
 			}
 		});
-		const refuseCall = (kind: ProblemKind) => {
-			isRefused = true;
-			refuse(request, sink, kind);
-		};
-
-		if (request.headers.host === undefined) {
-			refuseCall('malformed-request');
-			return;
+		guard(receiveCall);
+
+		function guard(run: () => void): void {
+			try {
+				run();
+			} catch (error) {
+				host.recordFailure(error, callId);
+				detach();
+				endFailed();
+			}
 		}
 
-		const view = host.getView();
-		if (!view) {
-			refuseCall('not-ready');
-			return;
-		}
+		/** Answers a call whose handling has failed; one that was handed over may have run. */
+		function endFailed(): void {
+			if (exchange.hasEnded()) {
+				return;
+			}
 
-		const classification = classifyRequest({method: request.method ?? '', url: request.url ?? '', headers: request.headers}, view);
-		if (classification.isErr()) {
-			refuseCall(classification.error);
-			return;
+			if (response.headersSent || hasFailed) {
+				httpSink.abort();
+				return;
+			}
+
+			hasFailed = true;
+			guard(() => {
+				execution?.cancel();
+				request.resume();
+				writeProblem(httpSink, callId === undefined ? createRefusal('handler-failed', getKeyHistory(request)) : {kind: 'upstream-failed', outcome: resolveOutcome({kind: 'written-whole'}, getKeyHistory(request))});
+			});
 		}
 
-		const reservedBytes = getReservedBytes(request, limits);
-		if (totalReservedBytes + reservedBytes > limits.heldBodyBytes) {
-			refuseCall('queue-full');
-			return;
+		function refuseCall(kind: ProblemKind): void {
+			isRefused = true;
+			refuse(request, sink, kind);
 		}
 
-		totalReservedBytes += reservedBytes;
-		exchange.onEnd(() => {
-			totalReservedBytes -= reservedBytes;
-		});
-		receiveBody(bodyReceiver, request, limits, {
-			onReceived(received) {
-				switch (received.kind) {
-					case 'too-large': {
-						refuseCall('body-too-large');
-						break;
-					}
+		function receiveCall(): void {
+			if (request.headers.host === undefined) {
+				refuseCall('malformed-request');
+				return;
+			}
 
-					case 'memory-full':
-					case 'small-chunks': {
-						if (received.kind === 'small-chunks') {
-							reading.discard(request);
-						}
+			const view = host.getView();
+			if (!view) {
+				refuseCall('not-ready');
+				return;
+			}
 
-						refuseCall('queue-full');
+			const classification = classifyRequest({method: request.method ?? '', url: request.url ?? '', headers: request.headers}, view);
+			if (classification.isErr()) {
+				refuseCall(classification.error);
+				return;
+			}
 
-						break;
-					}
+			const reservedBytes = getReservedBytes(request, limits);
+			if (totalReservedBytes + reservedBytes > limits.heldBodyBytes) {
+				refuseCall('queue-full');
+				return;
+			}
 
-					case 'cut': {
-						sink.abort();
-						break;
+			totalReservedBytes += reservedBytes;
+			exchange.onEnd(() => {
+				totalReservedBytes -= reservedBytes;
+			});
+			receiveBody(bodyReceiver, request, limits, {
+				onReceived(received) {
+					guard(() => {
+						handleBody(classification.value, received);
+					});
+				},
+			});
+		}
+
+		function handleBody(classification: Classification, received: ReceivedBody): void {
+			switch (received.kind) {
+				case 'too-large': {
+					refuseCall('body-too-large');
+					break;
+				}
+
+				case 'memory-full':
+				case 'small-chunks': {
+					if (received.kind === 'small-chunks') {
+						reading.discard(request);
 					}
 
-					case 'body': {
-						if (exchange.hasEnded()) {
-							break;
-						}
+					refuseCall('queue-full');
+
+					break;
+				}
+
+				case 'cut': {
+					sink.abort();
+					break;
+				}
 
-						execution = host.handle(createCall(request, classification.value, received.body, receivedAt), sink);
+				case 'body': {
+					if (exchange.hasEnded()) {
 						break;
 					}
+
+					const call = createCall(request, classification, received.body, receivedAt);
+					callId = call.id;
+					execution = host.handle(call, sink);
+					break;
 				}
-			},
-		});
+			}
+		}
 	}
 
 	/** Whether a response closes its connection: callers are told to use others or nothing behind its request can be read, and no request behind it is in progress. */
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -235,6 +235,10 @@
 		getView: () => view,
 		isLeaving,
 		isEntryListStale: membership.isEntryListStale,
+		recordFailure(error, id) {
+			logger.error('handler-failed', {port: 'callers', id, reason: error instanceof Error ? error.stack ?? error.message : String(error)});
+			metrics.recordFailedHandler('callers');
+		},
 		handle,
 	}, settings.limits);
 
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -23,6 +23,7 @@
 		| 'headers-too-large'
 		| 'request-timeout'
 		| 'not-ready'
+		| 'handler-failed'
 		| 'upstream-failed'
 		| 'upstream-timeout'
 		| 'upstream-refused'
@@ -50,6 +51,7 @@
 	'headers-too-large': {statusCode: 431, title: 'Headers too large', remedy: 'Send fewer or smaller headers.'},
 	'request-timeout': {statusCode: 408, title: 'Request was not received in time', remedy: 'Send the whole request sooner.'},
 	'not-ready': {statusCode: 503, title: 'Entry has no table of weights and limits yet', remedy: 'Ask /v1/entries of another entry.'},
+	'handler-failed': {statusCode: 500, title: 'The entry failed to handle the call', remedy: 'Send the call to another entry, and report the error that the log of this one shows.'},
 	'upstream-failed': {statusCode: 502, title: 'The upstream gave no whole answer', remedy: 'Repeat the call with the same idempotency key to learn its outcome.'},
 	'upstream-timeout': {statusCode: 504, title: 'The upstream did not answer in time', remedy: 'Repeat the call with the same idempotency key to learn its outcome.'},
 	'upstream-refused': {statusCode: 503, title: 'The upstream refused the call', remedy: 'Repeat after the stated time.'},
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -33,6 +33,8 @@
 	recordMeasurement(observation: MeasurementObservation): void;
 	/** Counts an append to or a read from a stream of the log. */
 	recordLogRequest(stream: string, kind: 'append' | 'read', result: 'ok' | 'refused' | 'lost' | 'invalid'): void;
+	/** Counts a request whose handler threw an error. */
+	recordFailedHandler(port: string): void;
 	/** Sets the function that reads the state for the gauges whenever the metrics are collected. */
 	setGaugeReader(read: () => EntryGauges): void;
 	getText(): Promise<string>;
@@ -114,6 +116,9 @@
 		labelNames: ['stream', 'kind', 'result'] as const,
 		registers,
 	});
+	const failedHandlers = new prometheus.Counter({
+		name: 'fescuering_failed_handlers_total', help: 'Requests that ended with an error of their handler, by port.', labelNames: ['port'] as const, registers,
+	});
 	const cells = [calls, behindLong, inFlight, attempts, refusals];
 	const writeGauges = createGaugeWriter(registry);
 	let readGauges: (() => EntryGauges) | undefined;
@@ -168,6 +173,9 @@
 		recordMeasurement(observation) {
 			measurements.inc({service: observation.service, kind: observation.kind});
 		},
+		recordFailedHandler(port) {
+			failedHandlers.inc({port});
+		},
 		recordLogRequest(stream, kind, result) {
 			logRequests.inc({stream, kind, result});
 		},
