End a request of another entry whose handling throws, and nothing else

Other entries: an error in the accounting of a message ended the process in order; an error of a method was answered by the library and seen by nobody.

Cause: the port for other entries had no boundary, and the library logs nothing for unary methods.

Change: errors are logged (handler-failed, with the method) and counted for the port peers, in gateways and entries. If the message can't be accounted for, the stream is closed and the method isn't called. Tests that open such a port throw what it reports.

--- a/bench/programs/member.ts
+++ b/bench/programs/member.ts
@@ -56,7 +56,11 @@
 		intervalMilliseconds: 1000,
 		timeoutMilliseconds: 1000,
 	});
-	const startResult = await createPeerServer({host: '127.0.0.1', port: 0, routes: [membership.routes]});
+	const startResult = await createPeerServer({
+		host: '127.0.0.1', port: 0, routes: [membership.routes], recordFailure(error) {
+			throw error;
+		},
+	});
 	if (startResult.isErr()) {
 		throw new Error(startResult.error.message);
 	}
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -227,6 +227,11 @@
 			measurementPositions: loadPoller.getUsablePositions(),
 		}),
 	});
+	const recordFailure = (port: string, error: unknown, fields: Parameters<Logger['error']>[1]) => {
+		logger.error('handler-failed', {port, ...fields, reason: error instanceof Error ? error.stack ?? error.message : String(error)});
+		metrics.recordFailedHandler(port);
+	};
+
 	const callerServer = createCallerServer({
 		entryName: settings.name,
 		tracing,
@@ -236,8 +241,7 @@
 		isLeaving,
 		isEntryListStale: membership.isEntryListStale,
 		recordFailure(error, id) {
-			logger.error('handler-failed', {port: 'callers', id, reason: error instanceof Error ? error.stack ?? error.message : String(error)});
-			metrics.recordFailedHandler('callers');
+			recordFailure('callers', error, {id});
 		},
 		handle,
 	}, settings.limits);
@@ -249,7 +253,11 @@
 		return neverthrow.err(callerListening.error);
 	}
 
-	const peerListening = await listenForPeers(settings.listen, [membership.routes, keyedCallExecutor.routes]);
+	const peerListening = await listenForPeers(settings.listen, {
+		routes: [membership.routes, keyedCallExecutor.routes], recordFailure(error, method) {
+			recordFailure('peers', error, {method});
+		},
+	});
 	if (peerListening.isErr()) {
 		services.close();
 		await keyedCallExecutor.close();
--- a/src/entry/listeners.ts
+++ b/src/entry/listeners.ts
@@ -2,7 +2,7 @@
 import type * as net from 'node:net';
 import * as neverthrow from 'neverthrow';
 import {createDiagnostic, diagnostics, type Diagnostic} from '../decisions/diagnostics.ts';
-import {createPeerServer, type PeerRoutes, type PeerServer} from '../peers/peer-server.ts';
+import {createPeerServer, type PeerServer, type PeerServerOptions} from '../peers/peer-server.ts';
 import {type CallerServer} from './caller-server.ts';
 import {type EntrySettings} from './settings.ts';
 
@@ -34,9 +34,11 @@
 }
 
 /** Opens the port for other entries. */
-export async function listenForPeers(settings: ListenSettings, routes: readonly PeerRoutes[]): Promise<neverthrow.Result<PeerListener, Diagnostic>> {
+export async function listenForPeers(settings: ListenSettings, {routes, recordFailure}: Pick<PeerServerOptions, 'routes' | 'recordFailure'>): Promise<neverthrow.Result<PeerListener, Diagnostic>> {
 	const {host, peerPort, announcedHost, announcedPeerPort} = settings;
-	const result = await createPeerServer({host, port: peerPort, routes});
+	const result = await createPeerServer({
+		host, port: peerPort, routes, recordFailure,
+	});
 	return result
 		.map(server => ({server, address: `${announcedHost ?? host}:${announcedPeerPort ?? server.port}`}))
 		.mapErr(error => createDiagnostic(diagnostics.settingsAddressUnavailable, `${host}:${peerPort}`, error.message));
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -320,7 +320,7 @@
 	const canFinish = ({deadlineAt, route}: Pick<GatewayRequest, 'deadlineAt' | 'route'>) => shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {deadlineAt, expectedMilliseconds: learner.getRouteMilliseconds(route.name)}, getNow());
 	const learner = createWorkEstimator();
 	const requestGuard = {logger, recordFailedHandler: metrics.recordFailedHandler};
-	const recordFailure = guardedRequests.createFailureRecorder(requestGuard, 'callers');
+	const recordFailure = guardedRequests.createFailureRecorder(requestGuard, 'callers', 'id');
 	const callRunnerHost = {
 		recordFailure,
 		selector,
@@ -420,7 +420,9 @@
 
 	const peers = splitAddress(settings.listen.peers);
 	const peerServer = await openPorts.openPort(host, 'peers', async () => {
-		const result = await createPeerServer({...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest}), peerAllowances.createAllowanceRoutes(allowances)], ...messageLimits.createMessageLimits(memory, getNow)});
+		const result = await createPeerServer({
+			...peers, routes: [createSharingRoutes({handleFollow: sharing.respond}), peerPermits.createPermitRoutes({handleRequest: permits.handleRequest}), peerAllowances.createAllowanceRoutes(allowances)], ...messageLimits.createMessageLimits(memory, getNow), recordFailure: guardedRequests.createFailureRecorder(requestGuard, 'peers', 'method'),
+		});
 		if (result.isErr()) {
 			throw result.error.cause;
 		}
--- a/src/gateway/guarded-requests.ts
+++ b/src/gateway/guarded-requests.ts
@@ -13,10 +13,10 @@
 
 const internalErrorStatus = 500;
 
-/** Creates a function that logs and counts an error of a handler of a port. */
-export function createFailureRecorder(host: RequestGuardHost, port: string): (error: unknown, id: string | undefined) => void {
-	return (error, id) => {
-		host.logger.error('handler-failed', {port, id, reason: formatError(error)});
+/** Creates a function that logs and counts an error of a handler of a port; the name of the request is its identifier or its method. */
+export function createFailureRecorder(host: RequestGuardHost, port: string, nameField: 'id' | 'method'): (error: unknown, name: string | undefined) => void {
+	return (error, name) => {
+		host.logger.error('handler-failed', {port, [nameField]: name, reason: formatError(error)});
 		host.recordFailedHandler(port);
 	};
 }
--- a/src/peers/peer-server.test.ts
+++ b/src/peers/peer-server.test.ts
@@ -7,10 +7,15 @@
 
 const {expect, test} = vitest;
 
+function failLoudly(error: unknown): never {
+	throw error;
+}
+
 test('a client can call a service on the peer port, and again after its connection was discarded', async () => {
 	const opened = await createPeerServer({
 		host: '127.0.0.1',
 		port: 0,
+		recordFailure: failLoudly,
 		routes: [router => {
 			router.service(MembershipService, {exchange: digest => create(DigestSchema, {tablePosition: digest.tablePosition + 1n})});
 		}],
@@ -28,7 +33,9 @@
 });
 
 test('opening a port that is in use fails with address-unavailable', async () => {
-	const options = {host: '127.0.0.1', port: 0, routes: []};
+	const options = {
+		host: '127.0.0.1', port: 0, routes: [], recordFailure: failLoudly,
+	};
 	const opened = await createPeerServer(options);
 	const server = opened._unsafeUnwrap();
 	const second = await createPeerServer({...options, port: server.port});
@@ -42,6 +49,7 @@
 	const opened = await createPeerServer({
 		host: '127.0.0.1',
 		port: 0,
+		recordFailure: failLoudly,
 		routes: [router => {
 			router.service(MembershipService, {exchange: () => create(DigestSchema)});
 		}],
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -1,12 +1,12 @@
 /** HTTP/2 server on the peer port, shared by all services between entries. */
 import * as http2 from 'node:http2';
 import type * as net from 'node:net';
-import {type ConnectRouter} from '@connectrpc/connect';
+import * as connect from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {ResultAsync} from 'neverthrow';
 
 /** Registers the routes of one service on the peer port. */
-export type PeerRoutes = (router: ConnectRouter) => void;
+export type PeerRoutes = (router: connect.ConnectRouter) => void;
 
 export type PeerServerOptions = {
 	readonly host: string;
@@ -19,6 +19,8 @@
 	readonly maximumStreams?: number;
 	/** Called for each request before its message is read. */
 	onRequest?(request: http2.Http2ServerRequest): void;
+	/** Records that handling a request threw an error, by the method of the service if it was called. */
+	recordFailure(error: unknown, method: string | undefined): void;
 };
 
 /** The peer port couldn't be opened. */
@@ -51,16 +53,23 @@
 
 async function listen(options: PeerServerOptions): Promise<PeerServer> {
 	const settings = options.maximumStreams === undefined ? {} : {maxConcurrentStreams: options.maximumStreams};
-	const server = http2.createServer({settings}, connectNodeAdapter({
+	const handle = connectNodeAdapter({
 		readMaxBytes: options.readMaxBytes ?? defaultReadMaxBytes,
+		interceptors: [createFailureInterceptor(options)],
 		routes(router) {
 			for (const addRoutes of options.routes) {
 				addRoutes(router);
 			}
 		},
-	}));
-	server.prependListener('request', (request: http2.Http2ServerRequest) => {
-		options.onRequest?.(request);
+	});
+	const server = http2.createServer({settings}, (request, response) => {
+		try {
+			options.onRequest?.(request);
+			handle(request, response);
+		} catch (error) {
+			options.recordFailure(error, undefined);
+			request.stream.close(http2.constants.NGHTTP2_INTERNAL_ERROR);
+		}
 	});
 	if (options.maximumStreams !== undefined) {
 		closeSessionsWithRows(server, turnStreams * options.maximumStreams);
@@ -82,6 +91,21 @@
 	};
 }
 
+/** Records what methods throw without meaning it as their answer; the library answers it as an internal error of its request. */
+function createFailureInterceptor({recordFailure}: PeerServerOptions): connect.Interceptor {
+	return next => async request => {
+		try {
+			return await next(request);
+		} catch (error) {
+			if (!(error instanceof connect.ConnectError)) {
+				recordFailure(error, request.method.name);
+			}
+
+			throw error;
+		}
+	};
+}
+
 /** Closes each session that begins too many requests in a turn of the event loop; more than may be unanswered begin only if some are reset. */
 function closeSessionsWithRows(server: http2.Http2Server, maximumRequests: number): void {
 	server.on('session', session => {
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -64,6 +64,9 @@
 	const opened = await createPeerServer({
 		host: '127.0.0.1',
 		port: 0,
+		recordFailure(error) {
+			throw error;
+		},
 		routes: [createForwardingRoutes({
 			incarnation,
 			applyHandover: claimLog.applyHandover,
--- a/test/seed-queries.test.ts
+++ b/test/seed-queries.test.ts
@@ -24,6 +24,9 @@
 	const server = await peerServer.createPeerServer({
 		host: '127.0.0.1',
 		port: port!,
+		recordFailure(error) {
+			throw error;
+		},
 		routes: [sharing.createSharingRoutes({
 			async handleFollow() {
 				requests++;
