--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -227,6 +227,11 @@
 			measurementPositions: loadPoller.getUsablePositions(),
 		}),
 	});
+	const recordFailure = (port: string, error: unknown, fields: Parameters<Logger['error']>[1]) => {
+		logger.error('handler-failed', {port, ...fields, reason: error instanceof Error ? error.stack ?? error.message : String(error)});
+		metrics.recordFailedHandler(port);
+	};
+
 	const callerServer = createCallerServer({
 		entryName: settings.name,
 		tracing,
@@ -235,6 +240,9 @@
 		getView: () => view,
 		isLeaving,
 		isEntryListStale: membership.isEntryListStale,
+		recordFailure(error, id) {
+			recordFailure('callers', error, {id});
+		},
 		handle,
 	}, settings.limits);
 
@@ -245,7 +253,11 @@
 		return neverthrow.err(callerListening.error);
 	}
 
-	const peerListening = await listenForPeers(settings.listen, [membership.routes, keyedCallExecutor.routes]);
+	const peerListening = await listenForPeers(settings.listen, {
+		routes: [membership.routes, keyedCallExecutor.routes], recordFailure(error, method) {
+			recordFailure('peers', error, {method});
+		},
+	});
 	if (peerListening.isErr()) {
 		services.close();
 		await keyedCallExecutor.close();
--- a/test/seed-queries.test.ts
+++ b/test/seed-queries.test.ts
@@ -25,6 +25,9 @@
 	const server = await peerServer.createPeerServer({
 		host: '127.0.0.1',
 		port: port!,
+		recordFailure(error) {
+			throw error;
+		},
 		routes: [sharing.createSharingRoutes({
 			async handleFollow(request) {
 				requests.push(request);
