Refuse the requests that no upstream has received before a stop ends

Callers saw: a request that waited behind others of its connection, for an admission, or for the rest of its body when the grace period ended was reset. Its caller couldn't know that nothing had run.

Cause: a stop decided about a request when it was started, and about those held for an upstream; the ones before their start were looked at only when their wait ended by itself.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -455,6 +455,7 @@
 
 		logger.info('gateway-leaving', {openRequests: frontServer.countOpen()});
 		sharing.announce();
+		const refusalTimer = setInterval(frontServer.refuseUnstarted, drainCheckIntervalMilliseconds);
 		if (lifeCycle.getState() === 'leaving') {
 			await timers.setTimeout(Math.min(longestNoticeMilliseconds, settings.graceMilliseconds * noticeShare));
 			lifeCycle.send('notice-over');
@@ -466,6 +467,7 @@
 		}
 
 		logger.info('gateway-stopped', {cutOff: frontServer.countOpen()});
+		clearInterval(refusalTimer);
 		frontServer.reset();
 		lifeCycle.send('calls-ended');
 		clearInterval(maintenanceTimer);
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -4,7 +4,6 @@
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as routeTable from '../decisions/configuration/route-table.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
-import type * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import * as responseDelivery from '../decisions/outcomes/response-delivery.ts';
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import {type RandomSource} from '../decisions/random.ts';
@@ -19,11 +18,13 @@
 import * as badConnectionsModule from './bad-connections.ts';
 import * as callStarter from './call-starter.ts';
 import * as callerConnections from './caller-connections.ts';
+import * as callerIdentity from './caller-identity.ts';
 import {type ActiveConfiguration} from './platform-state.ts';
 import type * as portLimits from './port-limits.ts';
 import * as requestReception from './request-reception.ts';
 import * as responseOrder from './response-order.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
+import * as unstartedRequests from './unstarted-requests.ts';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -69,6 +70,8 @@
 	stop(): Promise<void>;
 	/** Counts the connections that have been told the end, but are still open. */
 	countClosing(): number;
+	/** Refuses the requests that no upstream has received and that a planned stop leaves no time for. */
+	refuseUnstarted(): void;
 	/** Resets the connections whose requests are not finished. */
 	reset(): void;
 	/** Applies the timeouts of a configuration to everything that callers send from now on. */
@@ -85,9 +88,6 @@
 const maximumRelayedRequests = 64;
 /** Interval at which connections are checked against the timeouts, in milliseconds. */
 const connectionsCheckIntervalMilliseconds = 1000;
-type IdentifiedCaller
-	= | {readonly kind: 'identified'; readonly workspace: configuration.Workspace | undefined}
-		| {readonly kind: 'refused'; readonly reason: 'key-unreadable' | 'key-unknown' | 'key-undecided'};
 
 /** Creates the server; the caller starts and stops it. */
 export function createFrontServer(host: FrontServerHost): FrontServer {
@@ -106,6 +106,7 @@
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
 	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
 	const order = responseOrder.createResponseOrder(connections.exchanges);
+	const unstarted = unstartedRequests.createUnstartedRequests<RequestContext>();
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		if (connections.closing.isClosing(request.socket)) {
@@ -155,7 +156,7 @@
 			return;
 		}
 
-		const caller = identifyCaller(request, keys, route);
+		const caller = callerIdentity.identifyCaller(keys, keys.isActive ? host.headers.readCredentials(request) : {kind: 'absent'}, route.isPublic, host.isStale());
 		if (caller.kind !== 'identified') {
 			refuse(exchange, caller.reason, metadata.id);
 			return;
@@ -189,7 +190,10 @@
 	}
 
 	/** Goes on with a request once the allowance of its workspace has room for it, unless its caller leaves first. */
-	function admit(exchange: exchanges.Exchange, {id, workspace}: RequestContext, proceed: () => void): void {
+	function admit(exchange: exchanges.Exchange, context: RequestContext, proceed: () => void): void {
+		const {id, workspace} = context;
+		const waiting = {exchange, context, withdraw: () => undefined as void};
+		unstarted.add(waiting);
 		if (!workspace) {
 			proceed();
 			return;
@@ -217,31 +221,10 @@
 				}
 			}
 		});
+		waiting.withdraw = withdraw;
 		exchange.onEnd(withdraw);
 	}
 
-	/** Identifies the calling workspace. */
-	function identifyCaller(request: http.IncomingMessage, keys: workspaceKeys.KeyTable, route: configuration.Route): IdentifiedCaller {
-		const identification = keys.identify(keys.isActive ? host.headers.readCredentials(request) : {kind: 'absent'}, route.isPublic, host.isStale());
-		switch (identification.kind) {
-			case 'identified': {
-				return {kind: 'identified', workspace: identification.workspace};
-			}
-
-			case 'unreadable': {
-				return {kind: 'refused', reason: 'key-unreadable'};
-			}
-
-			case 'unknown': {
-				return {kind: 'refused', reason: 'key-unknown'};
-			}
-
-			case 'undecided': {
-				return {kind: 'refused', reason: 'key-undecided'};
-			}
-		}
-	}
-
 	function handleReceived(exchange: exchanges.Exchange, result: requestReception.ReceptionResult, context: RequestContext): void {
 		switch (result.kind) {
 			case 'refused': {
@@ -266,6 +249,10 @@
 
 	function start(exchange: exchanges.Exchange, body: CallBody, context: RequestContext): void {
 		const {request} = exchange;
+		if (!unstarted.remove(exchange)) {
+			return;
+		}
+
 		if (!host.canFinish(context)) {
 			refuse(exchange, 'stopping', context.id);
 			return;
@@ -297,6 +284,7 @@
 
 	function refuse(exchange: exchanges.Exchange, reason: frontRefusals.AnsweredRefusal, id: string | undefined): void {
 		const statusCode = frontRefusals.refusalStatuses[reason];
+		unstarted.remove(exchange);
 		host.recordRefusal(reason, id, statusCode);
 		if (reason === 'small-chunks') {
 			connections.reading.discard(exchange.request);
@@ -385,6 +373,14 @@
 		countDeferred: connections.reading.countDeferred,
 		stop: connections.stop,
 		countClosing: connections.closing.count,
+		refuseUnstarted() {
+			const now = host.getNow();
+			for (const {exchange, context, withdraw} of unstarted.takeWhere(request => now >= request.deadlineAt || !host.canFinish(request))) {
+				withdraw();
+				reception.abandon(exchange);
+				refuse(exchange, 'stopping', context.id);
+			}
+		},
 		reset() {
 			reception.close();
 			connections.reset();
--- a/src/gateway/request-reception.ts
+++ b/src/gateway/request-reception.ts
@@ -45,6 +45,8 @@
 export type RequestReception = {
 	/** Receives the body of a request. The listener is called once, unless the exchange ends first. */
 	receive(exchange: exchanges.Exchange, limits: RequestLimits, listener: (result: ReceptionResult) => void): void;
+	/** Discards what was received of a request and what follows; its listener isn't called any more. */
+	abandon(exchange: exchanges.Exchange): void;
 	/** Sets the time without any bytes after which a body is given up, in milliseconds. */
 	setIdleTimeout(milliseconds: number): void;
 	close(): void;
@@ -66,18 +68,19 @@
 	/** Time at which the latest part of the body arrived. */
 	movedAt: number;
 	body: receiveBody.BodyReception | undefined;
+	abandon(): void;
 	refuse(reason: ReceptionRefusal): void;
 };
 
 /** Creates the reception of an entry. */
 export function createRequestReception(host: RequestReceptionHost): RequestReception {
 	const blocks = bodyCollector.createBlockPool();
-	const receiving = new Set<ReceivingRequest>();
+	const receiving = new Map<exchanges.Exchange, ReceivingRequest>();
 	let idleTimeoutMilliseconds = Number.POSITIVE_INFINITY;
 
 	function refuseLateBodies(): void {
 		const now = host.getNow();
-		for (const request of receiving) {
+		for (const request of receiving.values()) {
 			if (now >= request.deadlineAt || now - request.movedAt >= idleTimeoutMilliseconds) {
 				request.refuse('body-late');
 			}
@@ -94,22 +97,24 @@
 				deadlineAt,
 				movedAt: receivedAt,
 				body: undefined,
-				refuse(reason) {
-					if (!receiving.delete(state)) {
-						return;
-					}
-
+				abandon() {
+					receiving.delete(exchange);
 					state.body?.abandon();
 					claim.free();
-					listener({kind: 'refused', reason});
+				},
+				refuse(reason) {
+					if (receiving.has(exchange)) {
+						state.abandon();
+						listener({kind: 'refused', reason});
+					}
 				},
 			};
 			const claim = host.memory.claim('callers', receivedAt, () => {
 				state.refuse('memory-full');
 			});
-			receiving.add(state);
+			receiving.set(exchange, state);
 			const endCut = () => {
-				if (receiving.delete(state)) {
+				if (receiving.delete(exchange)) {
 					state.body?.abandon();
 					listener({kind: 'cut'});
 				}
@@ -120,7 +125,7 @@
 				endCut();
 			});
 			claim.resize(headBytes, receivedAt);
-			if (!receiving.has(state)) {
+			if (!receiving.has(exchange)) {
 				return;
 			}
 
@@ -159,7 +164,7 @@
 								break;
 							}
 
-							receiving.delete(state);
+							receiving.delete(exchange);
 							listener({kind: 'complete', body: received.body});
 							break;
 						}
@@ -167,6 +172,9 @@
 				},
 			});
 		},
+		abandon(exchange) {
+			receiving.get(exchange)?.abandon();
+		},
 		setIdleTimeout(milliseconds) {
 			idleTimeoutMilliseconds = milliseconds;
 		},
