Bound the whole stop of a process by one clock that leaves a margin

Callers saw nothing by themselves: a process that was still there at the end of its grace period is killed by the platform, with what it had to say.

Cause: the time of the reset was 150 ms before the end, and the waits behind it (20 ms for the check, 50 ms for connections, 100 ms for the log) were added up without a look at the clock. Nothing bounded a stop of which a part stands still.

Change: stop-times.ts divides the grace period from the signal on; the process waits for nothing beyond these times and ends 100 ms before the end. Its test couldn't run on the old code, whose stop called process.exit itself; the old code had no bound there.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -4,6 +4,7 @@
 import * as timers from 'node:timers/promises';
 import * as shutdownAdmission from '../decisions/admission/shutdown-admission.ts';
 import * as smallChunks from '../decisions/admission/small-chunks.ts';
+import * as stopTimes from '../decisions/admission/stop-times.ts';
 import * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import {createCheckBudget} from '../decisions/measurement/check-budget.ts';
 import {createRandomSource} from '../decisions/random.ts';
@@ -82,17 +83,11 @@
 
 /** Time from the signal to stop until the gateway accepts no new connections, in milliseconds: the longest time for which callers keep an address. */
 const noticeMilliseconds = 3200;
-/** Largest share of the grace period that this notice may take. */
-const noticeShare = 0.55;
-/** Time before the end of the grace period at which requests in flight are aborted, in milliseconds. */
-const abortMarginMilliseconds = 150;
-/** Time before that at which requests that no upstream has received are refused, in milliseconds. */
-const refusalMarginMilliseconds = 100;
 const drainCheckIntervalMilliseconds = 20;
 const maintenanceIntervalMilliseconds = 1000;
 const peerGraceMilliseconds = 30;
 /** Time after which a stop no longer waits for connections to other entries and the store, in milliseconds. */
-const closeMilliseconds = 50;
+const longestCloseMilliseconds = 50;
 /** Time for which a computed share of a budget is used, in milliseconds; the demand that it depends on changes less often. */
 const shareLifetimeMilliseconds = 200;
 /** Share of the memory of the instance for what callers and upstreams send; the rest is for the program, its state and garbage. */
@@ -275,7 +270,7 @@
 		permits,
 		relays,
 		random,
-		getHoldEnd: () => stopsAt - refusalMarginMilliseconds,
+		getHoldEnd: () => stop?.refusesAt ?? Number.POSITIVE_INFINITY,
 		tryChargeCheck: ({registration: {id, service}}, purpose, now) => checkBudget.tryCharge({id, service, serviceUpstreamCount: upstreams.listUsable(service).length}, purpose, getCheckShare(now), now),
 		recordLoadSupport(service, reportsLoad) {
 			if (reportsLoad) {
@@ -287,7 +282,8 @@
 		},
 		reportsLoad: service => !servicesWithoutLoad.has(service),
 	});
-	let stopsAt = Number.POSITIVE_INFINITY;
+	let stop: stopTimes.StopTimes | undefined;
+	const getResetTime = () => stop?.resetsAt ?? Number.POSITIVE_INFINITY;
 	function getShutdownPhase(): shutdownAdmission.ShutdownPhase {
 		switch (lifeCycle.getState()) {
 			case 'starting':
@@ -296,12 +292,12 @@
 			}
 
 			case 'leaving': {
-				return {kind: 'notice', stopsAt};
+				return {kind: 'notice', stopsAt: getResetTime()};
 			}
 
 			case 'draining':
 			case 'stopped': {
-				return {kind: 'draining', stopsAt};
+				return {kind: 'draining', stopsAt: getResetTime()};
 			}
 		}
 	}
@@ -451,19 +447,21 @@
 			return;
 		}
 
-		stopsAt = getNow() + settings.graceMilliseconds - abortMarginMilliseconds;
+		const times = stopTimes.getStopTimes(getNow(), settings.graceMilliseconds, longestNoticeMilliseconds);
+		stop = times;
+		const waitUntil = async (time: number) => timers.setTimeout(Math.max(0, time - getNow()));
 
 		logger.info('gateway-leaving', {openRequests: frontServer.countOpen()});
 		sharing.announce();
 		const refusalTimer = setInterval(frontServer.refuseUnstarted, drainCheckIntervalMilliseconds);
 		if (lifeCycle.getState() === 'leaving') {
-			await timers.setTimeout(Math.min(longestNoticeMilliseconds, settings.graceMilliseconds * noticeShare));
+			await waitUntil(times.noticeEndsAt);
 			lifeCycle.send('notice-over');
 		}
 
 		await frontServer.stop();
-		while ((frontServer.countOpen() > 0 || frontServer.countClosing() > 0) && getNow() < stopsAt) {
-			await timers.setTimeout(drainCheckIntervalMilliseconds);
+		while ((frontServer.countOpen() > 0 || frontServer.countClosing() > 0) && getNow() < times.resetsAt) {
+			await waitUntil(Math.min(times.resetsAt, getNow() + drainCheckIntervalMilliseconds));
 		}
 
 		logger.info('gateway-stopped', {cutOff: frontServer.countOpen()});
@@ -484,7 +482,7 @@
 		readinessServer.close();
 		metricsServer.close();
 		const closed = Promise.all([peerServer.close(peerGraceMilliseconds), platform.close()]);
-		await Promise.race([closed, timers.setTimeout(closeMilliseconds)]);
+		await Promise.race([closed, waitUntil(Math.min(times.closesAt, getNow() + longestCloseMilliseconds))]);
 	}
 
 	return {
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import {createPlatform} from '../../platform/create-platform.ts';
 import {readPlatformSettings, settingsPathVariable} from '../../platform/settings.ts';
+import * as stopTimes from '../decisions/admission/stop-times.ts';
 import {createDiagnostic, diagnostics} from '../decisions/diagnostics.ts';
 import {createGateway, type Gateway} from '../gateway/create-gateway.ts';
 import {type GatewaySettings} from '../gateway/settings.ts';
@@ -66,8 +67,10 @@
 
 async function start(path: string, settings: GatewaySettings, localAddress: string | undefined): Promise<void> {
 	const logger = createLogger('info', {entry: settings.name}, writer);
+	const {givesUpAt, exitsAt} = stopTimes.getStopTimes(0, settings.graceMilliseconds, 0);
 	const stop = processStop.handleStop({
 		logger,
+		limits: {leaveMilliseconds: givesUpAt, endMilliseconds: exitsAt},
 		logCrash(reason) {
 			logger.error('gateway-crashed', {reason});
 		},
--- /dev/null
+++ b/src/programs/shared/process-stop.test.ts
@@ -0,0 +1,61 @@
+import * as vitest from 'vitest';
+import * as processStop from './process-stop.ts';
+
+const {afterEach, beforeEach, expect, test, vi} = vitest;
+
+beforeEach(() => {
+	vi.useFakeTimers();
+});
+
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+const never = async () => {
+	await new Promise(() => {
+		// Never settles.
+	});
+};
+
+const limits = {leaveMilliseconds: 1800, endMilliseconds: 1900};
+
+function createHost(flush: () => Promise<void>) {
+	const events: unknown[] = [];
+	const record = () => undefined;
+	const stop = processStop.createStop({
+		logger: {
+			error(event, fields) {
+				events.push([event, fields]);
+			}, warn: record, info: record, debug: record,
+		},
+		limits,
+		flush,
+	}, code => {
+		events.push(['exit', code]);
+	});
+	return {events, stop};
+}
+
+// Guards against a process that is killed at the end of its grace period because a part of its stop never ends.
+test('a process ends in time although its stop and its log stand still', async () => {
+	const {events, stop} = createHost(never);
+	stop.handOver({leave: never, leaveAtOnce: never});
+	stop.stop(0, async stoppable => stoppable.leave());
+	await vi.advanceTimersByTimeAsync(1000);
+	stop.stop(0, async stoppable => stoppable.leave());
+	await vi.advanceTimersByTimeAsync(limits.leaveMilliseconds - 1001);
+	expect(events).toEqual([]);
+	await vi.advanceTimersByTimeAsync(1);
+	expect(events).toEqual([['stop-failed', {reason: 'overdue'}]]);
+	await vi.advanceTimersByTimeAsync(limits.endMilliseconds - limits.leaveMilliseconds);
+	expect(events.at(-1)).toEqual(['exit', 1]);
+});
+
+test('a process ends as soon as its stop does, once, with code 1 after an error', async () => {
+	const {events, stop} = createHost(async () => undefined);
+	stop.handOver({leave: async () => undefined, leaveAtOnce: never});
+	stop.stop(0, async stoppable => stoppable.leave());
+	stop.stop(1, async stoppable => stoppable.leaveAtOnce());
+	await vi.advanceTimersByTimeAsync(limits.endMilliseconds);
+	expect(events).toEqual([['exit', 1]]);
+});
--- a/src/programs/shared/process-stop.ts
+++ b/src/programs/shared/process-stop.ts
@@ -14,6 +14,8 @@
 /** Dependencies of the stop of a process. */
 export type ProcessStopHost = {
 	readonly logger: Logger;
+	/** Time after the signal at which the part that serves callers is no longer waited for, and at which the process ends, in milliseconds; none by default. */
+	readonly limits?: {readonly leaveMilliseconds: number; readonly endMilliseconds: number};
 	/** Logs that an error that nothing has handled ends the process. */
 	logCrash(reason: string): void;
 	/** Writes the log lines that are buffered. */
@@ -26,38 +28,69 @@
 	handOver(stoppable: Stoppable): void;
 };
 
-/** Handles SIGTERM, SIGINT and uncaught errors from now on. */
-export function handleStop({logger, logCrash, flush}: ProcessStopHost): ProcessStop {
+/** Stop that something else than the process triggers. */
+export type TriggeredStop = ProcessStop & {
+	/** Stops once: a second call must not cut the stop short. */
+	stop(exitCode: number, leave: (stoppable: Stoppable) => Promise<void>): void;
+};
+
+/** Creates a stop that calls a function with the exit code at its end. */
+export function createStop({logger, limits, flush}: Omit<ProcessStopHost, 'logCrash'>, exit: (code: number) => void): TriggeredStop {
 	let running: Stoppable | undefined;
 	let isStopping = false;
 	let exitCode = 0;
 
-	/** Stops once: a second signal must neither end the process by default nor cut the stop short. */
-	function stop(leave: (stoppable: Stoppable) => Promise<void>): void {
-		if (!isStopping) {
-			isStopping = true;
-			void leaveAndExit(leave);
-		}
-	}
-
 	/** What is still starting has accepted nothing. */
 	async function leaveAndExit(leave: (stoppable: Stoppable) => Promise<void>): Promise<void> {
+		const overdue = createTimeLimit(limits?.leaveMilliseconds);
+		const end = createTimeLimit(limits?.endMilliseconds);
 		try {
-			if (running) {
-				await leave(running);
+			const stopped = running ? leave(running) : Promise.resolve();
+			if (await Promise.race([stopped, overdue]) === 'over') {
+				exitCode = 1;
+				logger.error('stop-failed', {reason: 'overdue'});
 			}
 		} catch (error) {
 			exitCode = 1;
 			logger.error('stop-failed', {reason: String(error)});
 		}
 
-		await flush();
-		process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit
+		await Promise.race([flush(), end]);
+		exit(exitCode);
 	}
 
+	return {
+		handOver(stoppable) {
+			running = stoppable;
+		},
+		stop(code, leave) {
+			exitCode = Math.max(exitCode, code);
+			if (!isStopping) {
+				isStopping = true;
+				void leaveAndExit(leave);
+			}
+		},
+	};
+}
+
+async function createTimeLimit(milliseconds: number | undefined): Promise<'over'> {
+	return new Promise(resolve => {
+		if (milliseconds !== undefined) {
+			setTimeout(resolve, milliseconds, 'over');
+		}
+	});
+}
+
+/** Handles SIGTERM, SIGINT and uncaught errors from now on. */
+export function handleStop(host: ProcessStopHost): ProcessStop {
+	const {logger, logCrash} = host;
+	const triggered = createStop(host, code => {
+		process.exit(code); // eslint-disable-line unicorn/no-process-exit
+	});
+	// A second signal must not end the process by default.
 	const handleSignal = (signal: NodeJS.Signals) => {
 		logger.info('signal-received', {signal});
-		stop(async stoppable => stoppable.leave());
+		triggered.stop(0, async stoppable => stoppable.leave());
 	};
 
 	process.on('SIGTERM', handleSignal);
@@ -71,12 +104,7 @@
 
 		// The requests at work are answered first, as each runs apart from the part that failed.
 		logCrash(error.stack ?? error.message);
-		exitCode = 1;
-		stop(async stoppable => stoppable.leaveAtOnce());
+		triggered.stop(1, async stoppable => stoppable.leaveAtOnce());
 	});
-	return {
-		handOver(stoppable) {
-			running = stoppable;
-		},
-	};
+	return triggered;
 }
