Close connections that hold nothing before those with a response on its way

Callers saw: when the port for callers had too many connections, or memory was short, the connection that was closed at once could be one that was being closed in steps, with the answer of its last request on its way.

Cause: such a connection was limited again as an idle one from the end of its exchange on. It had moved least, and what it discarded counted as a head that is being received, so it was even chosen first.

Change: claims know what is on its way on their connection. Those with nothing give way first, then those closed behind a refusal. One behind an answer of an upstream gives way for memory only; a new connection is closed in its place.

Connections that stay open are told apart as before, by their last movement.

--- a/src/decisions/admission/traffic-memory.ts
+++ b/src/decisions/admission/traffic-memory.ts
@@ -7,11 +7,17 @@
 Each connection, request and response claims what it can hold. When the claims exceed their part of the memory, the
 largest one that hasn't moved for a while gives way; if all of them move, the largest. A request that is complete is kept
 until it ends, since an upstream may run it. Kept claims have a part of their own, so that a request can always arrive.
+
+A connection with a response on its way gives way after those that hold nothing, and for no new one if an upstream has run
+its request: the caller would not learn how it ended.
 */
 
 /** What a claim is for. A claim of a port closes its connection when it gives way. */
 export type ClaimGroup = 'callers' | 'directory' | 'readiness' | 'metrics' | 'peers' | 'peer-messages' | 'responses';
 
+/** Response that has left the entry, but may not have reached the caller. */
+export type ResponseOnItsWay = 'none' | 'refusal' | 'answer';
+
 /** Memory of one connection, request or response. */
 export type MemoryClaim = {
 	/** Changes the size because data has moved. Other claims, or this one, may give way. */
@@ -20,6 +26,8 @@
 	recordMove(now: number): void;
 	/** Keeps the claim from giving way from now on; its size must not grow any more. Returns false, without an effect, if it gave way or too much is kept. */
 	keep(): boolean;
+	/** Records what is on its way on the connection of the claim. */
+	setOnItsWay(response: ResponseOnItsWay): void;
 	/** Frees the memory. */
 	free(): void;
 };
@@ -28,13 +36,13 @@
 export type TrafficMemory = {
 	/** Creates a claim; `onGiveWay` is called at most once, and never after `free`. */
 	claim(group: ClaimGroup, now: number, onGiveWay: () => void): MemoryClaim;
-	/** Lets the claim of a group that holds most and moves least give way. Returns false if there is none. */
+	/** Lets the claim of a group that holds most and moves least give way, unless an answer is on its way. Returns false if there is none. */
 	closeOne(group: ClaimGroup, now: number): boolean;
 	/** Number of bytes that are claimed. */
 	getUsed(): number;
 };
 
-type Entry = {readonly group: ClaimGroup; readonly onGiveWay: () => void; bytes: number; movedAt: number; isKept: boolean};
+type Entry = {readonly group: ClaimGroup; readonly onGiveWay: () => void; bytes: number; movedAt: number; isKept: boolean; onItsWay: ResponseOnItsWay};
 
 /** Time without movement after which a claim gives way before those that move, in milliseconds. */
 const stallMilliseconds = 1000;
@@ -43,6 +51,8 @@
 /** Size up to which a claim is small, in bytes, and the share of the part for kept claims that larger ones may take. */
 const smallBytes = 65_536;
 const largeKeptShare = 0.8;
+/** Order in which connections give way. */
+const orderOnItsWay: Readonly<Record<ResponseOnItsWay, number>> = {none: 0, refusal: 1, answer: 2};
 
 /** Creates an empty memory of the given size. */
 export function createTrafficMemory(maximumBytes: number): TrafficMemory {
@@ -59,11 +69,10 @@
 		}
 	}
 
-	function findFirstToGiveWay(now: number, group?: ClaimGroup): Entry | undefined {
+	function findFirstToGiveWay(now: number, isCandidate: (entry: Entry) => boolean): Entry | undefined {
 		let first: Entry | undefined;
 		for (const entry of entries) {
-			const isCandidate = !entry.isKept && (group === undefined || entry.group === group);
-			if (isCandidate && (!first || givesWayBefore(entry, first, now))) {
+			if (!entry.isKept && isCandidate(entry) && (!first || givesWayBefore(entry, first, now))) {
 				first = entry;
 			}
 		}
@@ -82,7 +91,7 @@
 	}
 
 	function makeRoom(now: number): void {
-		const first = used - kept > maximumMovingBytes ? findFirstToGiveWay(now) : undefined;
+		const first = used - kept > maximumMovingBytes ? findFirstToGiveWay(now, () => true) : undefined;
 		if (first) {
 			giveWay(first);
 			makeRoom(now);
@@ -92,7 +101,7 @@
 	return {
 		claim(group, now, onGiveWay) {
 			const entry: Entry = {
-				group, onGiveWay, bytes: 0, movedAt: now, isKept: false,
+				group, onGiveWay, bytes: 0, movedAt: now, isKept: false, onItsWay: 'none',
 			};
 			entries.add(entry);
 			return {
@@ -123,13 +132,16 @@
 
 					return true;
 				},
+				setOnItsWay(response) {
+					entry.onItsWay = response;
+				},
 				free() {
 					free(entry);
 				},
 			};
 		},
 		closeOne(group, now) {
-			const first = findFirstToGiveWay(now, group);
+			const first = findFirstToGiveWay(now, entry => entry.group === group && entry.onItsWay !== 'answer');
 			if (first) {
 				giveWay(first);
 			}
@@ -141,6 +153,10 @@
 }
 
 function givesWayBefore(left: Entry, right: Entry, now: number): boolean {
+	if (left.onItsWay !== right.onItsWay) {
+		return orderOnItsWay[left.onItsWay] < orderOnItsWay[right.onItsWay];
+	}
+
 	const isLeftStalled = isStalled(left, now);
 	if (isLeftStalled !== isStalled(right, now)) {
 		return isLeftStalled;
--- a/src/entry/closing-connections.ts
+++ b/src/entry/closing-connections.ts
@@ -26,8 +26,8 @@
 const lingerMilliseconds = 1000;
 const ignore = () => undefined;
 
-/** Creates the tracker without connections. */
-export function createClosingConnections<Socket extends stream.Duplex>(): ClosingConnections<Socket> {
+/** Creates the tracker without connections; the listener is called when a connection begins to close. */
+export function createClosingConnections<Socket extends stream.Duplex>(onClosing: (socket: Socket) => void = ignore): ClosingConnections<Socket> {
 	const unread = new WeakSet<Socket>();
 	const ending = new Set<Socket>();
 
@@ -65,6 +65,7 @@
 
 			stopReading(socket);
 			ending.add(socket);
+			onClosing(socket);
 			socket.once('close', () => {
 				ending.delete(socket);
 			});
@@ -82,8 +83,8 @@
 }
 
 /** Closes the connections of a server in steps where Node.js would destroy them after their last response. */
-export function closeInSteps(server: net.Server): ClosingConnections<net.Socket> {
-	const closing = createClosingConnections<net.Socket>();
+export function closeInSteps(server: net.Server, onClosing?: (socket: net.Socket) => void): ClosingConnections<net.Socket> {
+	const closing = createClosingConnections<net.Socket>(onClosing);
 	server.on('connection', (socket: net.Socket) => {
 		socket.destroySoon = () => {
 			closing.close(socket);
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -54,6 +54,8 @@
 	cutReason: CutReason;
 	/** Whether the caller has closed the connection, or it failed. */
 	hasCallerLeft: boolean;
+	/** Whether a request of the connection was passed on. */
+	hasPassedOn: boolean;
 };
 
 /** Tracks the connections of a server from now on, and limits those without a request. */
@@ -62,11 +64,13 @@
 	const connections = new Map<net.Socket, ConnectionState>();
 	const exchanges = exchangesModule.createExchanges();
 	const passedOn = new WeakSet<exchangesModule.Exchange>();
-	const closing = closingConnections.closeInSteps(server);
+	const closing = closingConnections.closeInSteps(server, socket => {
+		port.beginClosing(socket, connections.get(socket)?.hasPassedOn ? 'answer' : 'refusal');
+	});
 	const idle = idleConnections.trackIdleConnections(server, {closing, countOn: exchanges.countOn});
 
 	server.on('connection', (socket: net.Socket) => {
-		const state: ConnectionState = {cutReason: 'server', hasCallerLeft: false};
+		const state: ConnectionState = {cutReason: 'server', hasCallerLeft: false, hasPassedOn: false};
 		connections.set(socket, state);
 		const leave = () => {
 			state.hasCallerLeft = true;
@@ -120,6 +124,10 @@
 		},
 		recordPassedOn(exchange) {
 			passedOn.add(exchange);
+			const state = connections.get(exchange.socket);
+			if (state) {
+				state.hasPassedOn = true;
+			}
 		},
 		cut,
 		countExchanges: exchanges.count,
--- a/src/gateway/port-limits.ts
+++ b/src/gateway/port-limits.ts
@@ -2,7 +2,7 @@
 Limits the connections of the ports of an entry, in number and in memory.
 
 When a port has too many connections, or the entry has too little memory, the connection that holds most and moves least
-is closed.
+is closed, if possible one without a response on its way.
 */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
@@ -27,6 +27,8 @@
 	beginUse(socket: net.Socket): void;
 	/** Limits a connection again; what it receives from now on belongs to its next request. */
 	endUse(socket: net.Socket): void;
+	/** Records that a connection is closed behind a response; what arrives on it is discarded. */
+	beginClosing(socket: net.Socket, response: Exclude<trafficMemory.ResponseOnItsWay, 'none'>): void;
 	/** Number of open connections. */
 	countConnections(): number;
 	close(): void;
@@ -65,6 +67,7 @@
 	observedBytes: number;
 	/** Number of bytes that belong to earlier requests. */
 	earlierBytes: number;
+	onItsWay: trafficMemory.ResponseOnItsWay;
 };
 
 /** Creates the limits of an entry. */
@@ -88,7 +91,7 @@
 		function observe(): void {
 			const now = host.getNow();
 			for (const [socket, connection] of connections) {
-				if (socket.bytesRead !== connection.observedBytes) {
+				if (connection.onItsWay === 'none' && socket.bytesRead !== connection.observedBytes) {
 					connection.observedBytes = socket.bytesRead;
 					connection.claim?.resize(connectionBytes + (bytesPerHeadByte * getHeadBytes(socket, connection)), now);
 				}
@@ -106,7 +109,9 @@
 				return;
 			}
 
-			const connection: Connection = {claim: undefined, observedBytes: 0, earlierBytes: 0};
+			const connection: Connection = {
+				claim: undefined, observedBytes: 0, earlierBytes: 0, onItsWay: 'none',
+			};
 			connections.set(socket, connection);
 			socket.once('close', () => {
 				connections.delete(socket);
@@ -128,6 +133,14 @@
 				if (connection && !connection.claim && !socket.destroyed) {
 					connection.earlierBytes = socket.bytesRead;
 					connection.claim = claim(socket);
+					connection.claim.setOnItsWay(connection.onItsWay);
+				}
+			},
+			beginClosing(socket, response) {
+				const connection = connections.get(socket);
+				if (connection) {
+					connection.onItsWay = response;
+					connection.claim?.setOnItsWay(response);
 				}
 			},
 			countConnections: () => connections.size,
