Log connection-cut where the end of a connection shows as an error

Callers saw requests that ended with their connection, and the log had no line for it.

Cause: each error of a caller's socket was taken for a departure of the caller, also one of the network, and one that followed a cut by the entry itself.

Change: ECONNRESET and EPIPE are a reset by the caller; any other error is logged as connection-failed; a cut keeps its reason. A device that resets a connection on the way can't be told from the caller.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -8,7 +8,7 @@
 import type * as portLimits from './port-limits.ts';
 
 /** Why a connection ended although a request on it was not answered; `server` if the HTTP server closed it by itself. */
-export type CutReason = 'response-not-taken' | 'stop-over' | 'server';
+export type CutReason = 'response-not-taken' | 'stop-over' | 'connection-failed' | 'server';
 
 /** A connection that ended, although its caller had not left, with requests that were not answered. */
 export type CutConnection = {
@@ -58,6 +58,9 @@
 	hasPassedOn: boolean;
 };
 
+/** Codes of errors by which a connection shows that its caller has reset it. */
+const resetCodes: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
+
 /** Tracks the connections of a server from now on, and limits those without a request. */
 export function trackConnections(server: http.Server, host: CallerConnectionsHost): CallerConnections {
 	const {port, getNow} = host;
@@ -72,12 +75,20 @@
 	server.on('connection', (socket: net.Socket) => {
 		const state: ConnectionState = {cutReason: 'server', hasCallerLeft: false, hasPassedOn: false};
 		connections.set(socket, state);
-		const leave = () => {
+		socket.once('end', () => {
 			state.hasCallerLeft = true;
-		};
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			if (state.cutReason !== 'server') {
+				return;
+			}
 
-		socket.once('end', leave);
-		socket.once('error', leave);
+			if (resetCodes.has(error.code)) {
+				state.hasCallerLeft = true;
+			} else {
+				state.cutReason = 'connection-failed';
+			}
+		});
 		socket.once('close', () => {
 			connections.delete(socket);
 			reportCut(socket, state);
