Accept the connections that wait in the system before a stop closes the port

Cause: timers run before sockets are read and connections are accepted. The process was 1.2 s late (leaving at 37.695 s, draining at 42.123 s with a notice of 3.2 s), found the end of the notice due first, and closed the port, so the system reset the connections that waited to be accepted.

Evidence: test/late-processes.test.ts, a stopping process that stands still while three callers connect: none is answered on the old code. With one turn of the event loop before the close one of three was: one connection is accepted in each turn.

--- a/src/entry/idle-connections.ts
+++ b/src/entry/idle-connections.ts
@@ -19,14 +19,19 @@
 	stop(): Promise<void>;
 };
 
+/** Number of connections that wait in the system at most: the default of Node.js. */
+const maximumWaiting = 511;
+
 /** Tracks the connections of a server from now on, and closes them when they have been idle for the timeout of the server. */
 export function trackIdleConnections(server: http.Server, {closing, countOn}: IdleConnectionsHost): IdleConnections {
 	/** Number of bytes that each open connection had received when its last exchange ended. */
 	const receivedBytes = new Map<net.Socket, number>();
 	let isStopping = false;
+	let acceptedCount = 0;
 
 	server.on('timeout', closeIfUnused);
 	server.on('connection', (socket: net.Socket) => {
+		acceptedCount++;
 		receivedBytes.set(socket, 0);
 		socket.once('close', () => {
 			receivedBytes.delete(socket);
@@ -43,6 +48,16 @@
 		});
 	}
 
+	/** Accepts the connections that wait in the system, which resets them otherwise: a process that is late finds the end of the notice due before them. */
+	async function acceptWaiting(): Promise<void> {
+		let lastCount = -1;
+		for (let turns = 0; turns < maximumWaiting && acceptedCount !== lastCount; turns++) {
+			lastCount = acceptedCount;
+			// One connection is accepted in each turn of the event loop.
+			await timers.setImmediate();
+		}
+	}
+
 	return {
 		recordIdle(socket) {
 			if (!receivedBytes.has(socket)) {
@@ -56,6 +71,7 @@
 		},
 		async stop() {
 			isStopping = true;
+			await acceptWaiting();
 			// `http.Server.close` also closes connections whose responses were written, but not yet taken by the system.
 			net.Server.prototype.close.call(server);
 			for (const [socket, bytes] of receivedBytes) {
--- /dev/null
+++ b/test/late-processes.test.ts
@@ -0,0 +1,34 @@
+/** Tests of gateway processes that stand still while something arrives, and find their timers due when they go on. */
+import * as timers from 'node:timers/promises';
+import * as vitest from 'vitest';
+import * as gatewayProcess from './support/gateway-process.ts';
+import * as gateways from './support/gateways.ts';
+import * as rawCaller from './support/raw-caller.ts';
+
+const {afterEach, beforeEach, expect, test} = vitest;
+let standIns: gatewayProcess.StandIns;
+
+beforeEach(async () => {
+	standIns = await gatewayProcess.startStandIns();
+});
+
+afterEach(gatewayProcess.close);
+
+// Guards against connections that the system has accepted and that are reset because the notice of a stop is over when the process goes on.
+test('a request on a new connection is answered although a stopping process stood still while it arrived', async () => {
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	gateway.signal('SIGTERM');
+	await gateways.waitUntil(() => gateway.hasLogged('gateway-leaving'));
+	gateway.signal('SIGSTOP');
+	await timers.setTimeout(200);
+	const callers = ['a', 'b', 'c'].map(id => {
+		const caller = rawCaller.connect(gateway.front);
+		caller.socket.write(rawCaller.createRequest(id));
+		return caller;
+	});
+	await timers.setTimeout(1100);
+	gateway.signal('SIGCONT');
+	await Promise.all(callers.map(async ({closed}) => closed));
+	expect(callers.map(caller => caller.listStatuses().length)).toEqual([1, 1, 1]);
+	expect(await gateway.exited).toEqual({code: 0});
+});
