Read a response that has arrived before a request is given up at its deadline

Cause: timers run before sockets are read. The event loop of the gateway was 1423 ms late, by its own log; it found the deadline due first, and the response lay in the socket.

Change: the deadline takes effect a turn of the event loop later, after the sockets have been read. Responses that take more than one turn to read are still given up.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -348,12 +348,17 @@
 		});
 	}
 
-	const deadlineTimer = setTimeout(() => {
-		if (isAnswered) {
-			stop();
-		} else {
+	function endAtDeadline(): void {
+		if (!isAnswered) {
 			giveUp('time-over');
+		} else if (running.size > 0) {
+			stop();
 		}
+	}
+
+	const deadlineTimer = setTimeout(() => {
+		// A process that is late finds the timer due before it reads a response that has arrived.
+		setImmediate(endAtDeadline);
 	}, Math.max(1, request.deadlineAt + deadlineSlackMilliseconds - host.getNow()));
 	host.budget.countRequest(service, host.getNow());
 	selectUpstream();
--- a/test/late-processes.test.ts
+++ b/test/late-processes.test.ts
@@ -32,3 +32,18 @@
 	expect(callers.map(caller => caller.listStatuses().length)).toEqual([1, 1, 1]);
 	expect(await gateway.exited).toEqual({code: 0});
 });
+
+// Guards against an answer that has arrived and is replaced by the entry's own because the deadline is due when the process goes on.
+test('an answer that arrived in time is delivered although the process stood still until after the deadline', async () => {
+	standIns.upstream.setBehavior({kind: 'answer', milliseconds: 500});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	const caller = rawCaller.connect(gateway.front);
+	caller.socket.write(rawCaller.createRequest('a', {path: '/credit/1', method: 'POST', body: 'x'}));
+	await gateways.waitUntil(() => standIns.upstream.receivedRequests.length === 1);
+	gateway.signal('SIGSTOP');
+	await timers.setTimeout(2500);
+	gateway.signal('SIGCONT');
+	await gateways.waitUntil(() => caller.listStatuses().length === 1 || caller.socket.destroyed);
+	expect(caller.listStatuses()).toEqual([200]);
+	expect(caller.listAnswered()).toEqual(['a']);
+});
