--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -25,6 +25,7 @@
 import * as requestReception from './request-reception.ts';
 import * as responseOrder from './response-order.ts';
 import {type GatewayResponse, type GatewayRequest, type HeaderHost} from './types.ts';
+import * as unstartedRequests from './unstarted-requests.ts';
 
 /** Properties of a request that are determined before its body is received. */
 type RequestContext = Omit<GatewayRequest, 'method' | 'path' | 'headers' | 'body'>;
@@ -72,6 +73,8 @@
 	stop(): Promise<void>;
 	/** Counts the connections that have been told the end, but are still open. */
 	countClosing(): number;
+	/** Refuses the requests that no upstream has received and that a planned stop leaves no time for. */
+	refuseUnstarted(): void;
 	/** Resets the connections whose requests are not finished. */
 	reset(): void;
 	/** Applies the timeouts of a configuration to everything that callers send from now on. */
@@ -106,8 +109,15 @@
 	const reception = requestReception.createRequestReception({...host, yieldReading: connections.reading.yieldReading});
 	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
 	const order = responseOrder.createResponseOrder(connections.exchanges);
+	const unstarted = unstartedRequests.createUnstartedRequests<RequestContext>();
 	const {guard} = requestBoundary.createRequestBoundary({
-		recordFailure: host.recordFailure, readId: ({request}) => host.headers.readRequest(request.headers).id, isPassedOn: connections.isPassedOn, respond,
+		recordFailure: host.recordFailure,
+		readId: ({request}) => host.headers.readRequest(request.headers).id,
+		isPassedOn: connections.isPassedOn,
+		respond(exchange, response) {
+			unstarted.remove(exchange);
+			respond(exchange, response);
+		},
 	});
 
 	function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -203,7 +213,10 @@
 	}
 
 	/** Goes on with a request once the allowance of its workspace has room for it, unless its caller leaves first. */
-	function admit(exchange: exchanges.Exchange, {id, workspace}: RequestContext, proceed: () => void): void {
+	function admit(exchange: exchanges.Exchange, context: RequestContext, proceed: () => void): void {
+		const {id, workspace} = context;
+		const waiting = {exchange, context, withdraw: () => undefined as void};
+		unstarted.add(waiting);
 		if (!workspace) {
 			proceed();
 			return;
@@ -214,6 +227,7 @@
 				handleAdmission(admission);
 			});
 		});
+		waiting.withdraw = withdraw;
 		exchange.onEnd(withdraw);
 
 		function handleAdmission(admission: allowances.Admission): void {
@@ -266,6 +280,10 @@
 
 	function start(exchange: exchanges.Exchange, body: CallBody, context: RequestContext): void {
 		const {request} = exchange;
+		if (!unstarted.remove(exchange)) {
+			return;
+		}
+
 		if (!host.canFinish(context)) {
 			refuse(exchange, 'stopping', context.id);
 			return;
@@ -294,6 +312,7 @@
 
 	function refuse(exchange: exchanges.Exchange, reason: frontRefusals.AnsweredRefusal, id: string | undefined): void {
 		const statusCode = frontRefusals.refusalStatuses[reason];
+		unstarted.remove(exchange);
 		host.recordRefusal(reason, id, statusCode);
 		if (reason === 'small-chunks') {
 			connections.reading.discard(exchange.request);
@@ -384,6 +403,14 @@
 		countDeferred: connections.reading.countDeferred,
 		stop: connections.stop,
 		countClosing: connections.closing.count,
+		refuseUnstarted() {
+			const now = host.getNow();
+			for (const {exchange, context, withdraw} of unstarted.takeWhere(request => now >= request.deadlineAt || !host.canFinish(request))) {
+				withdraw();
+				reception.abandon(exchange);
+				refuse(exchange, 'stopping', context.id);
+			}
+		},
 		reset() {
 			reception.close();
 			connections.reset();
