Hear of other entries before an entry that starts reads the store

Cause: it read the copy before the first seed had answered. What it had from the copy was as new as the answer, and no later news take the upstream out until its removal is written again.

The two tests of the loop expect the entry to follow first, since the other one answers at once there; they checked what it does when that one is silent, and still do.

--- a/src/gateway/sharing-loop.ts
+++ b/src/gateway/sharing-loop.ts
@@ -14,6 +14,7 @@
 import * as newerState from './newer-state.ts';
 import {type PlatformState} from './platform-state.ts';
 import * as seedQueries from './seed-queries.ts';
+import * as seedWaits from './seed-wait.ts';
 import type * as statementRecorder from './statement-recorder.ts';
 import {type StoreReader} from './store-reader.ts';
 
@@ -58,8 +59,6 @@
 const standstillMilliseconds = 100;
 /** Pause after a failure, and between two checks of the age of the platform state, in milliseconds. */
 const pauseMilliseconds = 50;
-/** Time for which an entry waits for a seed when all entries start for the first time, in milliseconds; they start within about 0.3 s of each other. */
-const seedWaitMilliseconds = 2000;
 /** Time between two reads of the store while the followed entry has no fresh data, in milliseconds, and its maximum while reads fail. */
 const ownReadIntervalMilliseconds = 500;
 const maximumOwnReadIntervalMilliseconds = 2000;
@@ -85,7 +84,9 @@
 	const self = host.getSelf();
 	const sourceSelector = sourceSelection.createSourceSelector({name: self.name});
 	const stopping = new AbortController();
-	const seedWaitEndsAt = host.getNow() + seedWaitMilliseconds;
+	const seedWait = seedWaits.createSeedWait({
+		isFirstStart: host.isFirstStart, peerAddress: self.peerAddress, seeds: host.getSeeds(), startedAt: host.getNow(),
+	});
 	let followAbort = new AbortController();
 	/** Number of sources in a row that failed or returned stale data. */
 	let failedSources = 0;
@@ -166,11 +167,9 @@
 		}
 	}
 
-	const shouldWaitForSeeds = () => host.isFirstStart && !host.getSeeds().includes(self.peerAddress) && host.getNow() < seedWaitEndsAt;
-
-	/** Lets the seeds read the store first when all entries start together, so that not every entry reads all of it. */
+	/** Hears of other entries before this one reads the store, which may be an older copy, or have to bear all entries at once. */
 	async function waitForSeeds(): Promise<void> {
-		while (!stopping.signal.aborted && members.count() === 1 && shouldWaitForSeeds()) {
+		while (!stopping.signal.aborted && members.count() === 1 && (seedWait.shouldLeaveStore(host.getNow()) || seedWait.mayBeAnswered(host.getNow()))) {
 			await timers.setTimeout(pauseMilliseconds);
 		}
 	}
@@ -250,7 +249,7 @@
 	async function readWhileStale(): Promise<void> {
 		let interval = ownReadIntervalMilliseconds;
 		while (!stopping.signal.aborted) {
-			if (platformState.getAge(host.getNow()) <= sourceSelection.staleMilliseconds || findSource() === undefined || shouldWaitForSeeds()) {
+			if (platformState.getAge(host.getNow()) <= sourceSelection.staleMilliseconds || findSource() === undefined || seedWait.shouldLeaveStore(host.getNow())) {
 				interval = ownReadIntervalMilliseconds;
 				const dueAt = host.getNow() + pauseMilliseconds;
 				await timers.setTimeout(pauseMilliseconds);
@@ -286,6 +285,7 @@
 
 	async function querySeed(address: string): Promise<void> {
 		const result = await client.follow(address, createRequest(0), new AbortController().signal);
+		seedWait.recordAnswer();
 		if (result.isErr()) {
 			return;
 		}
