Let an upstream state that it leaves until it has said so once

Change: the upstream states it for 500 ms, and until it has answered a request with it. The bound of 2 s runs from the moment at which it stops, which is the same as before but for late timers. No check changes.

--- a/test/upstream-statements.test.ts
+++ b/test/upstream-statements.test.ts
@@ -28,11 +28,14 @@
 	leaving!.setStatements({'server-leaving': '1'});
 	const statedAt = performance.now();
 	await timers.setTimeout(500);
+	// While this process stands still the upstream has no response to state it in.
+	await gateways.waitUntil(() => leaving!.endedRequests.some(({receivedAt, hasResponded}) => hasResponded && receivedAt >= statedAt));
 	leaving!.setStatements({});
+	const withdrawnAt = performance.now();
 	await timers.setTimeout(4500);
 	const answers = await stopLoad();
 	// The gateways that receive the statement late pass it on late.
-	const from = statedAt + 500 + drainMilliseconds;
+	const from = withdrawnAt + drainMilliseconds;
 	expect(leaving!.receivedRequests.filter(({receivedAt}) => receivedAt >= from)).toEqual([]);
 	expect(leaving!.checkTimes.filter(time => time >= from)).toEqual([]);
 	expect(countServed(answers)).toBeGreaterThanOrEqual(0.98 * answers.length);
