Give up answers without end in the time that the upstream's pace promised

Cause: bytes without a part were given up after 1 s only, interim responses after 16, and each byte of a body counted as progress, so a trickling body was never given up and its upstream never counted as failing.

Change: response-progress.ts takes the promised time and the deadline: bytes without a part are given up after the promised time (0.15 to 1 s), quick interim responses after the second, a body if it can't be complete before the deadline at its pace or, of unknown length, below 2,000 bytes a second for twice the promised time. It is looked at every 50 ms. Idempotent requests only, as before.

A slow body of unknown length isn't waited for any more.

--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -64,7 +64,7 @@
 /** Maximum size of a response body, in bytes; the largest of the users' responses is below a tenth of it. */
 const maximumResponseBytes = 4 * 1024 * 1024;
 /** Interval at which the progress of a response is observed, in milliseconds. */
-const progressIntervalMilliseconds = 250;
+const progressIntervalMilliseconds = 50;
 /** Minimum remaining time with which a request is sent, in milliseconds. */
 const minimumDeadlineMilliseconds = 1;
 
@@ -214,15 +214,21 @@
 		}
 	}
 
-	/** Fails the attempt if the response has no end. A request that can't be sent again has nothing to gain by that before its deadline. */
+	/** Fails the attempt if the response has no end, or comes too late. A request that can't be sent again has nothing to gain by that before its deadline. */
 	function watchProgress({socket}: Connection): void {
 		if (request.route.kind !== 'idempotent') {
 			return;
 		}
 
-		const progress = responseProgress.createResponseProgress(socket.bytesRead);
+		const progress = responseProgress.createResponseProgress({
+			bytes: socket.bytesRead, expectedMilliseconds: selected.expectedMilliseconds, startedAt: host.getNow(), deadlineAt: request.deadlineAt,
+		});
 		progressTimer = setInterval(() => {
-			if (progress.observe({bytes: socket.bytesRead, interimResponses, finalParts}, host.getNow())) {
+			const length = responseHead?.headers['content-length'];
+			const isEndless = progress.observe({
+				bytes: socket.bytesRead, interimResponses, finalParts, bodyBytes: receivedBytes, bodyLength: length === undefined ? undefined : Number(length),
+			}, host.getNow());
+			if (isEndless) {
 				finish({kind: 'broken', reason: 'endless-answer'});
 				runningAttempt?.abort();
 			}
