Collect the answers of upstreams in blocks, as bodies of callers are

Callers: an upstream that sends a body in chunks of one byte at full speed ended the process; on a machine of 200 MB with a heap of 64 MB it ran out of memory.

Cause: each chunk was kept as a buffer of its own, and the account of memory counted its bytes only.

Change: chunks of an answer are merged in blocks as they arrive (body-collector.ts), and the blocks are what is claimed. What arrives after the end of an attempt is dropped.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -14,6 +14,7 @@
 import {staleMilliseconds} from '../decisions/sharing/source-selector.ts';
 import {type Member} from '../decisions/sharing/types.ts';
 import {splitAddress} from '../entry/address.ts';
+import * as bodyCollector from '../entry/body-collector.ts';
 import {createLifeCycle} from '../entry/life-cycle.ts';
 import {type GatewayMetrics} from '../observability/gateway-metrics.ts';
 import {type Logger} from '../observability/logger.ts';
@@ -326,6 +327,7 @@
 		selector,
 		headers: platform.headers,
 		memory,
+		blocks: bodyCollector.createBlockPool(),
 		recordStatements: recorder.recordResponse,
 		learner,
 		canFinish,
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -1,11 +1,11 @@
 /** One attempt to run a request at one upstream: sends it, buffers the response until it is complete, and classifies it. */
 import type * as http from 'node:http';
-import * as buffer from 'node:buffer';
 import type * as trafficMemory from '../decisions/admission/traffic-memory.ts';
 import * as responseProgress from '../decisions/outcomes/response-progress.ts';
 import {type AttemptEnd} from '../decisions/outcomes/retry-decision.ts';
 import * as attempt from '../entry/attempt.ts';
 import * as attemptError from '../entry/attempt-error.ts';
+import * as bodyCollector from '../entry/body-collector.ts';
 import {type Connection} from '../entry/connection-pool.ts';
 import {type SelectedUpstream} from './selection.ts';
 import type * as statementRecorder from './statement-recorder.ts';
@@ -26,6 +26,8 @@
 	readonly headers: HeaderHost;
 	/** Memory for the responses of all attempts, among others. */
 	readonly memory: trafficMemory.TrafficMemory;
+	/** Blocks that the bodies of responses are collected in. */
+	readonly blocks: bodyCollector.BlockPool;
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	/** Records that handling a request threw an error. */
@@ -72,8 +74,7 @@
 export function createGatewayAttempt(host: GatewayAttemptHost, request: AttemptRequest, selected: SelectedUpstream, listener: GatewayAttemptListener): GatewayAttempt {
 	const {upstream} = selected;
 	const {pool, registration, record} = upstream;
-	const chunks: Uint8Array[] = [];
-	let receivedBytes = 0;
+	const body = bodyCollector.createBodyCollector(host.blocks);
 	let interimResponses = 0;
 	let finalParts = 0;
 	let progressTimer: NodeJS.Timeout | undefined;
@@ -88,6 +89,7 @@
 		if (!isOver) {
 			isOver = true;
 			clearInterval(progressTimer);
+			body.discard();
 			claim?.free();
 			listener.onEnd(end, response);
 		}
@@ -187,7 +189,6 @@
 
 	function handleSent(connection: Connection): void {
 		claim = host.memory.claim('responses', host.getNow(), () => {
-			chunks.length = 0;
 			failAttempt(connection, 'memory-full');
 		});
 		watchProgress(connection);
@@ -204,13 +205,16 @@
 	}
 
 	function handleData(connection: Connection, chunk: Uint8Array): void {
-		chunks.push(chunk);
+		if (isOver) {
+			return;
+		}
+
+		body.append(chunk);
 		finalParts++;
-		receivedBytes += chunk.length;
-		if (receivedBytes > maximumResponseBytes) {
+		if (body.getSize() > maximumResponseBytes) {
 			failAttempt(connection, 'answer-too-large');
 		} else {
-			claim?.resize(receivedBytes, host.getNow());
+			claim?.resize(body.getHeldBytes(), host.getNow());
 		}
 	}
 
@@ -226,7 +230,7 @@
 		progressTimer = setInterval(() => {
 			const length = responseHead?.headers['content-length'];
 			const isEndless = progress.observe({
-				bytes: socket.bytesRead, interimResponses, finalParts, bodyBytes: receivedBytes, bodyLength: length === undefined ? undefined : Number(length),
+				bytes: socket.bytesRead, interimResponses, finalParts, bodyBytes: body.getSize(), bodyLength: length === undefined ? undefined : Number(length),
 			}, host.getNow());
 			if (isEndless) {
 				finish({kind: 'broken', reason: 'endless-answer'});
@@ -281,7 +285,7 @@
 
 		pool.release(connection);
 		finish({kind: 'answered', statusCode}, {
-			statusCode, headers, body: chunks.length === 1 ? chunks[0]! : buffer.Buffer.concat(chunks), hasOwnEnd: attempt.isAnswerDelimited(request.method, statusCode, headers),
+			statusCode, headers, body: body.takeBytes(), hasOwnEnd: attempt.isAnswerDelimited(request.method, statusCode, headers),
 		});
 	}
 
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -23,6 +23,7 @@
 		},
 		headers: headerHost.createHeaderHost(),
 		memory: hostileUpstream.memory,
+		blocks: hostileUpstream.blocks,
 		recordStatements: () => undefined,
 		learner: workEstimator.createWorkEstimator(),
 		budget: fleetRetryBudget.createFleetRetryBudget({ratio: 1, windowMilliseconds: 1000, slack: 10}, 0),
--- a/test/support/hostile-upstream.ts
+++ b/test/support/hostile-upstream.ts
@@ -3,6 +3,7 @@
 import * as headerHost from '../../platform/headers.ts';
 import * as trafficMemory from '../../src/decisions/admission/traffic-memory.ts';
 import type * as retryDecision from '../../src/decisions/outcomes/retry-decision.ts';
+import * as bodyCollector from '../../src/entry/body-collector.ts';
 import * as gatewayAttempt from '../../src/gateway/gateway-attempt.ts';
 import type * as types from '../../src/gateway/types.ts';
 import * as upstreamsModule from '../../src/gateway/upstreams.ts';
@@ -11,6 +12,7 @@
 /** Half of it is for responses that are being received. */
 const maximumMemoryBytes = 40 * 1024 * 1024;
 export const memory = trafficMemory.createTrafficMemory(maximumMemoryBytes);
+export const blocks = bodyCollector.createBlockPool();
 const cleanups: Array<() => void> = [];
 
 type RequestListener = (socket: net.Socket, requestText: string) => void;
@@ -75,7 +77,7 @@
 export type AttemptResult = {readonly end: retryDecision.AttemptEnd; readonly answer: gatewayAttempt.AttemptResponse | undefined};
 
 const createAttemptHost = (getTime: () => number): gatewayAttempt.GatewayAttemptHost => ({
-	headers: headerHost.createHeaderHost(), memory, getNow: getTime, recordStatements: () => undefined, recordFailure(error) {
+	headers: headerHost.createHeaderHost(), memory, blocks, getNow: getTime, recordStatements: () => undefined, recordFailure(error) {
 		throw error;
 	},
 });
