Read the whole of a response that has arrived before a request is given up

Cause: the deadline waited for one turn of the event loop, and a long response takes several to read.

Evidence: test/late-processes.test.ts with responses of 100, 400,000 and 2,000,000 bytes: on the code before, 400,000 bytes gave 504 (the other two passed).

Change: the deadline waits as long as each turn brings more of the response; its largest size bounds that.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -348,7 +348,16 @@
 		});
 	}
 
-	function endAtDeadline(): void {
+	const countReceivedBytes = () => [...running].reduce((sum, attempt) => sum + attempt.countReceivedBytes(), 0);
+
+	/** Ends the call once a response that had arrived at its deadline has been read. A process that is late finds the timer due before it reads its sockets. */
+	function endAtDeadline(receivedBefore: number): void {
+		const received = countReceivedBytes();
+		if (!isAnswered && received > receivedBefore) {
+			setImmediate(endAtDeadline, received);
+			return;
+		}
+
 		if (!isAnswered) {
 			giveUp('time-over');
 		} else if (running.size > 0) {
@@ -357,8 +366,7 @@
 	}
 
 	const deadlineTimer = setTimeout(() => {
-		// A process that is late finds the timer due before it reads a response that has arrived.
-		setImmediate(endAtDeadline);
+		setImmediate(endAtDeadline, countReceivedBytes());
 	}, Math.max(1, request.deadlineAt + deadlineSlackMilliseconds - host.getNow()));
 	host.budget.countRequest(service, host.getNow());
 	selectUpstream();
--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -53,6 +53,8 @@
 	start(): void;
 	/** Whether the upstream may have received bytes of the request. */
 	isSent(): boolean;
+	/** Number of bytes of the response's body that were read. */
+	countReceivedBytes(): number;
 	/** Ends the attempt; aborts a request that was sent, so that the upstream stops its work. */
 	giveUp(): void;
 };
@@ -250,6 +252,7 @@
 			}
 		},
 		isSent: () => isSent,
+		countReceivedBytes: () => receivedBytes,
 		giveUp() {
 			if (isOver) {
 				return;
--- a/test/late-processes.test.ts
+++ b/test/late-processes.test.ts
@@ -34,8 +34,8 @@
 });
 
 // Guards against an answer that has arrived and is replaced by the entry's own because the deadline is due when the process goes on.
-test('an answer that arrived in time is delivered although the process stood still until after the deadline', async () => {
-	standIns.upstream.setBehavior({kind: 'answer', milliseconds: 500});
+test.each([100, 400_000, 2_000_000])('an answer of %d bytes that was sent in time is delivered although the process stood still until after the deadline', async bytes => {
+	standIns.upstream.setBehavior({kind: 'choose', chooseResponse: () => ({milliseconds: 500, bytes, end: 'length'})});
 	const gateway = await gatewayProcess.startReady(standIns.store);
 	const caller = rawCaller.connect(gateway.front);
 	caller.socket.write(rawCaller.createRequest('a', {path: '/credit/1', method: 'POST', body: 'x'}));
