--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -342,18 +342,29 @@
 		});
 	}
 
-	function endAtDeadline(): void {
-		if (!isAnswered) {
-			giveUp('time-over');
-		} else if (running.size > 0) {
+	const countReceivedBytes = () => [...running].reduce((sum, attempt) => sum + attempt.countReceivedBytes(), 0);
+
+	/** Ends the call at its deadline, once a response that has arrived is read. A process that is late finds the timer due before it reads its sockets. */
+	function endAfterReading(): void {
+		const receivedBefore = countReceivedBytes();
+		setImmediate(guard, () => {
+			if (isAnswered) {
+				endRunning();
+			} else if (countReceivedBytes() > receivedBefore) {
+				endAfterReading();
+			} else {
+				giveUp('time-over');
+			}
+		});
+	}
+
+	function endRunning(): void {
+		if (running.size > 0) {
 			stop();
 		}
 	}
 
-	const deadlineTimer = setTimeout(() => {
-		// A process that is late finds the timer due before it reads a response that has arrived.
-		setImmediate(guard, endAtDeadline);
-	}, Math.max(1, request.deadlineAt + deadlineSlackMilliseconds - host.getNow()));
+	const deadlineTimer = setTimeout(endAfterReading, Math.max(1, request.deadlineAt + deadlineSlackMilliseconds - host.getNow()));
 	host.budget.countRequest(service, host.getNow());
 	selectUpstream();
 
