--- a/src/gateway/gateway-attempt.ts
+++ b/src/gateway/gateway-attempt.ts
@@ -301,7 +301,7 @@
 			}
 		},
 		isSent: () => isSent,
-		countReceivedBytes: () => receivedBytes,
+		countReceivedBytes: body.getSize,
 		giveUp() {
 			if (isOver) {
 				return;
