Name the requests at work before the end of a stop, and how late it is

The users' record names neither of two requests that were reset around a SIGTERM: their process may have been killed before it cut them, its lines may have been lost, or it may have taken the exchanges for ended. Nothing logged tells these apart, nor whether a request came before the signal.

request-outlasts-stop names each request at an upstream 0.6 s before the cut, with its times since the stop began; gateway-stopped and gateway-leaving say how late the process is. No logic of requests changed.

--- a/src/decisions/admission/stop-times.ts
+++ b/src/decisions/admission/stop-times.ts
@@ -8,8 +8,11 @@
 
 /** Times of a stop, on the clock of the time at which it began. */
 export type StopTimes = {
+	readonly beganAt: number;
 	/** Time at which new connections are no longer accepted. */
 	readonly noticeEndsAt: number;
+	/** Time at which the requests that are still at work are logged. */
+	readonly reportsAt: number;
 	/** Time at which requests that no upstream has received are refused. */
 	readonly refusesAt: number;
 	/** Time at which requests at work are reset. */
@@ -32,6 +35,8 @@
 const closeMilliseconds = 50;
 /** Time for refusals to be read before the reset, in milliseconds. */
 const refusalMilliseconds = 100;
+/** Time for the log to name the requests at work before they are reset, in milliseconds; a process that is killed late has written it by then. */
+const reportMilliseconds = 500;
 /** Largest share of the grace period for each of these times; a short one is divided into smaller parts. */
 export const maximumShare = 0.08;
 /** Largest share of the grace period for the notice. */
@@ -44,9 +49,13 @@
 	const givesUpAt = exitsAt - limit(logMilliseconds);
 	const closesAt = givesUpAt - limit(slackMilliseconds);
 	const resetsAt = closesAt - limit(closeMilliseconds);
+	const refusesAt = resetsAt - limit(refusalMilliseconds);
+	const noticeEndsAt = beganAt + Math.min(noticeMilliseconds, maximumNoticeShare * graceMilliseconds);
 	return {
-		noticeEndsAt: beganAt + Math.min(noticeMilliseconds, maximumNoticeShare * graceMilliseconds),
-		refusesAt: resetsAt - limit(refusalMilliseconds),
+		beganAt,
+		noticeEndsAt,
+		reportsAt: Math.max(refusesAt - reportMilliseconds, (noticeEndsAt + refusesAt) / 2),
+		refusesAt,
 		resetsAt,
 		closesAt,
 		givesUpAt,
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -18,6 +18,7 @@
 } from './gateway-attempt.ts';
 import * as attemptRecords from './attempt-records.ts';
 import type * as callReport from './call-report.ts';
+import type * as runningCalls from './running-calls.ts';
 import {type GatewayResponse, type GatewayRequest} from './types.ts';
 import type * as upstreams from './upstreams.ts';
 
@@ -33,8 +34,8 @@
 	onEnd(report: callReport.CallReport): void;
 	/** Whether a request that is sent now can be finished before a planned stop of this entry. */
 	canFinish(request: GatewayRequest): boolean;
-	/** Tracks a call; the returned function is called once it holds nothing any more. */
-	beginCall(id: string, deadlineAt: number): () => void;
+	/** Tracks a call. */
+	beginCall(request: GatewayRequest): runningCalls.CallProgress;
 };
 
 /** Receiver of the response. */
@@ -72,7 +73,7 @@
 	const attempts: callReport.AttemptReport[] = [];
 	const tried = new Set<string>();
 	const running = new Set<GatewayAttempt>();
-	const endCall = host.beginCall(request.id, request.deadlineAt);
+	const progress = host.beginCall(request);
 	let mayHaveRunOn = 0;
 	let isAnswered = false;
 	let checks = 0;
@@ -202,6 +203,7 @@
 		const attempt = createGatewayAttempt(host, {...request, refusedOn, maximumExecutions}, selected, {
 			onSent() {
 				isCounted = true;
+				progress.recordSent(id);
 				unsent.delete(attempt);
 				mayHaveRunOn += maximumExecutions;
 			},
@@ -329,12 +331,13 @@
 	function endIfOver(): void {
 		if (isAnswered && running.size === 0) {
 			clearTimeout(deadlineTimer);
-			endCall();
+			progress.end();
 		}
 	}
 
 	function report(statusCode: number, outcome: callReport.CallReport['outcome'], reason: string): void {
 		const now = host.getNow();
+		progress.recordAnswered();
 		observe(() => {
 			host.onEnd({
 				request, statusCode, outcome, reason, attempts, heldMilliseconds: Math.round((firstSentAt ?? now) - request.receivedAt), milliseconds: Math.round(now - request.receivedAt), checks,
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -458,8 +458,9 @@
 		stop = times;
 		const waitUntil = async (time: number) => timers.setTimeout(Math.max(0, time - getNow()));
 
-		logger.info('gateway-leaving', {openRequests: frontServer.countOpen()});
+		logger.info('gateway-leaving', {openRequests: frontServer.countOpen(), lateMilliseconds: Math.round(lateness.getLargest())});
 		sharing.announce();
+		const reportTimer = setTimeout(runningCalls.logOutlasting, times.reportsAt - getNow(), times.beganAt);
 		const refusalTimer = setInterval(frontServer.refuseUnstarted, drainCheckIntervalMilliseconds);
 		if (lifeCycle.getState() === 'leaving') {
 			await waitUntil(times.noticeEndsAt);
@@ -471,8 +472,9 @@
 			await waitUntil(Math.min(times.resetsAt, getNow() + drainCheckIntervalMilliseconds));
 		}
 
-		logger.info('gateway-stopped', {cutOff: frontServer.countOpen()});
+		logger.info('gateway-stopped', {cutOff: frontServer.countOpen(), milliseconds: Math.round(getNow() - times.beganAt), lateMilliseconds: Math.round(Math.max(0, getNow() - times.resetsAt))});
 		clearInterval(refusalTimer);
+		clearTimeout(reportTimer);
 		frontServer.reset();
 		lifeCycle.send('calls-ended');
 		clearInterval(maintenanceTimer);
--- a/src/gateway/lateness-watch.ts
+++ b/src/gateway/lateness-watch.ts
@@ -12,6 +12,8 @@
 export type LatenessWatch = {
 	/** Records by how many milliseconds a timer was late. */
 	record(milliseconds: number): void;
+	/** Returns the largest lateness since the last `takeLargest`, in milliseconds. */
+	getLargest(): number;
 	/** Returns the largest lateness since the last call, in milliseconds. */
 	takeLargest(): number;
 };
@@ -29,6 +31,7 @@
 				host.logger.warn('event-loop-late', {milliseconds: Math.round(milliseconds), openRequests: host.countOpen()});
 			}
 		},
+		getLargest: () => largest,
 		takeLargest() {
 			const taken = largest;
 			largest = 0;
--- a/test/stops.test.ts
+++ b/test/stops.test.ts
@@ -95,3 +95,19 @@
 	expect(received).toBeGreaterThan(count * bodyBytes);
 	expect(await gateway.exited).toEqual({code: 0});
 });
+
+// Guards against requests that no log names because their process is killed before it cuts them.
+test('a process that is killed at the end of its grace period has named the requests at work', async () => {
+	standIns.store.put('keyed.op', 'config', gateways.createConfiguration(5, undefined, 10_000));
+	standIns.upstream.setBehavior({kind: 'answer', milliseconds: 10_000});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	const answer = gateways.send(gateway.front, '/credit/1', 'POST', '', {'attempt-id': 'outlasting', 'deadline-ms': '10000'}).catch(() => undefined);
+	await gateways.waitUntil(() => standIns.upstream.receivedRequests.length === 1);
+	gateway.signal('SIGTERM');
+	await gateways.waitUntil(() => gateway.hasLogged('request-outlasts-stop'));
+	gateway.signal('SIGKILL');
+	await gateway.exited;
+	expect(await answer).toBeUndefined();
+	expect(gateway.hasLogged('gateway-stopped')).toBe(false);
+	expect(gateway.listLogged('event=request-outlasts-stop ')).toEqual([expect.stringMatching(/ id=outlasting .*kind=non-idempotent .*upstream=i-1 received=-\d+ /v)]);
+});
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -32,7 +32,7 @@
 		getNow: hostileUpstream.getNow,
 		onEnd: () => undefined,
 		canFinish: () => true,
-		beginCall: () => () => undefined,
+		beginCall: () => ({recordSent: () => undefined, recordAnswered: () => undefined, end: () => undefined}),
 		recordFailure(error) {
 			throw error;
 		},
