--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -71,6 +71,8 @@
 	readonly seeds?: readonly string[];
 	/** Limits of the machine, as the platform states them. */
 	readonly limits?: Readonly<Record<string, number>>;
+	/** Grace period of a stop; that of most tests by default. */
+	readonly graceSeconds?: number;
 	/** Options of Node.js. */
 	readonly nodeOptions?: readonly string[];
 };
@@ -87,7 +89,7 @@
 		listen: Object.fromEntries(Object.entries(ports).map(([name, port]) => [name, `${host}:${port}`])),
 		seeds: options.seeds ?? [],
 		limits: options.limits ?? {},
-		bounds: [`graceS=${graceSeconds}`, 'ttl_max_s=5'],
+		bounds: [`graceS=${options.graceSeconds ?? graceSeconds}`, 'ttl_max_s=5'],
 		platform: {addr: options.storeAddress},
 	}));
 	const child = childProcess.spawn(process.execPath, [...(options.nodeOptions ?? []), 'dist/fescuering-gateway.mjs', '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
@@ -132,8 +134,10 @@
 }
 
 /** Starts a process and waits until it is ready. */
-export async function startReady(store: storeStandIn.StoreStandIn, seeds: readonly string[] = []): Promise<GatewayProcess> {
-	const gateway = start({host: createHost(), storeAddress: store.address, seeds});
+export async function startReady(store: storeStandIn.StoreStandIn, seeds: readonly string[] = [], options: Pick<StartOptions, 'graceSeconds' | 'limits'> = {}): Promise<GatewayProcess> {
+	const gateway = start({
+		...options, host: createHost(), storeAddress: store.address, seeds,
+	});
 	await gateways.waitUntil(async () => isReady(gateway));
 	return gateway;
 }
--- a/test/support/gateways.ts
+++ b/test/support/gateways.ts
@@ -16,7 +16,7 @@
 export const host = 'desk.example';
 
 /** Creates a configuration as operators publish it, with one service `desk`; `/credit/` is not idempotent. */
-export function createConfiguration(version: number, paths: readonly string[] = ['/price/', '/credit/']) {
+export function createConfiguration(version: number, paths: readonly string[] = ['/price/', '/credit/'], timeoutMilliseconds = 1500) {
 	return {
 		version: version.toString(16).padStart(8, '0'),
 		limits: {
@@ -25,7 +25,7 @@
 		listeners: [{
 			host,
 			rules: paths.map(pathPrefix => ({
-				name: pathPrefix, kind: pathPrefix === '/credit/' ? 'non_idempotent' : 'idempotent', targetLatencyMs: 400, priority: 1, match: {pathPrefix}, action: {service: 'desk', timeoutMs: 1500, attempts: 2},
+				name: pathPrefix, kind: pathPrefix === '/credit/' ? 'non_idempotent' : 'idempotent', targetLatencyMs: 400, priority: 1, match: {pathPrefix}, action: {service: 'desk', timeoutMs: timeoutMilliseconds, attempts: 2},
 			})),
 		}],
 		clusters: [{
