--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -5,6 +5,7 @@
 starts after the response.
 */
 import {assertNever} from '../decisions/assert-never.ts';
+import type * as workBounds from '../decisions/admission/work-bounds.ts';
 import * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import * as hedgeDelay from '../decisions/retries/hedge-delay.ts';
 import {type FleetRetryBudget} from '../decisions/retries/fleet-retry-budget.ts';
@@ -18,6 +19,7 @@
 } from './gateway-attempt.ts';
 import * as attemptRecords from './attempt-records.ts';
 import type * as callReport from './call-report.ts';
+import type * as runningCalls from './running-calls.ts';
 import {type GatewayResponse, type GatewayRequest} from './types.ts';
 import type * as upstreams from './upstreams.ts';
 
@@ -25,6 +27,7 @@
 export type CallRunnerHost = GatewayAttemptHost & {
 	readonly selector: Selector;
 	readonly learner: WorkEstimator;
+	readonly bounds: workBounds.WorkBounds;
 	readonly budget: FleetRetryBudget;
 	/** Returns the number of running entries. */
 	countEntries(): number;
@@ -33,8 +36,8 @@
 	onEnd(report: callReport.CallReport): void;
 	/** Whether a request that is sent now can be finished before a planned stop of this entry. */
 	canFinish(request: GatewayRequest): boolean;
-	/** Tracks a call; the returned function is called once it holds nothing any more. */
-	beginCall(id: string, deadlineAt: number): () => void;
+	/** Tracks a call. */
+	beginCall(request: GatewayRequest): runningCalls.CallProgress;
 };
 
 /** Receiver of the response. */
@@ -72,7 +75,7 @@
 	const attempts: callReport.AttemptReport[] = [];
 	const tried = new Set<string>();
 	const running = new Set<GatewayAttempt>();
-	const endCall = host.beginCall(request.id, request.deadlineAt);
+	const progress = host.beginCall(request);
 	let mayHaveRunOn = 0;
 	let isAnswered = false;
 	let checks = 0;
@@ -198,10 +201,13 @@
 		firstSentAt ??= sentAt;
 		tried.add(id);
 		let isCounted = false;
+		let started: workBounds.StartedWork | undefined;
 		const maximumExecutions = getMaximumExecutions(upstream);
 		const attempt = createGatewayAttempt(host, {...request, refusedOn, maximumExecutions}, selected, {
 			onSent() {
 				isCounted = true;
+				progress.recordSent(id);
+				started = host.bounds.start(route.name, service, host.getNow());
 				unsent.delete(attempt);
 				mayHaveRunOn += maximumExecutions;
 			},
@@ -209,6 +215,12 @@
 				running.delete(attempt);
 				unsent.delete(attempt);
 				const now = host.getNow();
+				if (end.kind === 'not-run') {
+					started?.discard();
+				} else {
+					started?.recordEnd(now);
+				}
+
 				attempts.push({
 					upstream: id, end: retryDecision.describeEnd(end), expectedMilliseconds: Math.round(expectedMilliseconds), milliseconds: Math.round(now - sentAt),
 				});
@@ -329,12 +341,13 @@
 	function endIfOver(): void {
 		if (isAnswered && running.size === 0) {
 			clearTimeout(deadlineTimer);
-			endCall();
+			progress.end();
 		}
 	}
 
 	function report(statusCode: number, outcome: callReport.CallReport['outcome'], reason: string): void {
 		const now = host.getNow();
+		progress.recordAnswered();
 		observe(() => {
 			host.onEnd({
 				request, statusCode, outcome, reason, attempts, heldMilliseconds: Math.round((firstSentAt ?? now) - request.receivedAt), milliseconds: Math.round(now - request.receivedAt), checks,
