Send no second attempt during a stop that it may outlast

Seen by callers: an idempotent request whose attempt failed during a planned stop was sent once more although it could not be finished, and then cut without an answer; its caller waited until then instead of repeating it at another entry. A hedge was started under the same condition, which costs its upstream work for nothing.

Cause: call-runner.ts let every request that had been sent once be sent again, without asking whether it can be finished.

Evidence: all seven tests of test/attempts-in-a-stop.test.ts failed before: 504 at the deadline instead of 502 at once (or the upstream's own 500), two requests at the upstream instead of one for a hedge, and a second selection for a request that its upstream had not run.

Change: a further attempt asks as the first one does. Without one the caller gets the upstream's error, 503 if no upstream ran it, else 502. An attempt that runs goes on: neither a hedge that is dropped after its selection nor its refusal ends it.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -117,8 +117,8 @@
 		kind: route.kind, possibleExecutions: mayHaveRunOn, plannedExecutions: countPlanned(), maximumAttempts: route.maximumAttempts,
 	});
 
-	/** Whether the request may be sent; one that has been sent before has nothing to lose by another attempt. */
-	const mayStart = () => mayHaveRunOn > 0 || host.canFinish(request);
+	/** Whether the request may be sent to an upstream, for the first time or once more. */
+	const mayStart = () => host.canFinish(request);
 
 	function selectUpstream(): void {
 		guard(selectGuarded);
@@ -168,7 +168,10 @@
 					selection.upstream.pool.release(selection.connection);
 				}
 
-				giveUp('stopping');
+				if (running.size === 0) {
+					giveUp('stopping');
+				}
+
 				break;
 			}
 
@@ -265,7 +268,7 @@
 	function startHedge(): void {
 		const now = host.getNow();
 		const shouldHedge = !isAnswered && running.size === 1 && !cancelSelection && now < request.deadlineAt && !host.selector.hasHeldRequests(service) && request.body.kind !== 'streamed';
-		if (shouldHedge && mayHaveRunOn + countPlanned() < route.maximumAttempts && host.budget.tryCharge(service, host.countEntries(), now)) {
+		if (shouldHedge && mayStart() && mayHaveRunOn + countPlanned() < route.maximumAttempts && host.budget.tryCharge(service, host.countEntries(), now)) {
 			selectUpstream();
 		}
 	}
@@ -287,10 +290,12 @@
 
 		const isUncharged = end.kind === 'not-sent';
 		const now = host.getNow();
-		if (now < request.deadlineAt && retryDecision.canRetry(getHistory(), end) && isBodySendable(end) && (isUncharged || host.budget.tryCharge(service, host.countEntries(), now))) {
+		const isRetryable = now < request.deadlineAt && retryDecision.canRetry(getHistory(), end) && isBodySendable(end);
+		const isStopping = isRetryable && !mayStart();
+		if (isRetryable && !isStopping && (isUncharged || host.budget.tryCharge(service, host.countEntries(), now))) {
 			selectUpstream();
 		} else if (running.size === 0 && !cancelSelection) {
-			giveUp('failed');
+			giveUp(isStopping ? 'stopping' : 'failed');
 		}
 	}
 
