Refuse requests that wait for a connection during a stop

Seen by callers: a request that an entry had assigned to an upstream, and that waited for a connection to it because all were in use, was cut without an answer at the end of a stop, although no byte of it had been sent and 503 would have been true.

Cause: what waits for its admission, its body or an upstream is asked about every 20 ms during a stop, a call that has an upstream no more.

Change: a stop also asks the calls that run; one of which nothing is at an upstream is answered at once (503, or 502 after an attempt that may have run), and an unsent hedge is dropped. What was sent goes on. test/response-order.test.ts gets the new function in its stub only.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -49,6 +49,8 @@
 export type RunningCall = {
 	/** Ends the call because the caller has disconnected. */
 	cancel(): void;
+	/** Answers a call of which no attempt has been sent, e.g. because it waits for a connection, if a planned stop leaves no time for it. */
+	refuseUnsent(): void;
 };
 
 /** Time after the deadline of a request in which the upstream's own response may still arrive, in milliseconds. */
@@ -406,9 +408,29 @@
 		report(callerLeftStatus, 'cancelled', 'caller-left');
 	}
 
+	/** Gives up the attempts that have sent nothing; the call is answered if no other one runs. */
+	function refuseUnsent(): void {
+		if (isAnswered || mayStart()) {
+			return;
+		}
+
+		const unsentAttempts = [...running].filter(attempt => !attempt.isSent());
+		if (unsentAttempts.length === running.size && !cancelSelection) {
+			giveUp('stopping');
+			return;
+		}
+
+		for (const attempt of unsentAttempts) {
+			attempt.giveUp();
+		}
+	}
+
 	return {
 		cancel() {
 			guard(cancel);
 		},
+		refuseUnsent() {
+			guard(refuseUnsent);
+		},
 	};
 }
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -110,6 +110,7 @@
 	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
 	const order = responseOrder.createResponseOrder(connections.exchanges);
 	const unstarted = unstartedRequests.createUnstartedRequests<RequestContext>();
+	const runningCalls = new Set<RunningCall>();
 	const {guard} = requestBoundary.createRequestBoundary({
 		recordFailure: host.recordFailure,
 		readId: ({request}) => host.headers.readRequest(request.headers).id,
@@ -303,7 +304,9 @@
 				respond(exchange, gatewayResponse);
 			},
 		});
+		runningCalls.add(running);
 		exchange.onEnd(end => {
+			runningCalls.delete(running);
 			if (end === 'caller-left') {
 				running.cancel();
 			}
@@ -410,6 +413,10 @@
 				reception.abandon(exchange);
 				refuse(exchange, 'stopping', context.id);
 			}
+
+			for (const running of runningCalls) {
+				running.refuseUnsent();
+			}
 		},
 		reset() {
 			reception.close();
--- a/test/response-order.test.ts
+++ b/test/response-order.test.ts
@@ -68,7 +68,7 @@
 		getAllowanceRetryMilliseconds: () => 1,
 		startCall({id}, target) {
 			started.push({id, target});
-			return {cancel: () => undefined};
+			return {cancel: () => undefined, refuseUnsent: () => undefined};
 		},
 		recordRefusal: () => undefined,
 		recordFailure(error) {
