--- a/test/relays-in-a-stop.test.ts
+++ b/test/relays-in-a-stop.test.ts
@@ -114,7 +114,7 @@
 	expect(listRun('long')).toHaveLength(6);
 });
 
-test('requests that are passed on to a gateway that stops are refused, and don't run', async () => {
+test('requests that are passed on to a gateway that stops are refused and do not run', async () => {
 	const target = await startPlain([]);
 	const cutOff = await startCutOff([target.peers]);
 	setWork(timeoutMilliseconds);
