Refuse calls that may outlast the stop of an entry process

Seen by callers of fescuering-entry: a call that arrived during a stop was taken on whatever its time, ran, and was cut at the end of the grace period without an answer, so that nobody learned how it ended.

Cause: only the gateway asked whether a request can be finished; the entry served everything until its connections were closed. The refusal `leaving` of the interface was never given.

The stub of test/failing-calls.test.ts gets the new function.

--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -49,6 +49,8 @@
 	isEntryListStale(version: string | undefined): boolean;
 	/** Records that a handler threw an error. */
 	recordFailure(error: unknown, id: number | undefined): void;
+	/** Whether a call can be finished before a planned stop of this entry. */
+	canFinish(call: Pick<Call, 'service' | 'operation' | 'deadlineAt'>): boolean;
 	/** Executes a call. */
 	handle(call: Call, sink: AnswerSink): CallExecution;
 };
@@ -79,7 +81,7 @@
 const connectionsCheckIntervalMilliseconds = 1000;
 const refusedRetryAfterMilliseconds = 1000;
 /** Problems that end without a change to the request; the answer contains a `retry-after` header. */
-const temporaryProblemKinds: ReadonlySet<ProblemKind> = new Set<ProblemKind>(['not-ready', 'queue-full']);
+const temporaryProblemKinds: ReadonlySet<ProblemKind> = new Set<ProblemKind>(['not-ready', 'queue-full', 'leaving']);
 
 /** Creates the server without starting it. Its owner has to start and stop it. */
 export function createCallerServer(host: CallerServerHost, limits: CallerServerLimits): CallerServer {
@@ -272,6 +274,11 @@
 						break;
 					}
 
+					if (!host.canFinish({...classification, deadlineAt: receivedAt + classification.timeoutMilliseconds})) {
+						refuseCall('leaving');
+						break;
+					}
+
 					const call = createCall(request, classification, received.body, receivedAt);
 					callId = call.id;
 					execution = host.handle(call, sink);
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -2,6 +2,8 @@
 import * as timers from 'node:timers/promises';
 import * as crypto from 'node:crypto';
 import * as neverthrow from 'neverthrow';
+import * as shutdownAdmission from '../decisions/admission/shutdown-admission.ts';
+import * as workBounds from '../decisions/admission/work-bounds.ts';
 import {type Diagnostic} from '../decisions/diagnostics.ts';
 import {createRandomSource} from '../decisions/random.ts';
 import {dayMilliseconds} from '../decisions/review/records.ts';
@@ -192,8 +194,41 @@
 		metrics, reviewWriter, failureDomain: settings.failureDomain, getNow: host.getNow,
 	});
 
+	const bounds = workBounds.createWorkBounds();
+	let stopsAt = Number.POSITIVE_INFINITY;
+	function getShutdownPhase(): shutdownAdmission.ShutdownPhase {
+		switch (lifeCycle.getState()) {
+			case 'starting':
+			case 'serving': {
+				return {kind: 'running'};
+			}
+
+			case 'leaving': {
+				return {kind: 'notice', stopsAt};
+			}
+
+			case 'draining':
+			case 'stopped': {
+				return {kind: 'draining', stopsAt};
+			}
+		}
+	}
+
+	function canFinish({service, operation, deadlineAt}: Pick<Call, 'service' | 'operation' | 'deadlineAt'>): boolean {
+		const now = host.getNow();
+		const kind = operation.idempotent ? 'idempotent' : 'non-idempotent';
+		return shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {kind, deadlineAt, seen: bounds.getSeen(operation.operation, service, now)}, now);
+	}
+
 	function handle(call: Call, sink: AnswerSink): CallExecution {
+		const started = bounds.start(call.operation.operation, call.service, host.getNow());
 		const onEnd = (end: CallEnd) => {
+			if (end.result === 'refused') {
+				started.discard();
+			} else {
+				started.recordEnd(host.getNow());
+			}
+
 			observer.end(call, end);
 		};
 
@@ -245,6 +280,7 @@
 		recordFailure(error, id) {
 			recordFailure('callers', error, {id});
 		},
+		canFinish,
 		handle,
 	}, settings.limits);
 
@@ -296,6 +332,7 @@
 			return;
 		}
 
+		stopsAt = leaveStartedAt + noticeMilliseconds + settings.leaving.graceMilliseconds;
 		await membership.leave();
 		if (lifeCycle.getState() === 'leaving') {
 			await timers.setTimeout(noticeMilliseconds);
--- a/test/failing-calls.test.ts
+++ b/test/failing-calls.test.ts
@@ -85,6 +85,7 @@
 		},
 		isLeaving: () => false,
 		isEntryListStale: () => false,
+		canFinish: () => true,
 		recordFailure(error, id) {
 			failures.push([String(error), id]);
 		},
