Refuse calls that wait for a slot or a connection in a stop of an entry

Seen by callers of fescuering-entry: a call that waited for a slot of an upstream, so that nothing of it had been sent, was cut without an answer at the end of a stop.

Change: a stop looks every 20 ms for calls that wait for a slot or a connection and can't be finished, and refuses them with `leaving`; one that is given a slot later is asked once more. A call of which an earlier attempt may have run gets 502 instead.

--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -71,6 +71,8 @@
 const reviewCloseTimeoutMilliseconds = 5000;
 /** Time for which roll-ups of review records are kept. */
 const rollUpRetentionMilliseconds = 62 * dayMilliseconds;
+/** Interval at which a stop looks for calls that wait and that it leaves no time for, in milliseconds. */
+const refusalIntervalMilliseconds = 20;
 const seedLimit = 2 ** 31;
 
 /** Starts an entry. Resolves when its ports are open, which is before its first table is loaded. */
@@ -78,7 +80,9 @@
 	const {logger, metrics, tracing} = host;
 	const incarnation = createIncarnation();
 	const startedAt = host.getNow();
+	const bounds = workBounds.createWorkBounds();
 	let view: TableView | undefined;
+	let stopsAt = Number.POSITIVE_INFINITY;
 
 	const lifeCycle = createLifeCycle(state => {
 		logger.info('entry-state', {state});
@@ -94,6 +98,7 @@
 	});
 	const services = createServices({
 		getNow: host.getNow,
+		canFinish,
 		onLoadReport(_service, upstream, report) {
 			membership.recordUpstreamReport(upstream, report);
 			loadPoller.recordReport(upstream, host.getNow());
@@ -194,8 +199,6 @@
 		metrics, reviewWriter, failureDomain: settings.failureDomain, getNow: host.getNow,
 	});
 
-	const bounds = workBounds.createWorkBounds();
-	let stopsAt = Number.POSITIVE_INFINITY;
 	function getShutdownPhase(): shutdownAdmission.ShutdownPhase {
 		switch (lifeCycle.getState()) {
 			case 'starting':
@@ -333,6 +336,7 @@
 		}
 
 		stopsAt = leaveStartedAt + noticeMilliseconds + settings.leaving.graceMilliseconds;
+		const refusalTimer = setInterval(services.refuseUnsent, refusalIntervalMilliseconds);
 		await membership.leave();
 		if (lifeCycle.getState() === 'leaving') {
 			await timers.setTimeout(noticeMilliseconds);
@@ -342,6 +346,7 @@
 		const countCalls = () => callerServer.countOpenRequests() + services.countCalls();
 		logger.info('entry-draining', {calls: countCalls(), graceMilliseconds: settings.leaving.graceMilliseconds});
 		await drainCallers(callerServer, {countCalls, graceMilliseconds: settings.leaving.graceMilliseconds, getNow: host.getNow});
+		clearInterval(refusalTimer);
 		lifeCycle.send('calls-ended');
 		stopOverloadMonitor();
 		await loadPoller.stop();
--- a/src/entry/service-runner.test.ts
+++ b/src/entry/service-runner.test.ts
@@ -49,7 +49,7 @@
 		countWaitingCalls: () => 0,
 	};
 	return createServiceRunner({
-		scheduler, getNow: () => performance.now(), findPool: address => pools.get(address), onLoadReport: () => undefined, onAttemptResult: () => undefined,
+		scheduler, getNow: () => performance.now(), canFinish: () => true, findPool: address => pools.get(address), onLoadReport: () => undefined, onAttemptResult: () => undefined,
 	});
 }
 
--- a/src/entry/service-runner.ts
+++ b/src/entry/service-runner.ts
@@ -26,6 +26,8 @@
 	readonly scheduler: ServiceScheduler;
 	/** Current time of a monotonic clock, in milliseconds. */
 	getNow(): number;
+	/** Whether a call that is sent now can be finished before a planned stop of this entry. */
+	canFinish(call: Call): boolean;
 	/** Returns the connection pool of an upstream; undefined when the upstream is unknown. */
 	findPool(upstream: string): ConnectionPool | undefined;
 	/** Called for each load report in the header of an answer. */
@@ -45,6 +47,8 @@
 	execute(call: Call, sink: AnswerSink, options: ExecutionOptions): CallExecution;
 	/** Changes the input of the scheduler and executes the actions that it returns. */
 	update(change: (scheduler: ServiceScheduler, now: number) => readonly SchedulerAction[]): void;
+	/** Refuses the calls that wait for a slot or a connection and that a planned stop leaves no time for. */
+	refuseUnsent(): void;
 	/** Number of calls that have not ended. */
 	count(): number;
 	close(): void;
@@ -128,6 +132,12 @@
 	}
 
 	function dispatch(state: RunningCall, upstream: string, behindLongMilliseconds: number): void {
+		if (!host.canFinish(state.call)) {
+			answerLeaving(state);
+			applyActions(scheduler.finishAttempt(state.call.id, upstream, {kind: 'cancelled'}, host.getNow()));
+			return;
+		}
+
 		const now = host.getNow();
 		state.phase = 'connecting';
 		state.attempts++;
@@ -333,6 +343,44 @@
 		endCall(state, outcome === 'not-run' ? 'refused' : 'failed', refusalReason);
 	}
 
+	/** Answers a call that waits, because a planned stop leaves no time for it. */
+	function answerLeaving(state: RunningCall): void {
+		if (state.mayHaveRunEarlier) {
+			answerProblem(state, 'upstream-failed');
+		} else {
+			answerProblem(state, 'leaving', 'leaving', refusedRetryAfterMilliseconds);
+		}
+	}
+
+	function refuseUnsent(state: RunningCall): void {
+		switch (state.phase) {
+			case 'waiting': {
+				scheduler.cancel(state.call.id, host.getNow());
+				answerLeaving(state);
+				break;
+			}
+
+			case 'connecting': {
+				const upstream = state.triedUpstreams.at(-1)!;
+				state.evidence = {kind: 'never-connected'};
+				answerLeaving(state);
+				state.cancelConnectionRequest?.();
+				reportAttemptResult(state, upstream, {kind: 'cancelled'});
+				break;
+			}
+
+			case 'sent':
+			case 'answering':
+			case 'ended': {
+				break;
+			}
+
+			default: {
+				assertNever(state.phase);
+			}
+		}
+	}
+
 	function endCall(state: RunningCall, result: CallEnd['result'], refusalReason?: RefusalReason): void {
 		const callEnd = getCallEnd(state, result, refusalReason, host.getNow());
 		state.phase = 'ended';
@@ -440,6 +488,13 @@
 		update(change) {
 			applyActions(change(scheduler, host.getNow()));
 		},
+		refuseUnsent() {
+			for (const state of runningCalls.values()) {
+				if (!host.canFinish(state.call)) {
+					refuseUnsent(state);
+				}
+			}
+		},
 		count: () => runningCalls.size,
 		close() {
 			clearTimeout(advanceTimer);
--- a/src/entry/services.ts
+++ b/src/entry/services.ts
@@ -17,6 +17,8 @@
 export type ServicesHost = {
 	/** Current time of a monotonic clock, in milliseconds. */
 	getNow(): number;
+	/** Whether a call that is sent now can be finished before a planned stop of this entry. */
+	canFinish(call: Call): boolean;
 	/** Called for each load report in the header of an answer. */
 	onLoadReport(service: string, upstream: string, report: LoadReport): void;
 	/** Called at the end of each attempt. */
@@ -53,6 +55,8 @@
 	/** Applies a load report that was received from a poll or a peer. */
 	applyLoadReport(service: string, upstream: string, report: LoadReport, reportedAt: number): void;
 	execute(call: Call, sink: AnswerSink, options: ExecutionOptions): CallExecution;
+	/** Refuses the calls that wait for a slot or a connection and that a planned stop leaves no time for. */
+	refuseUnsent(): void;
 	/** Number of calls that have not ended. */
 	countCalls(): number;
 	getStatus(): readonly ServiceStatus[];
@@ -85,6 +89,7 @@
 		const runner = createServiceRunner({
 			scheduler,
 			getNow: host.getNow,
+			canFinish: host.canFinish,
 			findPool: upstream => pools.get(upstream)?.pool,
 			onLoadReport(upstream, report) {
 				host.onLoadReport(name, upstream, report);
@@ -180,6 +185,11 @@
 			services.get(service)?.runner.update((scheduler, now) => scheduler.applyReport(upstream, report, reportedAt, now));
 		},
 		execute: (call, sink, executionOptions) => services.get(call.service)!.runner.execute(call, sink, executionOptions),
+		refuseUnsent() {
+			for (const {runner} of services.values()) {
+				runner.refuseUnsent();
+			}
+		},
 		countCalls() {
 			let count = 0;
 			for (const {runner} of services.values()) {
--- a/test/entry-stops.test.ts
+++ b/test/entry-stops.test.ts
@@ -69,6 +69,14 @@
 	};
 }
 
+type Status = {readonly services: ReadonlyArray<{readonly waiting: number; readonly calls: number}>};
+
+async function readStatus(entry: FleetEntry): Promise<Status['services'][number]> {
+	const response = await fetch(`http://${entry.address}/v1/status`);
+	const {services} = await response.json() as Status; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	return services[0]!;
+}
+
 const refusal = ['503', 'not-run', 'leaving'];
 
 // Guards against calls that are taken on during a stop, run, and are cut at its end, so that nobody learns what became of them.
@@ -84,3 +92,23 @@
 	expect(await entry.program.exited).toBe(0);
 	expect(hasLogged(entry, 'cutOff=0')).toBe(true);
 });
+
+// Guards against calls that no upstream has received and that are cut without an answer at the end of the grace period.
+test('a call that waits for a slot during a stop that it may outlast is refused', async () => {
+	const entry = await startEntry(1);
+	const running = send(entry, 'POST', 'long/1');
+	await waitUntil(async () => {
+		const {calls, waiting: count} = await readStatus(entry);
+		return calls === 1 && count === 0;
+	});
+	const waiting = [send(entry, 'POST', 'long/2'), send(entry, 'GET', 'long/3')];
+	await waitUntil(async () => {
+		const {waiting: count} = await readStatus(entry);
+		return count === 2;
+	});
+	entry.program.signal('SIGTERM');
+	await Promise.all(waiting.map(async ({caller}) => caller.closed));
+	expect(waiting.map(({getAnswer}) => getAnswer())).toEqual([refusal, refusal]);
+	expect(await entry.program.exited).toBe(0);
+	expect(running.getAnswer()).toEqual([]);
+});
