--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -2,6 +2,8 @@
 import * as timers from 'node:timers/promises';
 import * as crypto from 'node:crypto';
 import * as neverthrow from 'neverthrow';
+import * as shutdownAdmission from '../decisions/admission/shutdown-admission.ts';
+import * as workBounds from '../decisions/admission/work-bounds.ts';
 import {type Diagnostic} from '../decisions/diagnostics.ts';
 import {createRandomSource} from '../decisions/random.ts';
 import {dayMilliseconds} from '../decisions/review/records.ts';
@@ -69,6 +71,8 @@
 const reviewCloseTimeoutMilliseconds = 5000;
 /** Time for which roll-ups of review records are kept. */
 const rollUpRetentionMilliseconds = 62 * dayMilliseconds;
+/** Interval at which a stop looks for calls that wait and that it leaves no time for, in milliseconds. */
+const refusalIntervalMilliseconds = 20;
 const seedLimit = 2 ** 31;
 
 /** Starts an entry. Resolves when its ports are open, which is before its first table is loaded. */
@@ -76,7 +80,9 @@
 	const {logger, metrics, tracing} = host;
 	const incarnation = createIncarnation();
 	const startedAt = host.getNow();
+	const bounds = workBounds.createWorkBounds();
 	let view: TableView | undefined;
+	let stopsAt = Number.POSITIVE_INFINITY;
 
 	const lifeCycle = createLifeCycle(state => {
 		logger.info('entry-state', {state});
@@ -92,6 +98,7 @@
 	});
 	const services = createServices({
 		getNow: host.getNow,
+		canFinish,
 		onLoadReport(_service, upstream, report) {
 			membership.recordUpstreamReport(upstream, report);
 			loadPoller.recordReport(upstream, host.getNow());
@@ -192,8 +199,39 @@
 		metrics, reviewWriter, failureDomain: settings.failureDomain, getNow: host.getNow,
 	});
 
+	function getShutdownPhase(): shutdownAdmission.ShutdownPhase {
+		switch (lifeCycle.getState()) {
+			case 'starting':
+			case 'serving': {
+				return {kind: 'running'};
+			}
+
+			case 'leaving': {
+				return {kind: 'notice', stopsAt};
+			}
+
+			case 'draining':
+			case 'stopped': {
+				return {kind: 'draining', stopsAt};
+			}
+		}
+	}
+
+	function canFinish({service, operation, deadlineAt}: Pick<Call, 'service' | 'operation' | 'deadlineAt'>): boolean {
+		const now = host.getNow();
+		const kind = operation.idempotent ? 'idempotent' : 'non-idempotent';
+		return shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {kind, deadlineAt, seen: bounds.getSeen(operation.operation, service, now)}, now);
+	}
+
 	function handle(call: Call, sink: AnswerSink): CallExecution {
+		const started = bounds.start(call.operation.operation, call.service, host.getNow());
 		const onEnd = (end: CallEnd) => {
+			if (end.result === 'refused') {
+				started.discard();
+			} else {
+				started.recordEnd(host.getNow());
+			}
+
 			observer.end(call, end);
 		};
 
@@ -245,6 +283,7 @@
 		recordFailure(error, id) {
 			recordFailure('callers', error, {id});
 		},
+		canFinish,
 		handle,
 	}, settings.limits);
 
@@ -296,6 +335,8 @@
 			return;
 		}
 
+		stopsAt = leaveStartedAt + noticeMilliseconds + settings.leaving.graceMilliseconds;
+		const refusalTimer = setInterval(services.refuseUnsent, refusalIntervalMilliseconds);
 		await membership.leave();
 		if (lifeCycle.getState() === 'leaving') {
 			await timers.setTimeout(noticeMilliseconds);
@@ -305,6 +346,7 @@
 		const countCalls = () => callerServer.countOpenRequests() + services.countCalls();
 		logger.info('entry-draining', {calls: countCalls(), graceMilliseconds: settings.leaving.graceMilliseconds});
 		await drainCallers(callerServer, {countCalls, graceMilliseconds: settings.leaving.graceMilliseconds, getNow: host.getNow});
+		clearInterval(refusalTimer);
 		lifeCycle.send('calls-ended');
 		stopOverloadMonitor();
 		await loadPoller.stop();
