Read what has arrived before a stop resets connections

Callers of a process that stood still or was late around the end of its stop were reset, although the whole answers of their upstreams lay in the process's sockets.

Cause: the timer of the reset is due when the process goes on, and timers run before sockets are read. The limits of the whole stop end the process the same way.

Now the event loop reads its sockets and writes the answers before the reset, for as long as something moves and until the time at which the stop must close, and for a few turns if that is over already. The limits of the whole stop take their last 20 ms as a second step, so a late process has them too.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -37,7 +37,7 @@
 	/** Whether a request that is sent now can be finished before a planned stop of this entry. */
 	canFinish(request: GatewayRequest): boolean;
 	/** Tracks a call. */
-	beginCall(request: GatewayRequest): runningCalls.CallProgress;
+	beginCall(request: GatewayRequest, countReceivedBytes: () => number): runningCalls.CallProgress;
 };
 
 /** Receiver of the response. */
@@ -75,7 +75,8 @@
 	const attempts: callReport.AttemptReport[] = [];
 	const tried = new Set<string>();
 	const running = new Set<GatewayAttempt>();
-	const progress = host.beginCall(request);
+	const countReceivedBytes = () => [...running].reduce((sum, attempt) => sum + attempt.countReceivedBytes(), 0);
+	const progress = host.beginCall(request, countReceivedBytes);
 	let mayHaveRunOn = 0;
 	let isAnswered = false;
 	let checks = 0;
@@ -355,8 +356,6 @@
 		});
 	}
 
-	const countReceivedBytes = () => [...running].reduce((sum, attempt) => sum + attempt.countReceivedBytes(), 0);
-
 	/** Ends the call at its deadline, once a response that has arrived is read. A process that is late finds the timer due before it reads its sockets. */
 	function endAfterReading(): void {
 		const receivedBefore = countReceivedBytes();
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -42,6 +42,8 @@
 	cut(socket: net.Socket, reason: CutReason): void;
 	/** Number of exchanges that have not ended. */
 	countExchanges(): number;
+	/** Number of exchanges whose response is written, but not yet taken by the system. */
+	countWritten(): number;
 	/** Number of exchanges on one connection that have not ended. */
 	countExchangesOn(socket: net.Socket): number;
 	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
@@ -144,6 +146,7 @@
 		isPassedOn: exchange => passedOn.has(exchange),
 		cut,
 		countExchanges: exchanges.count,
+		countWritten: () => [...connections.keys()].reduce((sum, socket) => sum + exchanges.listOn(socket).filter(({response}) => response.writableEnded).length, 0),
 		countExchangesOn: exchanges.countOn,
 		stop: idle.stop,
 		reset() {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -31,6 +31,7 @@
 import * as fleetSize from './fleet-size.ts';
 import {createFrontServer} from './front-server.ts';
 import type * as loadCheck from './load-check.ts';
+import * as lastReading from './last-reading.ts';
 import * as latenessWatch from './lateness-watch.ts';
 import * as guardedRequests from './guarded-requests.ts';
 import * as messageLimits from './message-limits.ts';
@@ -479,7 +480,11 @@
 			await waitUntil(Math.min(times.resetsAt, getNow() + drainCheckIntervalMilliseconds));
 		}
 
-		logger.info('gateway-stopped', {cutOff: frontServer.countOpen(), milliseconds: Math.round(getNow() - times.beganAt), lateMilliseconds: Math.round(Math.max(0, getNow() - times.resetsAt))});
+		const lateMilliseconds = Math.round(Math.max(0, getNow() - times.resetsAt));
+		await lastReading.readArrived({
+			countOpen: frontServer.countOpen, countWritten: frontServer.countWritten, countReceivedBytes: runningCalls.countReceivedBytes, getNow,
+		}, times.closesAt);
+		logger.info('gateway-stopped', {cutOff: frontServer.countOpen(), milliseconds: Math.round(getNow() - times.beganAt), lateMilliseconds});
 		clearInterval(refusalTimer);
 		clearTimeout(reportTimer);
 		frontServer.reset();
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -67,6 +67,8 @@
 	readonly server: http.Server;
 	/** Counts the exchanges that have not ended. */
 	countOpen(): number;
+	/** Counts the exchanges whose response is written, but not yet taken by the system. */
+	countWritten(): number;
 	/** Counts the connections that wait until they are read, because others are costly to read. */
 	countDeferred(): number;
 	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
@@ -400,6 +402,7 @@
 	return {
 		server,
 		countOpen: connections.countExchanges,
+		countWritten: connections.countWritten,
 		countDeferred: connections.reading.countDeferred,
 		stop: connections.stop,
 		countClosing: connections.closing.count,
--- a/src/gateway/running-calls.ts
+++ b/src/gateway/running-calls.ts
@@ -24,8 +24,10 @@
 
 /** The calls that hold anything. */
 export type RunningCalls = {
-	begin(request: TrackedRequest): CallProgress;
+	begin(request: TrackedRequest, countReceivedBytes: () => number): CallProgress;
 	count(): number;
+	/** Counts the bytes that were received of the responses that are not complete. */
+	countReceivedBytes(): number;
 	/** Logs the calls that have outlived their deadline by far, each once. */
 	logOverdue(): void;
 	/** Logs the calls at upstreams that are not answered, because the stop that began at a time is about to cut them. */
@@ -38,6 +40,7 @@
 	sent: {readonly upstream: string; readonly at: number} | undefined;
 	isAnswered: boolean;
 	isLogged: boolean;
+	countReceivedBytes(): number;
 };
 
 /** Time after its deadline from which on a call is overdue, in milliseconds; its timers end it within a tenth of that. */
@@ -49,9 +52,9 @@
 export function createRunningCalls(host: RunningCallsHost): RunningCalls {
 	const calls = new Set<TrackedCall>();
 	return {
-		begin(request) {
+		begin(request, countReceivedBytes) {
 			const call: TrackedCall = {
-				request, sent: undefined, isAnswered: false, isLogged: false,
+				request, countReceivedBytes, sent: undefined, isAnswered: false, isLogged: false,
 			};
 			calls.add(call);
 			return {
@@ -67,6 +70,7 @@
 			};
 		},
 		count: () => calls.size,
+		countReceivedBytes: () => [...calls].reduce((sum, call) => sum + call.countReceivedBytes(), 0),
 		logOverdue() {
 			const now = host.getNow();
 			for (const call of calls) {
--- a/src/programs/shared/process-stop.ts
+++ b/src/programs/shared/process-stop.ts
@@ -34,6 +34,9 @@
 	stop(exitCode: number, leave: (stoppable: Stoppable) => Promise<void>): void;
 };
 
+/** Part of a time limit in which a process that is late reads its sockets, in milliseconds. */
+const lastStepMilliseconds = 20;
+
 /** Creates a stop that calls a function with the exit code at its end. */
 export function createStop({logger, limits, flush}: Omit<ProcessStopHost, 'logCrash'>, exit: (code: number) => void): TriggeredStop {
 	let running: Stoppable | undefined;
@@ -73,10 +76,13 @@
 	};
 }
 
+/** Resolves at a time, in two steps: a process that finds the first one due late still reads its sockets before the second one. */
 async function createTimeLimit(milliseconds: number | undefined): Promise<'over'> {
 	return new Promise(resolve => {
 		if (milliseconds !== undefined) {
-			setTimeout(resolve, milliseconds, 'over');
+			setTimeout(() => {
+				setTimeout(resolve, lastStepMilliseconds, 'over');
+			}, Math.max(0, milliseconds - lastStepMilliseconds));
 		}
 	});
 }
--- /dev/null
+++ b/test/late-stops.test.ts
@@ -0,0 +1,52 @@
+/** Tests of stops of processes that stand still or are late, with real processes. */
+import * as timers from 'node:timers/promises';
+import * as vitest from 'vitest';
+import * as gatewayProcess from './support/gateway-process.ts';
+import * as gateways from './support/gateways.ts';
+import * as rawCaller from './support/raw-caller.ts';
+
+const {afterEach, beforeEach, expect, test} = vitest;
+
+const routeTimeoutMilliseconds = 10_000;
+let standIns: gatewayProcess.StandIns;
+
+beforeEach(async () => {
+	standIns = await gatewayProcess.startStandIns();
+	standIns.store.put('keyed.op', 'config', gateways.createConfiguration(5, undefined, routeTimeoutMilliseconds));
+});
+
+afterEach(gatewayProcess.close);
+
+const createUnsafeRequest = (id: string) => rawCaller.createRequest(id, {
+	path: '/credit/1', method: 'POST', body: 'x', deadlineMilliseconds: routeTimeoutMilliseconds,
+});
+
+// Guards against answers that have arrived and are lost because the end of the stop is due when the process goes on.
+test.each([
+	{goesOnAt: 1770, bytes: 100},
+	{goesOnAt: 1770, bytes: 2_000_000},
+	{goesOnAt: 1860, bytes: 100},
+	{goesOnAt: 1860, bytes: 400_000},
+])('answers of $bytes bytes that arrived are delivered although the process stood still until $goesOnAt ms after SIGTERM', async ({goesOnAt, bytes}) => {
+	standIns.upstream.setBehavior({kind: 'choose', chooseResponse: () => ({milliseconds: 1500, bytes, end: 'length'})});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	const callers = ['a', 'b', 'c'].map(id => {
+		const caller = rawCaller.connect(gateway.front);
+		caller.socket.write(createUnsafeRequest(id));
+		return caller;
+	});
+	await gateways.waitUntil(() => standIns.upstream.receivedRequests.length === callers.length);
+	gateway.signal('SIGTERM');
+	const signalledAt = performance.now();
+	const waitUntil = async (milliseconds: number) => timers.setTimeout(signalledAt + milliseconds - performance.now());
+	await waitUntil(1300);
+	gateway.signal('SIGSTOP');
+	await waitUntil(goesOnAt);
+	expect(callers.flatMap(caller => caller.listStatuses())).toEqual([]);
+	gateway.signal('SIGCONT');
+	await gateway.exited;
+	await Promise.all(callers.map(async ({closed}) => closed));
+	expect(callers.flatMap(caller => caller.listAnswered())).toEqual(['a', 'b', 'c']);
+	expect(callers.flatMap(caller => caller.listStatuses())).toEqual([200, 200, 200]);
+	expect(callers.every(caller => caller.getText().length > bytes)).toBe(true);
+});
