Count a stop from when its signal may have arrived

A process that stood still or was busy when SIGTERM arrived was still there at the end of its grace period. The platform kills it then, with the answers and the log lines that it holds.

Cause: all times of the stop counted from when the signal was handled.

Now the event loop notes every 100 ms a time at which no signal was waiting: a timer takes the time, and the check phase behind the next poll confirms it, since a waiting signal would have been handled in between. At the signal, the stop counts from the latest such time, at most half of the grace period ago: nobody knows when within a longer standstill the signal came, and cutting all requests at once is what the kill would do. The notice still lasts as long from the handling on, as callers hear of it then. The price is up to 100 ms of the stop of a process that is on time, and ten short turns a second.

signal-received has lateMilliseconds now; the other lines count from the handling, which is known exactly.

--- a/src/decisions/admission/stop-times.ts
+++ b/src/decisions/admission/stop-times.ts
@@ -3,7 +3,8 @@
 
 Load pattern: callers that never read, and other processes that stand still, make a stop use all of its time. The platform
 kills a process that is there at the end of the grace period, with what it still had to say. So all parts of the stop are
-bounded by one clock that starts at the signal, and end before the grace period does.
+bounded by one clock that starts at the signal, and end before the grace period does. A process that is late handles the
+signal some time after it has arrived, and can't know when that was.
 */
 
 /** Times of a stop, on the clock of the time at which it began. */
@@ -42,6 +43,14 @@
 /** Largest share of the grace period for the notice. */
 const maximumNoticeShare = 0.55;
 
+/** Largest share of the grace period that is taken for gone when the signal is handled; a process that stood still for long has nothing to gain by cutting all requests at once. */
+export const maximumLateShare = 0.5;
+
+/** Estimates by how many milliseconds a signal is handled late: it arrived no earlier than the latest time at which none was waiting. */
+export function estimateLateness(handledAt: number, noneWaitingAt: number, graceMilliseconds: number): number {
+	return Math.min(Math.max(0, handledAt - noneWaitingAt), maximumLateShare * graceMilliseconds);
+}
+
 /** Computes the times of a stop that began at a time. */
 export function getStopTimes(beganAt: number, graceMilliseconds: number, noticeMilliseconds: number): StopTimes {
 	const limit = (milliseconds: number) => Math.min(milliseconds, maximumShare * graceMilliseconds);
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -78,8 +78,8 @@
 export type Gateway = {
 	/** Applies the seeds of new settings; all other settings stay as they were at the start. */
 	reload(settings: GatewaySettings): void;
-	/** Announces the stop, finishes the requests in flight, and stops. */
-	leave(): Promise<void>;
+	/** Announces the stop, finishes the requests in flight, and stops; the signal to stop may have arrived some time ago, 0 by default. */
+	leave(lateMilliseconds?: number): Promise<void>;
 	/** Stops without notice: accepts no new connections from now on, finishes the requests in flight, and stops. */
 	leaveAtOnce(): Promise<void>;
 };
@@ -457,18 +457,20 @@
 		incarnation, address: settings.listen.callers, failureDomain: settings.failureDomain, startMilliseconds: Math.round(getNow()), staleMilliseconds,
 	});
 
-	async function leave(longestNoticeMilliseconds: number): Promise<void> {
+	async function leave(longestNoticeMilliseconds: number, signalLateMilliseconds: number): Promise<void> {
 		if (!lifeCycle.send('leave')) {
 			return;
 		}
 
-		const times = stopTimes.getStopTimes(getNow(), settings.graceMilliseconds, longestNoticeMilliseconds);
+		const handledAt = getNow();
+		// Callers hear of the stop from now on, so the notice is as long as it would be.
+		const times = stopTimes.getStopTimes(handledAt - signalLateMilliseconds, settings.graceMilliseconds, signalLateMilliseconds + longestNoticeMilliseconds);
 		stop = times;
 		const waitUntil = async (time: number) => timers.setTimeout(Math.max(0, time - getNow()));
 
 		logger.info('gateway-leaving', {openRequests: frontServer.countOpen(), lateMilliseconds: Math.round(lateness.getLargest())});
 		sharing.announce();
-		const reportTimer = setTimeout(runningCalls.logOutlasting, times.reportsAt - getNow(), times.beganAt);
+		const reportTimer = setTimeout(runningCalls.logOutlasting, times.reportsAt - handledAt, handledAt);
 		const refusalTimer = setInterval(frontServer.refuseUnstarted, drainCheckIntervalMilliseconds);
 		if (lifeCycle.getState() === 'leaving') {
 			await waitUntil(times.noticeEndsAt);
@@ -484,7 +486,7 @@
 		await lastReading.readArrived({
 			countOpen: frontServer.countOpen, countWritten: frontServer.countWritten, countReceivedBytes: runningCalls.countReceivedBytes, getNow,
 		}, times.closesAt);
-		logger.info('gateway-stopped', {cutOff: frontServer.countOpen(), milliseconds: Math.round(getNow() - times.beganAt), lateMilliseconds});
+		logger.info('gateway-stopped', {cutOff: frontServer.countOpen(), milliseconds: Math.round(getNow() - handledAt), lateMilliseconds});
 		clearInterval(refusalTimer);
 		clearTimeout(reportTimer);
 		frontServer.reset();
@@ -511,7 +513,7 @@
 			seeds = next.seeds;
 			logger.info('settings-reloaded', {seeds: seeds.length});
 		},
-		leave: async () => leave(noticeMilliseconds),
-		leaveAtOnce: async () => leave(0),
+		leave: async (lateMilliseconds = 0) => leave(noticeMilliseconds, lateMilliseconds),
+		leaveAtOnce: async () => leave(0, 0),
 	};
 }
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -12,6 +12,7 @@
 import {createLogger, type Logger} from '../observability/logger.ts';
 import {createCommandLine, exitWithDiagnostic, runCommandLine} from './shared/command-line.ts';
 import * as processStop from './shared/process-stop.ts';
+import * as turnWatch from './shared/turn-watch.ts';
 
 type Flags = {
 	readonly settings?: string;
@@ -67,10 +68,13 @@
 
 async function start(path: string, settings: GatewaySettings, localAddress: string | undefined): Promise<void> {
 	const logger = createLogger('info', {entry: settings.name}, writer);
+	const getNow = () => performance.now();
+	const turns = turnWatch.watchTurns(getNow);
 	const {givesUpAt, exitsAt} = stopTimes.getStopTimes(0, settings.graceMilliseconds, 0);
 	const stop = processStop.handleStop({
 		logger,
 		limits: {leaveMilliseconds: givesUpAt, endMilliseconds: exitsAt},
+		estimateLateness: () => stopTimes.estimateLateness(getNow(), turns.getLastTurn(), settings.graceMilliseconds),
 		logCrash(reason) {
 			logger.error('gateway-crashed', {reason});
 		},
@@ -78,7 +82,6 @@
 	});
 	const reloads = handleReloads(path, logger);
 	const metrics = createGatewayMetrics();
-	const getNow = () => performance.now();
 	const gateway = await createGateway(settings, {
 		platform: createPlatform(settings.storeAddress, getNow, metrics.recordStoreCall),
 		logger,
--- a/src/programs/shared/process-stop.test.ts
+++ b/src/programs/shared/process-stop.test.ts
@@ -59,3 +59,14 @@
 	await vi.advanceTimersByTimeAsync(limits.endMilliseconds);
 	expect(events).toEqual([['exit', 1]]);
 });
+
+// Guards against a process that is killed because it handled the signal to stop late.
+test('a process that handled the signal late ends earlier by as much', async () => {
+	const {events, stop} = createHost(never);
+	stop.handOver({leave: never, leaveAtOnce: never});
+	stop.stop(0, async stoppable => stoppable.leave(500), 500);
+	await vi.advanceTimersByTimeAsync(limits.endMilliseconds - 501);
+	expect(events).toEqual([['stop-failed', {reason: 'overdue'}]]);
+	await vi.advanceTimersByTimeAsync(1);
+	expect(events.at(-1)).toEqual(['exit', 1]);
+});
--- a/src/programs/shared/process-stop.ts
+++ b/src/programs/shared/process-stop.ts
@@ -5,8 +5,8 @@
 
 /** Part of a process that serves callers. */
 export type Stoppable = {
-	/** Stops with notice to the callers. */
-	leave(): Promise<void>;
+	/** Stops with notice to the callers; the signal to stop may have arrived some time ago, 0 by default. */
+	leave(lateMilliseconds?: number): Promise<void>;
 	/** Stops without notice; the requests in flight are finished. */
 	leaveAtOnce(): Promise<void>;
 };
@@ -16,6 +16,8 @@
 	readonly logger: Logger;
 	/** Time after the signal at which the part that serves callers is no longer waited for, and at which the process ends, in milliseconds; none by default. */
 	readonly limits?: {readonly leaveMilliseconds: number; readonly endMilliseconds: number};
+	/** Returns by how many milliseconds the signal that is being handled may be late; none by default. */
+	estimateLateness?(): number;
 	/** Logs that an error that nothing has handled ends the process. */
 	logCrash(reason: string): void;
 	/** Writes the log lines that are buffered. */
@@ -30,23 +32,23 @@
 
 /** Stop that something else than the process triggers. */
 export type TriggeredStop = ProcessStop & {
-	/** Stops once: a second call must not cut the stop short. */
-	stop(exitCode: number, leave: (stoppable: Stoppable) => Promise<void>): void;
+	/** Stops once: a second call must not cut the stop short. The time limits are shorter by how late the stop begins. */
+	stop(exitCode: number, leave: (stoppable: Stoppable) => Promise<void>, lateMilliseconds?: number): void;
 };
 
 /** Part of a time limit in which a process that is late reads its sockets, in milliseconds. */
 const lastStepMilliseconds = 20;
 
 /** Creates a stop that calls a function with the exit code at its end. */
-export function createStop({logger, limits, flush}: Omit<ProcessStopHost, 'logCrash'>, exit: (code: number) => void): TriggeredStop {
+export function createStop({logger, limits, flush}: Omit<ProcessStopHost, 'logCrash' | 'estimateLateness'>, exit: (code: number) => void): TriggeredStop {
 	let running: Stoppable | undefined;
 	let isStopping = false;
 	let exitCode = 0;
 
 	/** What is still starting has accepted nothing. */
-	async function leaveAndExit(leave: (stoppable: Stoppable) => Promise<void>): Promise<void> {
-		const overdue = createTimeLimit(limits?.leaveMilliseconds);
-		const end = createTimeLimit(limits?.endMilliseconds);
+	async function leaveAndExit(leave: (stoppable: Stoppable) => Promise<void>, lateMilliseconds: number): Promise<void> {
+		const overdue = createTimeLimit(limits && limits.leaveMilliseconds - lateMilliseconds);
+		const end = createTimeLimit(limits && limits.endMilliseconds - lateMilliseconds);
 		try {
 			const stopped = running ? leave(running) : Promise.resolve();
 			if (await Promise.race([stopped, overdue]) === 'over') {
@@ -66,11 +68,11 @@
 		handOver(stoppable) {
 			running = stoppable;
 		},
-		stop(code, leave) {
+		stop(code, leave, lateMilliseconds = 0) {
 			exitCode = Math.max(exitCode, code);
 			if (!isStopping) {
 				isStopping = true;
-				void leaveAndExit(leave);
+				void leaveAndExit(leave, lateMilliseconds);
 			}
 		},
 	};
@@ -95,8 +97,9 @@
 	});
 	// A second signal must not end the process by default.
 	const handleSignal = (signal: NodeJS.Signals) => {
-		logger.info('signal-received', {signal});
-		triggered.stop(0, async stoppable => stoppable.leave());
+		const lateMilliseconds = host.estimateLateness?.() ?? 0;
+		logger.info('signal-received', {signal, lateMilliseconds: Math.round(lateMilliseconds)});
+		triggered.stop(0, async stoppable => stoppable.leave(lateMilliseconds), lateMilliseconds);
 	};
 
 	process.on('SIGTERM', handleSignal);
--- a/test/late-stops.test.ts
+++ b/test/late-stops.test.ts
@@ -50,3 +50,24 @@
 	expect(callers.flatMap(caller => caller.listStatuses())).toEqual([200, 200, 200]);
 	expect(callers.every(caller => caller.getText().length > bytes)).toBe(true);
 });
+
+/** Makes a process busy for some time at SIGUSR2. */
+const busyOption = 'data:text/javascript,process.on("SIGUSR2",()=>{const end=performance.now()+700;while(performance.now()<end);})';
+
+// Guards against a process that is killed at the end of its grace period with what it had to say, because it counts from when it handles SIGTERM.
+test.each(['stands still', 'is busy'] as const)('a process that %s when SIGTERM arrives ends within its grace period', async trouble => {
+	standIns.upstream.setBehavior({kind: 'answer', milliseconds: routeTimeoutMilliseconds});
+	const gateway = gatewayProcess.start({host: gatewayProcess.createHost(), storeAddress: standIns.store.address, nodeOptions: ['--import', busyOption]});
+	await gateways.waitUntil(async () => gatewayProcess.isReady(gateway));
+	const caller = rawCaller.connect(gateway.front);
+	caller.socket.write(createUnsafeRequest('a'));
+	await gateways.waitUntil(() => standIns.upstream.receivedRequests.length === 1);
+	gateway.signal(trouble === 'is busy' ? 'SIGUSR2' : 'SIGSTOP');
+	await timers.setTimeout(50);
+	gateway.signal('SIGTERM');
+	const graceOver = timers.setTimeout(gatewayProcess.graceSeconds * 1000, 'killed');
+	await timers.setTimeout(600);
+	gateway.signal('SIGCONT');
+	expect(await Promise.race([gateway.exited, graceOver])).toEqual({code: 0});
+	await gateways.waitUntil(() => gateway.hasLogged('connection-cut') && gateway.hasLogged('gateway-stopped'));
+});
