Write the log lines of a stop at once

What a process had refused or cut in the last 100 ms before it was killed was in no log, so a record of such a stop names none of its requests.

Cause: lines are collected for 100 ms before they are written, and a flush waited for that timer, and looked each 50 ms, in the 60 ms that a stop has for its log.

Now a stop lets the writer hurry: what is queued and what follows is written as soon as the event loop turns and the write before has ended, and after 10 instead of 50 ms if the reader is slow. A flush ends with the last write.

--- a/src/observability/line-writer.ts
+++ b/src/observability/line-writer.ts
@@ -11,7 +11,9 @@
 export type LineWriter = {
 	/** Queues a line, which includes its line feed. Returns false if the line is dropped. */
 	write(line: string, isImportant?: boolean): boolean;
-	/** Resolves when all queued lines are written, or after the given time. */
+	/** Collects no lines any more: writes those that are queued and all that follow as soon as it can. */
+	hurry(): void;
+	/** Hurries, and resolves when all queued lines are written, or after the given time. */
 	flush(milliseconds: number): Promise<void>;
 };
 
@@ -30,6 +32,8 @@
 const collectMilliseconds = 100;
 /** Pause after a write that would block because the reader of the descriptor is slow, in milliseconds. */
 const retryMilliseconds = 50;
+/** The same pause of a writer that hurries, in milliseconds. */
+const hurriedRetryMilliseconds = 10;
 const windowMilliseconds = 1000;
 
 /** Creates a writer. */
@@ -38,6 +42,9 @@
 	let queuedLength = 0;
 	let droppedLines = 0;
 	let isWriting = false;
+	let isHurried = false;
+	let cancelScheduled: (() => void) | undefined;
+	const idleListeners: Array<() => void> = [];
 	let windowStart = Number.NEGATIVE_INFINITY;
 	const linesInWindow = {important: 0, other: 0};
 
@@ -53,7 +60,27 @@
 		return linesInWindow[kind] <= options.linesPerSecond;
 	}
 
+	/** Schedules the next write, unless one is in progress, which is followed by the next one. */
+	function schedule(): void {
+		if (isWriting || cancelScheduled) {
+			return;
+		}
+
+		if (isHurried) {
+			const immediate = setImmediate(writeQueuedLines);
+			cancelScheduled = () => {
+				clearImmediate(immediate);
+			};
+		} else {
+			const timer = setTimeout(writeQueuedLines, collectMilliseconds);
+			cancelScheduled = () => {
+				clearTimeout(timer);
+			};
+		}
+	}
+
 	function writeQueuedLines(): void {
+		cancelScheduled = undefined;
 		if (droppedLines > 0) {
 			queuedLines.push(`event=lines-dropped count=${droppedLines}\n`);
 			droppedLines = 0;
@@ -62,35 +89,44 @@
 		const bytes = buffer.Buffer.from(queuedLines.join(''));
 		queuedLines = [];
 		queuedLength = 0;
-		if (bytes.length === 0) {
-			isWriting = false;
-			return;
-		}
-
+		isWriting = true;
 		writeBytes(bytes);
 	}
 
 	function writeBytes(bytes: buffer.Buffer): void {
 		fs.write(options.fileDescriptor, bytes, (error, written) => {
-			if (error) {
-				if (error.code === 'EAGAIN') {
-					setTimeout(writeBytes, retryMilliseconds, bytes);
-				} else {
-					// The descriptor has no reader, so the error can't be reported.
-					isWriting = false;
-				}
-
-				return;
-			}
-
-			if (written < bytes.length) {
+			if (error?.code === 'EAGAIN') {
+				setTimeout(writeBytes, isHurried ? hurriedRetryMilliseconds : retryMilliseconds, bytes);
+			} else if (!error && written < bytes.length) {
 				writeBytes(bytes.subarray(written));
 			} else {
-				setTimeout(writeQueuedLines, collectMilliseconds);
+				// After any other error, the descriptor has no reader, so the error can't be reported.
+				endWrite();
 			}
 		});
 	}
 
+	function endWrite(): void {
+		isWriting = false;
+		if (queuedLines.length > 0 || droppedLines > 0) {
+			schedule();
+			return;
+		}
+
+		for (const listener of idleListeners.splice(0)) {
+			listener();
+		}
+	}
+
+	function hurry(): void {
+		isHurried = true;
+		if (cancelScheduled) {
+			cancelScheduled();
+			cancelScheduled = undefined;
+			schedule();
+		}
+	}
+
 	return {
 		write(line, isImportant = false) {
 			if (!isWithinRate(isImportant ? 'important' : 'other') || queuedLength + line.length > options.bufferBytes) {
@@ -100,21 +136,20 @@
 
 			queuedLines.push(line);
 			queuedLength += line.length;
-			if (!isWriting) {
-				isWriting = true;
-				setTimeout(writeQueuedLines, collectMilliseconds);
-			}
-
+			schedule();
 			return true;
 		},
+		hurry,
 		async flush(milliseconds) {
-			const endsAt = options.getNow() + milliseconds;
-			const hasLines = () => isWriting;
-			while (hasLines() && options.getNow() < endsAt) {
-				await new Promise(resolve => {
-					setTimeout(resolve, collectMilliseconds / 2);
-				});
+			hurry();
+			if (!isWriting && !cancelScheduled) {
+				return;
 			}
+
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, milliseconds);
+				idleListeners.push(resolve);
+			});
 		},
 	};
 }
--- a/src/programs/gateway.ts
+++ b/src/programs/gateway.ts
@@ -78,6 +78,7 @@
 		logCrash(reason) {
 			logger.error('gateway-crashed', {reason});
 		},
+		onStop: writer.hurry,
 		flush: async () => writer.flush(flushTimeoutMilliseconds),
 	});
 	const reloads = handleReloads(path, logger);
--- a/src/programs/shared/process-stop.ts
+++ b/src/programs/shared/process-stop.ts
@@ -20,6 +20,8 @@
 	estimateLateness?(): number;
 	/** Logs that an error that nothing has handled ends the process. */
 	logCrash(reason: string): void;
+	/** Called once, when the stop begins. */
+	onStop?(): void;
 	/** Writes the log lines that are buffered. */
 	flush(): Promise<void>;
 };
@@ -40,7 +42,7 @@
 const lastStepMilliseconds = 20;
 
 /** Creates a stop that calls a function with the exit code at its end. */
-export function createStop({logger, limits, flush}: Omit<ProcessStopHost, 'logCrash' | 'estimateLateness'>, exit: (code: number) => void): TriggeredStop {
+export function createStop({logger, limits, onStop, flush}: Omit<ProcessStopHost, 'logCrash' | 'estimateLateness'>, exit: (code: number) => void): TriggeredStop {
 	let running: Stoppable | undefined;
 	let isStopping = false;
 	let exitCode = 0;
@@ -72,6 +74,7 @@
 			exitCode = Math.max(exitCode, code);
 			if (!isStopping) {
 				isStopping = true;
+				onStop?.();
 				void leaveAndExit(leave, lateMilliseconds);
 			}
 		},
--- a/test/late-stops.test.ts
+++ b/test/late-stops.test.ts
@@ -51,6 +51,8 @@
 	expect(callers.every(caller => caller.getText().length > bytes)).toBe(true);
 });
 
+/** Time after its caller has heard in which a line reaches the system, in milliseconds; a fifth of that for which lines are collected. */
+const writeMilliseconds = 20;
 /** Makes a process busy for some time at SIGUSR2. */
 const busyOption = 'data:text/javascript,process.on("SIGUSR2",()=>{const end=performance.now()+700;while(performance.now()<end);})';
 
@@ -71,3 +73,18 @@
 	expect(await Promise.race([gateway.exited, graceOver])).toEqual({code: 0});
 	await gateways.waitUntil(() => gateway.hasLogged('connection-cut') && gateway.hasLogged('gateway-stopped'));
 });
+
+// Guards against lines of a stop that are lost because its process is killed before they are written.
+test('what a stop has refused is logged although the process is killed soon after', async () => {
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	gateway.signal('SIGTERM');
+	await gateways.waitUntil(() => gateway.hasLogged('gateway-leaving'));
+	const caller = rawCaller.connect(gateway.front);
+	caller.socket.once('data', () => {
+		setTimeout(gateway.signal, writeMilliseconds, 'SIGKILL');
+	});
+	caller.socket.write(createUnsafeRequest('a'));
+	expect(await gateway.exited).toEqual({signal: 'SIGKILL'});
+	expect(caller.listStatuses()).toEqual([503]);
+	await gateways.waitUntil(() => gateway.hasLogged('request-refused'));
+});
