--- /dev/null
+++ b/test/late-stops.test.ts
@@ -0,0 +1,90 @@
+/** Tests of stops of processes that stand still or are late, with real processes. */
+import * as timers from 'node:timers/promises';
+import * as vitest from 'vitest';
+import * as gatewayProcess from './support/gateway-process.ts';
+import * as gateways from './support/gateways.ts';
+import * as rawCaller from './support/raw-caller.ts';
+
+const {afterEach, beforeEach, expect, test} = vitest;
+
+const routeTimeoutMilliseconds = 10_000;
+let standIns: gatewayProcess.StandIns;
+
+beforeEach(async () => {
+	standIns = await gatewayProcess.startStandIns();
+	standIns.store.put('keyed.op', 'config', gateways.createConfiguration(5, undefined, routeTimeoutMilliseconds));
+});
+
+afterEach(gatewayProcess.close);
+
+const createUnsafeRequest = (id: string) => rawCaller.createRequest(id, {
+	path: '/credit/1', method: 'POST', body: 'x', deadlineMilliseconds: routeTimeoutMilliseconds,
+});
+
+// Guards against answers that have arrived and are lost because the end of the stop is due when the process goes on.
+test.each([
+	{goesOnAt: 1770, bytes: 100},
+	{goesOnAt: 1770, bytes: 2_000_000},
+	{goesOnAt: 1860, bytes: 100},
+	{goesOnAt: 1860, bytes: 400_000},
+])('answers of $bytes bytes that arrived are delivered although the process stood still until $goesOnAt ms after SIGTERM', async ({goesOnAt, bytes}) => {
+	standIns.upstream.setBehavior({kind: 'choose', chooseResponse: () => ({milliseconds: 1500, bytes, end: 'length'})});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	const callers = ['a', 'b', 'c'].map(id => {
+		const caller = rawCaller.connect(gateway.front);
+		caller.socket.write(createUnsafeRequest(id));
+		return caller;
+	});
+	await gateways.waitUntil(() => standIns.upstream.receivedRequests.length === callers.length);
+	gateway.signal('SIGTERM');
+	const signalledAt = performance.now();
+	const waitUntil = async (milliseconds: number) => timers.setTimeout(signalledAt + milliseconds - performance.now());
+	await waitUntil(1300);
+	gateway.signal('SIGSTOP');
+	await waitUntil(goesOnAt);
+	expect(callers.flatMap(caller => caller.listStatuses())).toEqual([]);
+	gateway.signal('SIGCONT');
+	await gateway.exited;
+	await Promise.all(callers.map(async ({closed}) => closed));
+	expect(callers.flatMap(caller => caller.listAnswered())).toEqual(['a', 'b', 'c']);
+	expect(callers.flatMap(caller => caller.listStatuses())).toEqual([200, 200, 200]);
+	expect(callers.every(caller => caller.getText().length > bytes)).toBe(true);
+});
+
+/** Time after its caller has heard in which a line reaches the system, in milliseconds; a fifth of that for which lines are collected. */
+const writeMilliseconds = 20;
+/** Makes a process busy for some time at SIGUSR2. */
+const busyOption = 'data:text/javascript,process.on("SIGUSR2",()=>{const end=performance.now()+700;while(performance.now()<end);})';
+
+// Guards against a process that is killed at the end of its grace period with what it had to say, because it counts from when it handles SIGTERM.
+test.each(['stands still', 'is busy'] as const)('a process that %s when SIGTERM arrives ends within its grace period', async trouble => {
+	standIns.upstream.setBehavior({kind: 'answer', milliseconds: routeTimeoutMilliseconds});
+	const gateway = gatewayProcess.start({host: gatewayProcess.createHost(), storeAddress: standIns.store.address, nodeOptions: ['--import', busyOption]});
+	await gateways.waitUntil(async () => gatewayProcess.isReady(gateway));
+	const caller = rawCaller.connect(gateway.front);
+	caller.socket.write(createUnsafeRequest('a'));
+	await gateways.waitUntil(() => standIns.upstream.receivedRequests.length === 1);
+	gateway.signal(trouble === 'is busy' ? 'SIGUSR2' : 'SIGSTOP');
+	await timers.setTimeout(50);
+	gateway.signal('SIGTERM');
+	const graceOver = timers.setTimeout(gatewayProcess.graceSeconds * 1000, 'killed');
+	await timers.setTimeout(600);
+	gateway.signal('SIGCONT');
+	expect(await Promise.race([gateway.exited, graceOver])).toEqual({code: 0});
+	await gateways.waitUntil(() => gateway.hasLogged('connection-cut') && gateway.hasLogged('gateway-stopped'));
+});
+
+// Guards against lines of a stop that are lost because its process is killed before they are written.
+test('what a stop has refused is logged although the process is killed soon after', async () => {
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	gateway.signal('SIGTERM');
+	await gateways.waitUntil(() => gateway.hasLogged('gateway-leaving'));
+	const caller = rawCaller.connect(gateway.front);
+	caller.socket.once('data', () => {
+		setTimeout(gateway.signal, writeMilliseconds, 'SIGKILL');
+	});
+	caller.socket.write(createUnsafeRequest('a'));
+	expect(await gateway.exited).toEqual({signal: 'SIGKILL'});
+	expect(caller.listStatuses()).toEqual([503]);
+	await gateways.waitUntil(() => gateway.hasLogged('request-refused'));
+});
