Take only answered requests for evidence that work is short

A reviewer who hadn't seen the fix found: after 2,200 requests that an upstream failed with 500 in milliseconds, or that ended at a deadline of 400 ms while the work takes 4.5 s, a POST that was sent 1.5 s after SIGTERM was taken on and reset at the end of the stop.

Cause: each end of an attempt counted as a request of known duration.

Now only answers below 500 count. A failure counts with its duration only; one that was given up, was broken or got 504 asks for as many answered ones again, since its work may have lasted longer.

--- a/src/decisions/admission/shutdown-admission.test.ts
+++ b/src/decisions/admission/shutdown-admission.test.ts
@@ -45,10 +45,10 @@
 	const outcome: Outcome = {
 		accepted: 0, refused: 0, cut: 0, cutAfterNotice: 0,
 	};
-	let running: Array<{readonly endsAt: number; readonly started: workBounds.StartedWork}> = [];
+	let running: Array<{readonly endsAt: number; readonly deadlineAt: number; readonly started: workBounds.StartedWork}> = [];
 	for (let now = 0; now < beganAt + graceMilliseconds; now += -Math.log(1 - source.nextFraction()) * 1000 / requestsPerSecond) {
-		for (const {endsAt, started} of running.filter(({endsAt}) => endsAt <= now).toSorted((first, second) => first.endsAt - second.endsAt)) {
-			started.recordEnd(endsAt);
+		for (const {endsAt, deadlineAt, started} of running.filter(({endsAt}) => endsAt <= now).toSorted((first, second) => first.endsAt - second.endsAt)) {
+			started.recordEnd(endsAt < deadlineAt ? 'finished' : 'unfinished', endsAt);
 		}
 
 		running = running.filter(({endsAt}) => endsAt > now);
@@ -57,7 +57,7 @@
 		const multiple = source.nextFraction() < work.tailShare ? work.tailMultiple : 0.5 + source.nextFraction();
 		const endsAt = Math.min(deadlineAt, now + (work.mean * multiple * (now < beganAt ? 1 : slowdown)));
 		if (isAccepted) {
-			running.push({endsAt, started: bounds.start(route, service, now)});
+			running.push({endsAt, deadlineAt, started: bounds.start(route, service, now)});
 		}
 
 		if (now >= beganAt) {
@@ -130,7 +130,7 @@
 });
 
 test('requests that end by their deadline are taken on until the end of the stop', () => {
-	const seen = {requests: 0, longestMilliseconds: 0};
+	const seen = {finished: 0, unfinished: 0, longestMilliseconds: 0};
 	for (const kind of ['idempotent', 'non-idempotent'] as const) {
 		const request = {kind, deadlineAt: 5000, seen};
 		expect(shutdownAdmission.shouldAcceptRequest({kind: 'running'}, {...request, deadlineAt: 60_000}, 0)).toBe(true);
--- a/src/decisions/admission/shutdown-admission.ts
+++ b/src/decisions/admission/shutdown-admission.ts
@@ -29,8 +29,8 @@
 const answerMilliseconds = 100;
 /** Time that is left for the work of a request, in multiples of the longest that was seen; work slows down while several entries stop. */
 const longestMultiple = 2;
-/** Number of requests that must have been seen. About one in as many lasts longer than all of them, and callers can't repeat one that is not idempotent. */
-const minimumSeenRequests: Readonly<Record<configuration.RequestKind, number>> = {
+/** Number of requests that must have been seen, in all and for each one that was given up. About one in as many lasts longer than all of them, and callers can't repeat one that is not idempotent. */
+const minimumFinished: Readonly<Record<configuration.RequestKind, number>> = {
 	idempotent: 100,
 	'non-idempotent': 2000,
 };
@@ -61,5 +61,5 @@
 }
 
 function endsAsSeen({kind, seen}: StoppingRequest, stopsAt: number, now: number): boolean {
-	return seen.requests >= minimumSeenRequests[kind] && now + (longestMultiple * seen.longestMilliseconds) <= stopsAt;
+	return seen.finished >= minimumFinished[kind] * Math.max(1, seen.unfinished) && now + (longestMultiple * seen.longestMilliseconds) <= stopsAt;
 }
--- a/src/decisions/admission/work-bounds.test.ts
+++ b/src/decisions/admission/work-bounds.test.ts
@@ -5,30 +5,37 @@
 
 test('the longest request is known, whether it has ended or still runs', () => {
 	const bounds = workBounds.createWorkBounds();
-	expect(bounds.getSeen('a', 'desk', 0)).toEqual({requests: 0, longestMilliseconds: 0});
+	expect(bounds.getSeen('a', 'desk', 0)).toEqual({finished: 0, unfinished: 0, longestMilliseconds: 0});
 	const first = bounds.start('a', 'desk', 0);
 	const second = bounds.start('a', 'desk', 100);
-	expect(bounds.getSeen('a', 'desk', 150)).toEqual({requests: 0, longestMilliseconds: 150});
-	second.recordEnd(400);
-	expect(bounds.getSeen('a', 'desk', 500)).toEqual({requests: 1, longestMilliseconds: 500});
+	expect(bounds.getSeen('a', 'desk', 150)).toEqual({finished: 0, unfinished: 0, longestMilliseconds: 150});
+	second.recordEnd('finished', 400);
+	expect(bounds.getSeen('a', 'desk', 500)).toEqual({finished: 1, unfinished: 0, longestMilliseconds: 500});
 	first.discard();
-	expect(bounds.getSeen('a', 'desk', 500)).toEqual({requests: 1, longestMilliseconds: 300});
+	expect(bounds.getSeen('a', 'desk', 500)).toEqual({finished: 1, unfinished: 0, longestMilliseconds: 300});
 });
 
 test('routes and services are kept apart', () => {
 	const bounds = workBounds.createWorkBounds();
-	bounds.start('a', 'desk', 0).recordEnd(300);
-	expect(bounds.getSeen('a', 'office', 300).requests).toBe(0);
-	expect(bounds.getSeen('b', 'desk', 300).requests).toBe(0);
+	bounds.start('a', 'desk', 0).recordEnd('finished', 300);
+	expect(bounds.getSeen('a', 'office', 300).finished).toBe(0);
+	expect(bounds.getSeen('b', 'desk', 300).finished).toBe(0);
 });
 
 test('durations are forgotten after one window at least and two at most', () => {
 	const bounds = workBounds.createWorkBounds();
 	const {windowMilliseconds} = workBounds;
-	bounds.start('a', 'desk', 0).recordEnd(300);
-	expect(bounds.getSeen('a', 'desk', 299 + windowMilliseconds).requests).toBe(1);
-	expect(bounds.getSeen('a', 'desk', 300 + windowMilliseconds).requests).toBe(1);
-	expect(bounds.getSeen('a', 'desk', 300 + (2 * windowMilliseconds)).requests).toBe(0);
-	bounds.start('a', 'desk', 0).recordEnd(10 * windowMilliseconds);
-	expect(bounds.getSeen('a', 'desk', 13 * windowMilliseconds)).toEqual({requests: 0, longestMilliseconds: 0});
+	bounds.start('a', 'desk', 0).recordEnd('finished', 300);
+	expect(bounds.getSeen('a', 'desk', 299 + windowMilliseconds).finished).toBe(1);
+	expect(bounds.getSeen('a', 'desk', 300 + windowMilliseconds).finished).toBe(1);
+	expect(bounds.getSeen('a', 'desk', 300 + (2 * windowMilliseconds)).finished).toBe(0);
+	bounds.start('a', 'desk', 0).recordEnd('finished', 10 * windowMilliseconds);
+	expect(bounds.getSeen('a', 'desk', 13 * windowMilliseconds)).toEqual({finished: 0, unfinished: 0, longestMilliseconds: 0});
+});
+
+test('requests that failed or were given up are no evidence of short work, and long ones are', () => {
+	const bounds = workBounds.createWorkBounds();
+	bounds.start('a', 'desk', 0).recordEnd('failed', 300);
+	bounds.start('a', 'desk', 0).recordEnd('unfinished', 200);
+	expect(bounds.getSeen('a', 'desk', 300)).toEqual({finished: 0, unfinished: 1, longestMilliseconds: 300});
 });
--- a/src/decisions/admission/work-bounds.ts
+++ b/src/decisions/admission/work-bounds.ts
@@ -2,20 +2,24 @@
 
 /** What was seen of one kind of work. */
 export type SeenWork = {
-	/** Number of requests that have ended. */
-	readonly requests: number;
+	/** Number of requests whose work is known to have ended. */
+	readonly finished: number;
+	/** Number of requests that were given up, so that their work may have lasted longer. */
+	readonly unfinished: number;
 	/** Longest time for which one of them was at an upstream, or has been so far, in milliseconds. */
 	readonly longestMilliseconds: number;
 };
 
 /** A request at an upstream. */
 export type StartedWork = {
-	/** Records that the request has ended, or was given up. */
-	recordEnd(now: number): void;
+	recordEnd(end: WorkEnd, now: number): void;
 	/** Forgets the request, since the upstream did not run it. */
 	discard(): void;
 };
 
+/** How the work of a request ended; `failed` work may be shorter than others of its kind. */
+export type WorkEnd = 'finished' | 'failed' | 'unfinished';
+
 /** Durations of work, by the route and the service of its requests. */
 export type WorkBounds = {
 	/** Records that a request was sent to an upstream. */
@@ -26,7 +30,9 @@
 /** Time for which durations are remembered at least, in milliseconds; at most twice as long. */
 export const windowMilliseconds = 600_000;
 
-type Ended = {requests: number; longestMilliseconds: number};
+type Ended = Readonly<SeenWork>;
+
+const none: Ended = {finished: 0, unfinished: 0, longestMilliseconds: 0};
 
 /** Creates the memory without requests. */
 export function createWorkBounds(): WorkBounds {
@@ -63,11 +69,15 @@
 			const requests = running.get(key) ?? new Set();
 			running.set(key, requests.add(request));
 			return {
-				recordEnd(endedAt) {
+				recordEnd(end, endedAt) {
 					remove(key, request);
 					rotate(endedAt);
-					const {requests: count, longestMilliseconds} = current.get(key) ?? {requests: 0, longestMilliseconds: 0};
-					current.set(key, {requests: count + 1, longestMilliseconds: Math.max(longestMilliseconds, endedAt - now)});
+					const {finished, unfinished, longestMilliseconds} = current.get(key) ?? none;
+					current.set(key, {
+						finished: finished + (end === 'finished' ? 1 : 0),
+						unfinished: unfinished + (end === 'unfinished' ? 1 : 0),
+						longestMilliseconds: Math.max(longestMilliseconds, endedAt - now),
+					});
 				},
 				discard() {
 					remove(key, request);
@@ -80,7 +90,8 @@
 			const ended = [current, previous].flatMap(window => window.get(key) ?? []);
 			const [oldest] = running.get(key) ?? [];
 			return {
-				requests: ended.reduce((sum, {requests}) => sum + requests, 0),
+				finished: ended.reduce((sum, {finished}) => sum + finished, 0),
+				unfinished: ended.reduce((sum, {unfinished}) => sum + unfinished, 0),
 				longestMilliseconds: Math.max(0, ...ended.map(({longestMilliseconds}) => longestMilliseconds), oldest ? now - oldest.sentAt : 0),
 			};
 		},
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -229,7 +229,7 @@
 			if (end.result === 'refused') {
 				started.discard();
 			} else {
-				started.recordEnd(host.getNow());
+				started.recordEnd(end.result === 'answered' ? 'finished' : 'unfinished', host.getNow());
 			}
 
 			observer.end(call, end);
--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -1,10 +1,15 @@
 /** Records what the end of an attempt shows about its upstream and about the work of its request. */
+import type * as workBounds from '../decisions/admission/work-bounds.ts';
 import * as exhaustiveness from '../decisions/assert-never.ts';
 import type * as retryDecision from '../decisions/outcomes/retry-decision.ts';
 import {type WorkEstimator} from '../decisions/routing/work-estimator.ts';
 import {type SelectedUpstream} from './selection.ts';
 import {type GatewayRequest} from './types.ts';
 
+const lowestServerErrorStatus = 500;
+/** Status of an upstream that stopped its work at the deadline. */
+const timedOutStatus = 504;
+
 /** An attempt that has ended, now. */
 export type EndedAttempt = {
 	readonly learner: WorkEstimator;
@@ -61,3 +66,29 @@
 		}
 	}
 }
+
+/** What the end of an attempt that was sent shows about how long the work of its request lasts; undefined if the upstream did not run it. */
+export function classifyWork(end: retryDecision.AttemptEnd): workBounds.WorkEnd | undefined {
+	switch (end.kind) {
+		case 'answered': {
+			if (end.statusCode === timedOutStatus) {
+				return 'unfinished';
+			}
+
+			return end.statusCode >= lowestServerErrorStatus ? 'failed' : 'finished';
+		}
+
+		case 'broken': {
+			return 'unfinished';
+		}
+
+		case 'not-sent':
+		case 'not-run': {
+			return undefined;
+		}
+
+		default: {
+			exhaustiveness.assertNever(end);
+		}
+	}
+}
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -221,10 +221,11 @@
 				running.delete(attempt);
 				unsent.delete(attempt);
 				const now = host.getNow();
-				if (end.kind === 'not-run') {
+				const workEnd = attemptRecords.classifyWork(end);
+				if (workEnd === undefined) {
 					started?.discard();
 				} else {
-					started?.recordEnd(now);
+					started?.recordEnd(workEnd, now);
 				}
 
 				attempts.push({
