--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -67,6 +67,8 @@
 	readonly server: http.Server;
 	/** Counts the exchanges that have not ended. */
 	countOpen(): number;
+	/** Counts the exchanges whose response is written, but not yet taken by the system. */
+	countWritten(): number;
 	/** Counts the connections that wait until they are read, because others are costly to read. */
 	countDeferred(): number;
 	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
@@ -110,6 +112,7 @@
 	const badConnections = badConnectionsModule.refuseBadConnections(server, {...host, exchanges: connections.exchanges, closing: connections.closing});
 	const order = responseOrder.createResponseOrder(connections.exchanges);
 	const unstarted = unstartedRequests.createUnstartedRequests<RequestContext>();
+	const runningCalls = new Set<RunningCall>();
 	const {guard} = requestBoundary.createRequestBoundary({
 		recordFailure: host.recordFailure,
 		readId: ({request}) => host.headers.readRequest(request.headers).id,
@@ -303,7 +306,9 @@
 				respond(exchange, gatewayResponse);
 			},
 		});
+		runningCalls.add(running);
 		exchange.onEnd(end => {
+			runningCalls.delete(running);
 			if (end === 'caller-left') {
 				running.cancel();
 			}
@@ -400,6 +405,7 @@
 	return {
 		server,
 		countOpen: connections.countExchanges,
+		countWritten: connections.countWritten,
 		countDeferred: connections.reading.countDeferred,
 		stop: connections.stop,
 		countClosing: connections.closing.count,
@@ -410,6 +416,10 @@
 				reception.abandon(exchange);
 				refuse(exchange, 'stopping', context.id);
 			}
+
+			for (const running of runningCalls) {
+				running.refuseUnsent();
+			}
 		},
 		reset() {
 			reception.close();
