Let a refused caller finish sending before its connection is closed

A caller that is refused at a stop while it still sends its body in chunks, and reads only when the body is sent, as many clients do, got a reset instead of its 503.

Cause: a connection that was told the end was destroyed 1 s later, whatever still arrived. The reset that answers the next chunk ends the connection of a caller that hasn't read its refusal.

Now it is closed once nothing has arrived for a second, after 10 s at the latest; a timer that is due on a late process looks only after the sockets were read. A stop waits for such connections until the time of its reset, as before. After the first second the connection gives way to others as soon as one that holds nothing, also if an answer was on its way, so that a crowd that sends on can't fill a port for longer than before. What arrives is discarded and claims no memory, as before.

--- a/src/entry/closing-connections.ts
+++ b/src/entry/closing-connections.ts
@@ -4,7 +4,7 @@
 The system resets a connection that is closed while bytes of the caller are unread, or that receives more afterwards, and a
 reset may overtake a response. So a connection is closed in steps (RFC 9112, section 9.6): nothing that arrives is handled
 any more, the end is sent behind what was written, and what arrives is discarded until the caller closes its side as well,
-or some time has passed.
+or sends nothing for some time. Many callers read nothing before they have sent their whole body.
 */
 import type * as net from 'node:net';
 import type * as stream from 'node:stream';
@@ -22,12 +22,22 @@
 	count(): number;
 };
 
-/** Time after the end was sent for which the caller may still send, in milliseconds. */
+/** Receives the progress of closing; all listeners are optional. */
+export type ClosingListener<Socket> = {
+	/** Called when a connection begins to close. */
+	onClosing?(socket: Socket): void;
+	/** Called when a caller still sends some time after it was told the end. */
+	onLate?(socket: Socket): void;
+};
+
+/** Time in which a caller that has been told the end must send something, in milliseconds. */
 const lingerMilliseconds = 1000;
+/** Maximum number of these times for which a caller may still send. */
+const maximumLingers = 10;
 const ignore = () => undefined;
 
-/** Creates the tracker without connections; the listener is called when a connection begins to close. */
-export function createClosingConnections<Socket extends stream.Duplex>(onClosing: (socket: Socket) => void = ignore): ClosingConnections<Socket> {
+/** Creates the tracker without connections. */
+export function createClosingConnections<Socket extends stream.Duplex>({onClosing = ignore, onLate = ignore}: ClosingListener<Socket> = {}): ClosingConnections<Socket> {
 	const unread = new WeakSet<Socket>();
 	const ending = new Set<Socket>();
 
@@ -47,12 +57,29 @@
 	}
 
 	function linger(socket: Socket): void {
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, lingerMilliseconds);
+		let lingers = 0;
+		let hasSent = false;
+		let timer = setTimeout(endLinger, lingerMilliseconds);
+		socket.on('data', () => {
+			hasSent = true;
+		});
 		socket.once('close', () => {
 			clearTimeout(timer);
 		});
+
+		/** A process that is late finds the timer due before it reads what was sent in time. */
+		function endLinger(): void {
+			setImmediate(() => {
+				lingers++;
+				if (!hasSent || lingers === maximumLingers) {
+					socket.destroy();
+				} else if (!socket.destroyed) {
+					hasSent = false;
+					timer = setTimeout(endLinger, lingerMilliseconds);
+					onLate(socket);
+				}
+			});
+		}
 	}
 
 	return {
@@ -83,8 +110,8 @@
 }
 
 /** Closes the connections of a server in steps where Node.js would destroy them after their last response. */
-export function closeInSteps(server: net.Server, onClosing?: (socket: net.Socket) => void): ClosingConnections<net.Socket> {
-	const closing = createClosingConnections<net.Socket>(onClosing);
+export function closeInSteps(server: net.Server, listener?: ClosingListener<net.Socket>): ClosingConnections<net.Socket> {
+	const closing = createClosingConnections<net.Socket>(listener);
 	server.on('connection', (socket: net.Socket) => {
 		socket.destroySoon = () => {
 			closing.close(socket);
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -70,8 +70,11 @@
 	const connections = new Map<net.Socket, ConnectionState>();
 	const exchanges = exchangesModule.createExchanges();
 	const passedOn = new WeakSet<exchangesModule.Exchange>();
-	const closing = closingConnections.closeInSteps(server, socket => {
-		port.beginClosing(socket, connections.get(socket)?.hasPassedOn ? 'answer' : 'refusal');
+	const closing = closingConnections.closeInSteps(server, {
+		onClosing(socket) {
+			port.beginClosing(socket, connections.get(socket)?.hasPassedOn ? 'answer' : 'refusal');
+		},
+		onLate: port.endProtection,
 	});
 	const idle = idleConnections.trackIdleConnections(server, {closing, countOn: exchanges.countOn});
 
--- a/src/gateway/port-limits.ts
+++ b/src/gateway/port-limits.ts
@@ -29,6 +29,8 @@
 	endUse(socket: net.Socket): void;
 	/** Records that a connection is closed behind a response; what arrives on it is discarded. */
 	beginClosing(socket: net.Socket, response: Exclude<trafficMemory.ResponseOnItsWay, 'none'>): void;
+	/** Lets a connection that is being closed give way as soon as one that holds nothing. */
+	endProtection(socket: net.Socket): void;
 	/** Number of open connections. */
 	countConnections(): number;
 	close(): void;
@@ -67,9 +69,15 @@
 	observedBytes: number;
 	/** Number of bytes that belong to earlier requests. */
 	earlierBytes: number;
+	isClosing: boolean;
 	onItsWay: trafficMemory.ResponseOnItsWay;
 };
 
+function setOnItsWay(connection: Connection, response: trafficMemory.ResponseOnItsWay): void {
+	connection.onItsWay = response;
+	connection.claim?.setOnItsWay(response);
+}
+
 /** Creates the limits of an entry. */
 export function createPortLimits(host: PortLimitsHost): PortLimits {
 	const ports: LimitedPort[] = [];
@@ -91,7 +99,7 @@
 		function observe(): void {
 			const now = host.getNow();
 			for (const [socket, connection] of connections) {
-				if (connection.onItsWay === 'none' && socket.bytesRead !== connection.observedBytes) {
+				if (!connection.isClosing && socket.bytesRead !== connection.observedBytes) {
 					connection.observedBytes = socket.bytesRead;
 					connection.claim?.resize(connectionBytes + (bytesPerHeadByte * getHeadBytes(socket, connection)), now);
 				}
@@ -110,7 +118,7 @@
 			}
 
 			const connection: Connection = {
-				claim: undefined, observedBytes: 0, earlierBytes: 0, onItsWay: 'none',
+				claim: undefined, observedBytes: 0, earlierBytes: 0, isClosing: false, onItsWay: 'none',
 			};
 			connections.set(socket, connection);
 			socket.once('close', () => {
@@ -139,8 +147,14 @@
 			beginClosing(socket, response) {
 				const connection = connections.get(socket);
 				if (connection) {
-					connection.onItsWay = response;
-					connection.claim?.setOnItsWay(response);
+					connection.isClosing = true;
+					setOnItsWay(connection, response);
+				}
+			},
+			endProtection(socket) {
+				const connection = connections.get(socket);
+				if (connection) {
+					setOnItsWay(connection, 'none');
 				}
 			},
 			countConnections: () => connections.size,
--- a/test/closed-for-room.test.ts
+++ b/test/closed-for-room.test.ts
@@ -1,6 +1,7 @@
 /** Tests which connection is closed when a port has too many. */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as vitest from 'vitest';
 import * as trafficMemory from '../src/decisions/admission/traffic-memory.ts';
 import * as callerConnections from '../src/gateway/caller-connections.ts';
@@ -67,12 +68,16 @@
 	return {
 		connect,
 		/** Opens connections that are being closed behind an answer. */
-		async connectClosing(count: number, path: string): Promise<void> {
+		async connectClosing(count: number, path: string): Promise<readonly rawCaller.RawCaller[]> {
+			const callers: rawCaller.RawCaller[] = [];
 			for (let index = 0; index < count; index++) {
 				const caller = await connect();
+				callers.push(caller);
 				caller.socket.write(`GET ${path} HTTP/1.1\r\nHost: test\r\n\r\n`);
 				await gateways.waitUntil(() => caller.listStatuses().length === 1);
 			}
+
+			return callers;
 		},
 		countClosedForRoom: () => closedForRoom,
 		listDestroyed: () => sockets.map(({destroyed}) => destroyed),
@@ -107,3 +112,21 @@
 	expect(host.countClosedForRoom()).toBe(1);
 	expect(host.listDestroyed()).toEqual([true, false, false, false, false]);
 });
+
+// Guards against a crowd that is told the end and keeps others out by sending on.
+test('a connection that is being closed behind an answer gives way to a new one once its caller has sent on for a while', async () => {
+	const host = await startServer();
+	const callers = await host.connectClosing(maximumConnections, '/answer');
+	for (let part = 0; part < 14; part++) {
+		callers[0]!.socket.write('x');
+		callers[1]!.socket.write('x');
+		await timers.setTimeout(100);
+	}
+
+	expect(host.listDestroyed()).toEqual([false, false, true, true]);
+	await host.connectClosing(2, '/answer');
+	expect(host.countClosedForRoom()).toBe(0);
+	await host.connect();
+	expect(host.countClosedForRoom()).toBe(1);
+	expect(host.listDestroyed()).toEqual([true, false, true, true, false, false, false]);
+});
--- a/test/late-stops.test.ts
+++ b/test/late-stops.test.ts
@@ -88,3 +88,30 @@
 	expect(caller.listStatuses()).toEqual([503]);
 	await gateways.waitUntil(() => gateway.hasLogged('request-refused'));
 });
+
+// Guards against answers that callers lose because their connection is reset while they send the rest of a body, which many read nothing during.
+test('a caller that is refused at a stop and reads only when its body is sent receives the refusal', async () => {
+	const gateway = await gatewayProcess.startReady(standIns.store, [], {graceSeconds: 6});
+	const callers = [2000, 3000].map(milliseconds => {
+		const caller = rawCaller.connect(gateway.front);
+		caller.socket.pause();
+		caller.socket.write('POST /credit/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: a\r\nDeadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n');
+		return {caller, milliseconds};
+	});
+	await timers.setTimeout(200);
+	gateway.signal('SIGTERM');
+	await Promise.all(callers.map(async ({caller: {socket}, milliseconds}) => {
+		const endsAt = performance.now() + milliseconds;
+		while (performance.now() < endsAt && !socket.destroyed) {
+			socket.write('4\r\nbody\r\n');
+			await timers.setTimeout(100);
+		}
+
+		socket.write('0\r\n\r\n');
+		socket.resume();
+	}));
+	await Promise.all(callers.map(async ({caller: {closed}}) => closed));
+	expect(callers.map(({caller}) => caller.listStatuses())).toEqual([[503], [503]]);
+	expect(standIns.upstream.receivedRequests).toEqual([]);
+	expect(await gateway.exited).toEqual({code: 0});
+});
