Make no second attempt in a stop of an entry that it may outlast

Seen by callers of fescuering-entry: during a stop a call whose upstream failed was sent once more although it could not be finished, and an attempt that was silent for long was aborted for such a second one.

Change: a retry asks whether the call can be finished. Without one, the call is answered at once, or its attempt goes on.

--- a/src/entry/service-runner.test.ts
+++ b/src/entry/service-runner.test.ts
@@ -29,7 +29,7 @@
 }
 
 /** Creates a runner whose scheduler sends each attempt to the next address and allows a retry while addresses are left. */
-function createRunner(addresses: readonly string[], attemptTimeoutMilliseconds?: number) {
+function createRunner(addresses: readonly string[], attemptTimeoutMilliseconds?: number, canFinish = () => true) {
 	const pools = new Map(addresses.map(address => [address, createConnectionPool({
 		address, connectTimeoutMilliseconds: 500, idleMilliseconds: 10_000, trustMilliseconds: 1000, spares: 0, getLimit: () => 10, getNow: () => performance.now(),
 	})]));
@@ -49,7 +49,7 @@
 		countWaitingCalls: () => 0,
 	};
 	return createServiceRunner({
-		scheduler, getNow: () => performance.now(), canFinish: () => true, findPool: address => pools.get(address), onLoadReport: () => undefined, onAttemptResult: () => undefined,
+		scheduler, getNow: () => performance.now(), canFinish, findPool: address => pools.get(address), onLoadReport: () => undefined, onAttemptResult: () => undefined,
 	});
 }
 
@@ -76,7 +76,7 @@
 
 type Answer = {statusCode: number; outcome: string; body: string; isComplete: boolean};
 
-async function execute(addresses: readonly string[], call: Call, attemptTimeoutMilliseconds?: number): Promise<Answer> {
+async function execute(addresses: readonly string[], call: Call, attemptTimeoutMilliseconds?: number, canFinish?: () => boolean): Promise<Answer> {
 	return new Promise(resolve => {
 		const answer: Answer = {
 			statusCode: 0, outcome: '', body: '', isComplete: false,
@@ -96,7 +96,7 @@
 			abort: () => undefined,
 			setDrainListener: () => undefined,
 		};
-		createRunner(addresses, attemptTimeoutMilliseconds).execute(call, sink, {
+		createRunner(addresses, attemptTimeoutMilliseconds, canFinish).execute(call, sink, {
 			history: {kind: 'keyless'},
 			onEnd() {
 				resolve(answer);
@@ -189,6 +189,31 @@
 	expect(await execute(addresses, createCall(false, 300), 50)).toMatchObject({statusCode: 504, outcome: 'unknown'});
 });
 
+// Guards against second attempts that the end of a stop cuts, and against first ones that are given up for them.
+test('makes no second attempt during a stop that it may outlast, and lets the first one end', async () => {
+	let isStopping = false;
+	let received = 0;
+	const failingUpstream = await startServer((_request, response) => {
+		isStopping = true;
+		response.socket!.resetAndDestroy();
+	});
+	const lateUpstream = await startServer((_request, response) => {
+		isStopping = true;
+		setTimeout(() => {
+			response.end('late');
+		}, 200);
+	});
+	const answeringUpstream = await startServer((_request, response) => {
+		received++;
+		response.end('ok');
+	});
+	const canFinish = () => !isStopping;
+	expect(await execute([failingUpstream, answeringUpstream], createCall(true), undefined, canFinish)).toMatchObject({statusCode: 502, outcome: 'unknown'});
+	isStopping = false;
+	expect(await execute([lateUpstream, answeringUpstream], createCall(true), 50, canFinish)).toMatchObject({statusCode: 200, body: 'late', isComplete: true});
+	expect(received).toBe(0);
+});
+
 const oddHeads = ['000 Odd', '099 Odd', '600 Odd', '999 Odd', '0 Odd', '-01 Odd', '1000 Odd', '101 Switching Protocols', '101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other'];
 
 // Guards against callers that get such a status, and against a second run of a call whose refusal comes with it.
--- a/src/entry/service-runner.ts
+++ b/src/entry/service-runner.ts
@@ -316,7 +316,7 @@
 		const {call} = state;
 		const isBodyAvailable = call.body.kind !== 'streamed' || result.kind === 'not-connected';
 		const isRetryPermitted = call.isRetryAllowed || isNotRun(result);
-		return isBodyAvailable && isRetryPermitted && !state.isCallerDisconnected && scheduler.tryChargeRetry(getWaitingCall(state), result, host.getNow());
+		return isBodyAvailable && isRetryPermitted && !state.isCallerDisconnected && host.canFinish(call) && scheduler.tryChargeRetry(getWaitingCall(state), result, host.getNow());
 	}
 
 	function retry(state: RunningCall, upstream: string, result: AttemptResult): void {
