Remember durations for an hour, and look at them only during a stop

Found by the reviewer: an entry that sees less than about two requests a second of a route never had 2,000 within the window, so all of them with a long timeout were refused during its whole notice; durations were computed for each question although no stop was planned, 0.78 us each, for each held request every 10 ms; and replacing the longest duration by the newest one, or recording none, made no test fail.

The window is an hour now, which 2,000 requests fill at one in two seconds. The decision asks for the durations only if it needs them.

--- a/src/decisions/admission/shutdown-admission.test.ts
+++ b/src/decisions/admission/shutdown-admission.test.ts
@@ -53,7 +53,7 @@
 
 		running = running.filter(({endsAt}) => endsAt > now);
 		const deadlineAt = now + timeoutMilliseconds;
-		const isAccepted = shutdownAdmission.shouldAcceptRequest(getPhase(now), {kind, deadlineAt, seen: bounds.getSeen(route, service, now)}, now);
+		const isAccepted = shutdownAdmission.shouldAcceptRequest(getPhase(now), {kind, deadlineAt, getSeen: () => bounds.getSeen(route, service, now)}, now);
 		const multiple = source.nextFraction() < work.tailShare ? work.tailMultiple : 0.5 + source.nextFraction();
 		const endsAt = Math.min(deadlineAt, now + (work.mean * multiple * (now < beganAt ? 1 : slowdown)));
 		if (isAccepted) {
@@ -130,9 +130,9 @@
 });
 
 test('requests that end by their deadline are taken on until the end of the stop', () => {
-	const seen = {finished: 0, unfinished: 0, longestMilliseconds: 0};
+	const getSeen = () => ({finished: 0, unfinished: 0, longestMilliseconds: 0});
 	for (const kind of ['idempotent', 'non-idempotent'] as const) {
-		const request = {kind, deadlineAt: 5000, seen};
+		const request = {kind, deadlineAt: 5000, getSeen};
 		expect(shutdownAdmission.shouldAcceptRequest({kind: 'running'}, {...request, deadlineAt: 60_000}, 0)).toBe(true);
 		expect(shutdownAdmission.shouldAcceptRequest({kind: 'notice', stopsAt: 5750}, request, 0)).toBe(true);
 		expect(shutdownAdmission.shouldAcceptRequest({kind: 'draining', stopsAt: 5750}, request, 4000)).toBe(true);
--- a/src/decisions/admission/shutdown-admission.ts
+++ b/src/decisions/admission/shutdown-admission.ts
@@ -21,8 +21,8 @@
 export type StoppingRequest = {
 	readonly kind: configuration.RequestKind;
 	readonly deadlineAt: number;
-	/** Durations of such requests. */
-	readonly seen: workBounds.SeenWork;
+	/** Returns the durations of such requests. */
+	getSeen(): workBounds.SeenWork;
 };
 
 /** Time that an entry needs to answer a request at its deadline, in milliseconds. */
@@ -60,6 +60,7 @@
 	return deadlineAt + answerMilliseconds <= stopsAt;
 }
 
-function endsAsSeen({kind, seen}: StoppingRequest, stopsAt: number, now: number): boolean {
+function endsAsSeen({kind, getSeen}: StoppingRequest, stopsAt: number, now: number): boolean {
+	const seen = getSeen();
 	return seen.finished >= minimumFinished[kind] * Math.max(1, seen.unfinished) && now + (longestMultiple * seen.longestMilliseconds) <= stopsAt;
 }
--- a/src/decisions/admission/work-bounds.test.ts
+++ b/src/decisions/admission/work-bounds.test.ts
@@ -15,6 +15,13 @@
 	expect(bounds.getSeen('a', 'desk', 500)).toEqual({finished: 1, unfinished: 0, longestMilliseconds: 300});
 });
 
+test('a shorter request does not replace a longer one', () => {
+	const bounds = workBounds.createWorkBounds();
+	bounds.start('a', 'desk', 0).recordEnd('finished', 900);
+	bounds.start('a', 'desk', 900).recordEnd('finished', 1000);
+	expect(bounds.getSeen('a', 'desk', 1000)).toEqual({finished: 2, unfinished: 0, longestMilliseconds: 900});
+});
+
 test('routes and services are kept apart', () => {
 	const bounds = workBounds.createWorkBounds();
 	bounds.start('a', 'desk', 0).recordEnd('finished', 300);
--- a/src/decisions/admission/work-bounds.ts
+++ b/src/decisions/admission/work-bounds.ts
@@ -28,7 +28,7 @@
 };
 
 /** Time for which durations are remembered at least, in milliseconds; at most twice as long. */
-export const windowMilliseconds = 600_000;
+export const windowMilliseconds = 3_600_000;
 
 type Ended = Readonly<SeenWork>;
 
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -220,7 +220,7 @@
 	function canFinish({service, operation, deadlineAt}: Pick<Call, 'service' | 'operation' | 'deadlineAt'>): boolean {
 		const now = host.getNow();
 		const kind = operation.idempotent ? 'idempotent' : 'non-idempotent';
-		return shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {kind, deadlineAt, seen: bounds.getSeen(operation.operation, service, now)}, now);
+		return shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {kind, deadlineAt, getSeen: () => bounds.getSeen(operation.operation, service, now)}, now);
 	}
 
 	function handle(call: Call, sink: AnswerSink): CallExecution {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -319,7 +319,7 @@
 	const bounds = workBounds.createWorkBounds();
 	const canFinish = ({deadlineAt, route, service}: Pick<GatewayRequest, 'deadlineAt' | 'route' | 'service'>) => {
 		const now = getNow();
-		return shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {kind: route.kind, deadlineAt, seen: bounds.getSeen(route.name, service, now)}, now);
+		return shutdownAdmission.shouldAcceptRequest(getShutdownPhase(), {kind: route.kind, deadlineAt, getSeen: () => bounds.getSeen(route.name, service, now)}, now);
 	};
 
 	const learner = createWorkEstimator();
