End connections after a stop without discarding earlier answers

A caller that had sent another request behind one that was answered lost the answer with the stop: it received 195,584 of 1,000,000 bytes of an answer that the system had taken.

Cause: the reset at the end of a stop makes the system discard what it has taken and not sent yet.

Now only connections with a response that has begun are reset, since its end may be its connection's. The others are closed; the system sends what it has taken, and the end behind it, also after the process has ended.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -48,7 +48,7 @@
 	countExchangesOn(socket: net.Socket): number;
 	/** Accepts no more connections, and closes each connection once it has no request; resolves when those without one are being closed. */
 	stop(): Promise<void>;
-	/** Resets the connections that still have requests, so that a response that ends with its connection isn't taken for complete. */
+	/** Ends the connections that still have requests. Those with a response that has begun are reset, so that one that ends with its connection isn't taken for complete. */
 	reset(): void;
 };
 
@@ -108,15 +108,29 @@
 		}
 	}
 
-	function cut(socket: net.Socket, reason: CutReason): void {
+	function recordCutReason(socket: net.Socket, reason: CutReason): void {
 		const state = connections.get(socket);
 		if (state) {
 			state.cutReason = reason;
 		}
+	}
 
+	function cut(socket: net.Socket, reason: CutReason): void {
+		recordCutReason(socket, reason);
 		socket.resetAndDestroy();
 	}
 
+	/** Ends a connection at the end of a stop. A reset would also discard the responses to earlier requests that the system has taken and not sent yet. */
+	function endStopped(socket: net.Socket): void {
+		if (exchanges.listOn(socket).some(({response}) => response.headersSent)) {
+			cut(socket, 'stop-over');
+			return;
+		}
+
+		recordCutReason(socket, 'stop-over');
+		socket.destroy();
+	}
+
 	return {
 		reading: callerReading.createCallerReading(server, exchanges, getNow),
 		closing,
@@ -155,7 +169,7 @@
 		reset() {
 			for (const socket of connections.keys()) {
 				if (exchanges.countOn(socket) > 0) {
-					cut(socket, 'stop-over');
+					endStopped(socket);
 				}
 			}
 		},
--- a/test/late-stops.test.ts
+++ b/test/late-stops.test.ts
@@ -115,3 +115,30 @@
 	expect(standIns.upstream.receivedRequests).toEqual([]);
 	expect(await gateway.exited).toEqual({code: 0});
 });
+
+/** Size of an answer that the system takes whole although its caller reads nothing, in bytes. */
+const largeBytes = 1_000_000;
+
+// Guards against an answer that the system has taken and that is lost with its process, because its connection is reset for another request.
+test.each(['is the only one', 'is followed by one at work', 'is followed by one that arrives'])('an answer that the system has taken is delivered after the process has ended: it %s', async others => {
+	standIns.upstream.setBehavior({kind: 'choose', chooseResponse: path => path.startsWith('/price') ? {milliseconds: 1, bytes: largeBytes, end: 'length'} : {milliseconds: 10_000, bytes: 0, end: 'length'}});
+	const gateway = await gatewayProcess.startReady(standIns.store);
+	const caller = rawCaller.connect(gateway.front);
+	caller.socket.pause();
+	caller.socket.write(rawCaller.createRequest('first'));
+	await timers.setTimeout(300);
+	if (others === 'is followed by one at work') {
+		caller.socket.write(createUnsafeRequest('second'));
+	} else if (others === 'is followed by one that arrives') {
+		caller.socket.write('POST /credit/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: second\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n');
+	}
+
+	await timers.setTimeout(200);
+	gateway.signal('SIGTERM');
+	expect(await gateway.exited).toEqual({code: 0});
+	expect(caller.getText()).toBe('');
+	caller.socket.resume();
+	await caller.closed;
+	expect(caller.listStatuses()[0]).toBe(200);
+	expect(caller.getText().length).toBeGreaterThan(largeBytes);
+});
