--- a/bench/soak/judge-answers.ts
+++ b/bench/soak/judge-answers.ts
@@ -99,9 +99,10 @@
 		}
 
 		if (!answer) {
-			const stopAt = judgeStops.findStopOfRequest(request, to, gateway);
-			const isAfterLeaving = stopAt !== undefined && judgeStops.beganAfterLeaving(request, stopAt, gateway);
-			return connection.hasLeft ? [] : [`${isAfterLeaving ? 'cut-after-leaving' : 'lost-answer'} ${label},${stopAt === undefined ? '' : ` sent ${Math.round(request.sentAt - stopAt)} to ${Math.round(request.lastByteAt - stopAt)} ms after SIGTERM,`} ${connection.answers.length} answered, ${describeRun(owed, request)}, connection ended after ${Math.round(to - request.sentAt)} ms ${connection.error}`];
+			const {name, times} = describeStop(request, to, gateway);
+			return connection.hasLeft
+				? []
+				: [`${name} ${label},${times} ${connection.answers.length} answered, ${describeRun(owed, request)}, connection ended after ${Math.round(to - request.sentAt)} ms ${connection.error}`];
 		}
 
 		return answer.signature === '' && isReplacedByStop(owed, request, to, gateway)
@@ -116,6 +117,19 @@
 	return `${upstream} ${hasResponded ? 'answered' : 'was broken off'} after ${Math.round(endedAt - sentAt)} ms`;
 }
 
+/** Names a missing answer by the stop in which it went missing, if there is one. */
+function describeStop(request: stayingCallers.SentRequest, to: number, gateway: JudgedGateway): {readonly name: string; readonly times: string} {
+	const stopAt = judgeStops.findStopOfRequest(request, to, gateway);
+	if (stopAt === undefined) {
+		return {name: 'lost-answer', times: ''};
+	}
+
+	return {
+		name: judgeStops.beganAfterLeaving(request, stopAt, gateway) ? 'cut-after-leaving' : 'lost-answer',
+		times: ` sent ${Math.round(request.sentAt - stopAt)} to ${Math.round(request.lastByteAt - stopAt)} ms after SIGTERM,`,
+	};
+}
+
 /** Whether the caller must get a complete answer to a request that ran. */
 function isOwed(run: Run, request: stayingCallers.SentRequest, to: number, gateway: JudgedGateway): boolean {
 	const {disturbances} = gateway;
--- a/bench/soak/judge-stops.ts
+++ b/bench/soak/judge-stops.ts
@@ -47,6 +47,7 @@
 function getLeavingTime(stopAt: number, {disturbances, leavingTimes}: StoppedGateway): number {
 	const isOfStop = (at: number) => at >= stopAt && at <= stopAt + gateways.stopGraceMilliseconds;
 	// A process that stands still notices nothing.
-	const reactsUntil = disturbances.some(({kind, at}) => kind === 'SIGSTOP' && at >= stopAt - gateways.stopGraceMilliseconds && at <= stopAt + reactionMilliseconds) ? Number.POSITIVE_INFINITY : stopAt + reactionMilliseconds;
+	const standsStill = disturbances.some(({kind, at}) => kind === 'SIGSTOP' && at >= stopAt - gateways.stopGraceMilliseconds && at <= stopAt + reactionMilliseconds);
+	const reactsUntil = standsStill ? Number.POSITIVE_INFINITY : stopAt + reactionMilliseconds;
 	return Math.min(reactsUntil, leavingTimes.find(at => isOfStop(at)) ?? Number.POSITIVE_INFINITY);
 }
