Let an entry that read the copy first take over what others remember

What callers saw: requests that an entry which started after a return of the store sent to an upstream that all others knew to be gone, or that drained, until it was written again.

Cause: such an entry has a position in the new era from the copy. The others' news name only what was written after that position, and what differs from the copy was written before the return: removals, draining, evacuations. So a late answer of a seed changed nothing.

Change: an entry whose registry was listed by a copy says so with its position; one that remembers an earlier era, and has come as far, answers with all of its registry and its evacuations, once, and they are merged (docs/design/store-era.md). A follower that enters an era by the set of an entry that remembers nothing merges it as it does a copy's.

--- a/src/decisions/registry/evacuations.ts
+++ b/src/decisions/registry/evacuations.ts
@@ -6,7 +6,8 @@
 if the set stays the same: another entry may have a set that this one never had.
 
 The newest records in a later era may come from an older copy of the store. A domain about which a record was received in an
-earlier era stays evacuated or restored until a record about it is written.
+earlier era stays evacuated or restored until a record about it is written. An entry that remembers no earlier era takes over
+the set of one that does at the same position, too.
 */
 import * as positions from './positions.ts';
 
@@ -21,6 +22,8 @@
 	/** Position up to which the set contains all records; -1 before the first read. */
 	readonly version: number;
 	readonly failureDomains: readonly string[];
+	/** Whether the sender has known an earlier era, or has taken over what an entry remembers that has. */
+	readonly remembersEarlier: boolean;
 };
 
 /** Evacuations as an entry last received them. Functions that change the set return whether they did. */
@@ -29,7 +32,7 @@
 	applyRecords(records: readonly EvacuationRecord[], endPosition: positions.Position): boolean;
 	/** Applies the newest record of each failure domain, which contain all changes up to a position. */
 	applySnapshot(records: readonly EvacuationRecord[], position: positions.Position): boolean;
-	/** Applies the set of another entry if it is newer. */
+	/** Applies the set of another entry if it is newer, or remembers more. */
 	applySet(set: EvacuationSet): boolean;
 	isEvacuated(failureDomain: string): boolean;
 	getSet(): EvacuationSet;
@@ -44,8 +47,10 @@
 	let failureDomains: ReadonlySet<string> = new Set();
 	let position = positions.initialPosition;
 	let changedPosition = positions.initialPosition;
+	let remembersEarlier = false;
 
 	function replace(next: ReadonlySet<string>, nextPosition: positions.Position): boolean {
+		remembersEarlier ||= position.offset >= 0 && nextPosition.era > position.era;
 		position = nextPosition;
 		const isChanged = next.size !== failureDomains.size || [...next].some(failureDomain => !failureDomains.has(failureDomain));
 		if (isChanged) {
@@ -93,12 +98,22 @@
 			recordListed(new Set(evacuated.map(({failureDomain}) => failureDomain)), nextPosition.era);
 			return replace(listEvacuated(), nextPosition);
 		},
-		applySet({era, version, failureDomains: next}) {
+		applySet({era, version, failureDomains: next, remembersEarlier: isRemembered}) {
 			const nextPosition = {era, offset: version};
-			if (!positions.isLater(nextPosition, position)) {
+			const isNewer = positions.isLater(nextPosition, position);
+			const completes = isRemembered && !remembersEarlier && !positions.isLater(position, nextPosition);
+			if (!isNewer && !completes) {
 				return false;
 			}
 
+			// An entry that has only read a copy knows no more than it lists.
+			if (!isRemembered && era > position.era && position.offset >= 0) {
+				recordListed(new Set(next), era);
+				return replace(listEvacuated(), nextPosition);
+			}
+
+			remembersEarlier ||= isRemembered;
+
 			for (const failureDomain of failureDomains) {
 				known.set(failureDomain, {kind: 'restored', era});
 			}
@@ -107,7 +122,9 @@
 			return replace(new Set(next), nextPosition);
 		},
 		isEvacuated: failureDomain => failureDomains.has(failureDomain),
-		getSet: () => ({era: position.era, version: position.offset, failureDomains: [...failureDomains].toSorted()}),
+		getSet: () => ({
+			era: position.era, version: position.offset, failureDomains: [...failureDomains].toSorted(), remembersEarlier,
+		}),
 		getChangedPosition: () => changedPosition,
 	};
 }
--- a/src/decisions/registry/upstream-registry.ts
+++ b/src/decisions/registry/upstream-registry.ts
@@ -11,8 +11,14 @@
 A snapshot or update of a later era may come from a copy of the store that is older than what this registry has applied.
 It doesn't bring back what was draining or removed, and what it lacks is held back like a removal. Records read after
 the snapshot were written in the new era.
+
+A registry that was first listed by such a copy remembers nothing of earlier eras. It merges all of the registry of an entry
+that does, once, if that is up to the end of the copy or later.
 */
+import * as addressOwners from './address-owners.ts';
 import * as positions from './positions.ts';
+import * as registrationClass from './registration-class.ts';
+import type * as registryChanges from './registry-changes.ts';
 import * as removedUpstreams from './removed-upstreams.ts';
 import type * as types from './types.ts';
 
@@ -25,35 +31,8 @@
 	readonly removalDueAt: number | undefined;
 	/** Era in which the registry has received the record or its removal. */
 	readonly era: number;
-};
-
-type RegisteredChange = {
-	readonly kind: 'registered';
-	readonly registration: types.Registration;
-	/** Time until a removal that is held back takes effect. */
-	readonly removalDueInMilliseconds?: number | undefined;
-};
-
-/** Change of one upstream, sent to a reader at an earlier position. */
-export type RegistryChange
-	= | RegisteredChange
-		| {readonly kind: 'removed'; readonly id: string};
-
-/** Changes between the position of a reader and the position of this registry. */
-export type RegistryUpdate = {
-	readonly era: number;
-	/** Position of the reader after the update. */
-	readonly position: number;
-	/** Whether `changes` contains all upstreams and replaces the reader's registry. */
-	readonly isComplete: boolean;
-	readonly changes: readonly RegistryChange[];
-};
-
-/** Material change of one upstream caused by applied records. `lapsed` means that its removal is held back, `renewed` that it has registered again in time. */
-export type RegistryEvent = {
-	readonly kind: 'joined' | 'restarted' | 'changed' | 'draining' | 'lapsed' | 'renewed' | 'removed';
-	readonly id: string;
-	readonly registration: types.Registration;
+	/** Position up to which the log contains the latest record; unlike `changedAt`, that of a heartbeat too. */
+	readonly receivedAt: number;
 };
 
 export type UpstreamRegistry = {
@@ -66,19 +45,21 @@
 	log moved through the range, and contain all changes up to its start. Ignored if the start is behind the current
 	position, or its era before the current one. Removals of ready upstreams are held back until `removalsDueAt`, if given.
 	*/
-	applySnapshot(range: positions.PositionRange, records: readonly types.RegistryRecord[], removalsDueAt?: number): readonly RegistryEvent[];
+	applySnapshot(range: positions.PositionRange, records: readonly types.RegistryRecord[], removalsDueAt?: number): readonly registryChanges.RegistryEvent[];
 	/** Applies the records of a range in their order. Ignored unless the range starts at the current position. Removals are held back as by `applySnapshot`. */
-	applyRecords(range: positions.PositionRange, records: readonly types.RegistryRecord[], removalsDueAt?: number): readonly RegistryEvent[];
+	applyRecords(range: positions.PositionRange, records: readonly types.RegistryRecord[], removalsDueAt?: number): readonly registryChanges.RegistryEvent[];
 	/** Applies an update from another entry. Ignored unless its position is ahead of the current one. Ready upstreams that an update of a later era lacks are held back until `removalsDueAt`, if given. */
-	applyUpdate(update: RegistryUpdate, now: number, removalsDueAt?: number): readonly RegistryEvent[];
+	applyUpdate(update: registryChanges.RegistryUpdate, now: number, removalsDueAt?: number): readonly registryChanges.RegistryEvent[];
 	/** Applies the removals that were held back until `confirmedAt`, up to which all records were received. */
-	applyDueRemovals(confirmedAt: number): readonly RegistryEvent[];
+	applyDueRemovals(confirmedAt: number): readonly registryChanges.RegistryEvent[];
 	/** Holds back the removals that are not applied yet at least until a time. */
 	extendHolds(dueAt: number): void;
 	/** Gets the earliest time at which a removal is due; undefined if none is held back. */
 	getNextRemovalAt(): number | undefined;
 	/** Gets the changes after the position of a reader. */
-	getUpdate(since: positions.Position, now: number): RegistryUpdate;
+	getUpdate(since: positions.Position, now: number): registryChanges.RegistryUpdate;
+	/** Gets the position from which on an update of an entry that remembers earlier eras completes this registry, which has been listed by a copy; undefined if this one remembers them too. */
+	getUnsharedPosition(): number | undefined;
 	/** Gets the number of removed upstreams that are remembered. */
 	countRemoved(): number;
 	get(id: string): types.Registration | undefined;
@@ -98,23 +79,27 @@
 	let revision = 0;
 	/** Oldest reader position for which an incremental update is possible: removals before a snapshot may be unknown. */
 	let oldestIncrementalPosition = -1;
+	let remembersEarlier = false;
+	/** End of the log when it was listed, or the position of the complete update that took its place. */
+	let listedUntil = -1;
 
 	/** Lets the positions of the previous era go. Whoever is still in that era needs a complete update. */
 	function enterEra(next: number): void {
 		era = next;
+		remembersEarlier ||= position >= 0;
 		removals.clear();
 		for (const [id, upstream] of upstreams) {
-			upstreams.set(id, {...upstream, changedAt: -1});
+			upstreams.set(id, {...upstream, changedAt: -1, receivedAt: -1});
 		}
 	}
 
-	function applyRegistration(registration: types.Registration, at: number): RegistryEvent | undefined {
-		const event = classifyRecord(upstreams.get(registration.id), registration);
+	function applyRegistration(registration: types.Registration, at: number): registryChanges.RegistryEvent | undefined {
+		const event = registrationClass.classifyRecord(upstreams.get(registration.id), registration);
 		return event === 'outdated' ? undefined : storeRegistration(registration, event, at);
 	}
 
 	/** Applies a record that was read after the snapshot of this era. */
-	function applyWrittenRegistration(registration: types.Registration, at: number): RegistryEvent | undefined {
+	function applyWrittenRegistration(registration: types.Registration, at: number): registryChanges.RegistryEvent | undefined {
 		return !upstreams.has(registration.id) && removed.isRepeated(registration, era) ? undefined : applyRegistration(registration, at);
 	}
 
@@ -126,27 +111,18 @@
 			: removed.mayPrecedeRemoval(registration, era);
 	}
 
-	/** Leaves out registrations of unknown upstreams whose address belongs to one that started later. */
-	function dropFormerOwners(registrations: readonly types.Registration[]): readonly types.Registration[] {
-		const owners = new Map([...upstreams.values()].map(({registration}) => [registration.address, registration]));
-		return registrations.filter(({id, address, incarnation}) => {
-			const owner = owners.get(address);
-			return upstreams.has(id) || owner === undefined || owner.incarnation <= incarnation;
-		});
-	}
-
-	function storeRegistration(registration: types.Registration, event: RegistrationClass, at: number, removalDueAt?: number): RegistryEvent | undefined {
+	function storeRegistration(registration: types.Registration, event: registrationClass.RegistrationClass, at: number, removalDueAt?: number): registryChanges.RegistryEvent | undefined {
 		const {id} = registration;
 		const changedAt = event === 'heartbeat' ? upstreams.get(id)!.changedAt : at;
 		upstreams.set(id, {
-			registration, changedAt, removalDueAt, era,
+			registration, changedAt, removalDueAt, era, receivedAt: at,
 		});
 		removals.delete(id);
 		removed.delete(id);
 		return event === 'heartbeat' ? undefined : {kind: event, id, registration};
 	}
 
-	function applyRemoval(id: string, at: number, dueAt?: number): RegistryEvent | undefined {
+	function applyRemoval(id: string, at: number, dueAt?: number): registryChanges.RegistryEvent | undefined {
 		const current = upstreams.get(id);
 		if (current && dueAt !== undefined && current.registration.state === 'ready') {
 			return holdRemoval(current, at, dueAt);
@@ -164,19 +140,19 @@
 		return current && {kind: 'removed', id, registration: current.registration};
 	}
 
-	function holdRemoval({registration, removalDueAt}: RegisteredUpstream, at: number, dueAt: number): RegistryEvent | undefined {
+	function holdRemoval({registration, removalDueAt}: RegisteredUpstream, at: number, dueAt: number): registryChanges.RegistryEvent | undefined {
 		if (removalDueAt !== undefined) {
 			return undefined;
 		}
 
 		const {id} = registration;
 		upstreams.set(id, {
-			registration, changedAt: at, removalDueAt: dueAt, era,
+			registration, changedAt: at, removalDueAt: dueAt, era, receivedAt: at,
 		});
 		return {kind: 'lapsed', id, registration};
 	}
 
-	function applyRecord(record: types.RegistryRecord, at: number, removalsDueAt: number | undefined): RegistryEvent | undefined {
+	function applyRecord(record: types.RegistryRecord, at: number, removalsDueAt: number | undefined): registryChanges.RegistryEvent | undefined {
 		switch (record.kind) {
 			case 'registered': {
 				return applyWrittenRegistration(record.registration, at);
@@ -192,12 +168,12 @@
 		}
 	}
 
-	function applyChange(change: RegistryChange, at: number, now: number): RegistryEvent | undefined {
+	function applyChange(change: registryChanges.RegistryChange, at: number, now: number): registryChanges.RegistryEvent | undefined {
 		switch (change.kind) {
 			case 'registered': {
 				const {registration, removalDueInMilliseconds} = change;
 				const removalDueAt = removalDueInMilliseconds === undefined ? undefined : now + removalDueInMilliseconds;
-				return storeRegistration(registration, classifyChange(upstreams.get(registration.id), registration, removalDueAt), at, removalDueAt);
+				return storeRegistration(registration, registrationClass.classifyChange(upstreams.get(registration.id), registration, removalDueAt), at, removalDueAt);
 			}
 
 			case 'removed': {
@@ -207,35 +183,28 @@
 	}
 
 	/** Whether a change in this era may come from an entry that has the upstream from an older copy. A single change without a hold follows from a record of this era. */
-	function mayBringBack(change: RegistryChange, {isComplete}: RegistryUpdate): boolean {
+	function mayBringBack(change: registryChanges.RegistryChange, {isComplete}: registryChanges.RegistryUpdate): boolean {
 		return change.kind === 'registered' && !upstreams.has(change.registration.id)
 			&& (isComplete || change.removalDueInMilliseconds !== undefined) && removed.mayPrecedeRemoval(change.registration, era);
 	}
 
 	/** Applies a change in a later era. A removal that the other entry holds back must be held back here too, since only its end is passed on. */
-	function applyLaterChange(change: RegisteredChange, now: number): RegistryEvent | undefined {
+	function applyLaterChange(change: registryChanges.RegisteredChange, now: number): registryChanges.RegistryEvent | undefined {
 		const {registration, removalDueInMilliseconds} = change;
 		const current = upstreams.get(registration.id);
-		if (!current || classifyRecord(current, registration) !== 'outdated') {
+		if (!current || registrationClass.classifyRecord(current, registration) !== 'outdated') {
 			return applyChange(change, position, now);
 		}
 
 		return removalDueInMilliseconds !== undefined && current.registration.state === 'ready' ? holdRemoval(current, position, now + removalDueInMilliseconds) : undefined;
 	}
 
-	/** Applies the removals that are held back if the address has a new owner, which proves that the upstream is gone. */
-	function removeFormerOwners(at: number): ReadonlyArray<RegistryEvent | undefined> {
-		const registrations = [...upstreams.values()];
-		const held = registrations.filter(({removalDueAt}) => removalDueAt !== undefined);
-		return held
-			.filter(({registration: {address, incarnation}}) => registrations.some(({registration}) => registration.address === address && registration.incarnation > incarnation))
-			.map(({registration}) => applyRemoval(registration.id, at));
-	}
+	const removeFormerOwners = (at: number): ReadonlyArray<registryChanges.RegistryEvent | undefined> => addressOwners.listFormerOwners(upstreams).map(id => applyRemoval(id, at));
 
 	/** Merges the upstreams of an entry that has entered a later era; what this registry remembers of them stands. */
-	function applyLaterEra({changes}: RegistryUpdate, now: number, removalsDueAt: number | undefined): ReadonlyArray<RegistryEvent | undefined> {
+	function applyLaterEra({changes}: registryChanges.RegistryUpdate, now: number, removalsDueAt: number | undefined): ReadonlyArray<registryChanges.RegistryEvent | undefined> {
 		const registered = changes.filter(change => change.kind === 'registered');
-		const accepted = new Set(dropFormerOwners(registered.map(({registration}) => registration)));
+		const accepted = new Set(addressOwners.dropFormerOwners(upstreams, registered.map(({registration}) => registration)));
 		return [
 			...removeOthers(new Set(registered.map(({registration}) => registration.id)), position, removalsDueAt),
 			...registered.map(change => accepted.has(change.registration) && !mayPrecedeRemoval(change.registration) ? applyLaterChange(change, now) : undefined),
@@ -243,6 +212,46 @@
 		];
 	}
 
+	const canApplyMemory = (update: registryChanges.RegistryUpdate) => position >= 0 && !remembersEarlier
+		&& update.remembersEarlier && update.isComplete && update.era === era && update.position >= listedUntil;
+
+	/** Takes over what another entry remembers of earlier eras; what this registry has received after the update stands. */
+	function applyMemory(update: registryChanges.RegistryUpdate, now: number): ReadonlyArray<registryChanges.RegistryEvent | undefined> {
+		remembersEarlier = true;
+		if (update.position > position) {
+			({position} = update);
+			oldestIncrementalPosition = position;
+		}
+
+		const registered = update.changes.filter(change => change.kind === 'registered');
+		const registeredIds = new Set(registered.map(({registration}) => registration.id));
+		const accepted = new Set(addressOwners.dropFormerOwners(upstreams, registered.map(({registration}) => registration)));
+		const gone = [...upstreams].filter(([id, {receivedAt}]) => receivedAt <= update.position && !registeredIds.has(id));
+		return [
+			...gone.map(([id, {registration}]) => {
+				const event = applyRemoval(id, position);
+				removed.add({registration, era: positions.initialPosition.era});
+				return event;
+			}),
+			...registered.map(change => accepted.has(change.registration) ? applyRemembered(change, update.position, now) : undefined),
+			...removeFormerOwners(position),
+		];
+	}
+
+	function applyRemembered(change: registryChanges.RegisteredChange, rememberedUntil: number, now: number): registryChanges.RegistryEvent | undefined {
+		const {id} = change.registration;
+		const current = upstreams.get(id);
+		if (!current) {
+			return (removals.get(id) ?? -1) > rememberedUntil ? undefined : applyLaterChange(change, now);
+		}
+
+		if (current.receivedAt <= rememberedUntil) {
+			return applyLaterChange(change, now);
+		}
+
+		return current.removalDueAt === undefined ? applyLaterChange({...change, removalDueInMilliseconds: undefined}, now) : undefined;
+	}
+
 	function discardOldRemovals(): void {
 		for (const [id, at] of removals) {
 			if (removals.size <= retainedRemovals) {
@@ -254,13 +263,14 @@
 		}
 	}
 
-	function removeOthers(keptIds: ReadonlySet<string>, at: number, dueAt?: number): ReadonlyArray<RegistryEvent | undefined> {
+	function removeOthers(keptIds: ReadonlySet<string>, at: number, dueAt?: number): ReadonlyArray<registryChanges.RegistryEvent | undefined> {
 		return [...upstreams.keys()].filter(id => !keptIds.has(id)).map(id => applyRemoval(id, at, dueAt));
 	}
 
 	return {
 		getPosition: () => ({era, offset: position}),
 		getRevision: () => revision,
+		getUnsharedPosition: () => remembersEarlier || position < 0 ? undefined : listedUntil,
 		countRemoved: removed.count,
 		applySnapshot({era: nextEra, from, to}, records, removalsDueAt) {
 			if (positions.isLater({era, offset: position}, {era: nextEra, offset: from})) {
@@ -274,9 +284,10 @@
 			position = from;
 			revision++;
 			oldestIncrementalPosition = to;
+			listedUntil = to;
 			const keptIds = new Set(records.flatMap(record => record.kind === 'removed' ? [] : [record.id]));
 			const registrations = records.flatMap(record => record.kind === 'registered' ? [record.registration] : []);
-			const accepted = dropFormerOwners(registrations);
+			const accepted = addressOwners.dropFormerOwners(upstreams, registrations);
 			return [
 				...removeOthers(keptIds, to, removalsDueAt),
 				...accepted.map(registration => mayPrecedeRemoval(registration) ? undefined : applyRegistration(registration, to)),
@@ -295,6 +306,11 @@
 		},
 		applyUpdate(update, now, removalsDueAt) {
 			const isLaterEra = update.era > era;
+			if (canApplyMemory(update)) {
+				revision++;
+				return applyMemory(update, now).filter(event => event !== undefined);
+			}
+
 			if (!positions.isLater({era: update.era, offset: update.position}, {era, offset: position}) || (isLaterEra && !update.isComplete)) {
 				return [];
 			}
@@ -308,6 +324,8 @@
 			revision++;
 			if (update.isComplete) {
 				oldestIncrementalPosition = position;
+				listedUntil = position;
+				remembersEarlier ||= update.remembersEarlier;
 			}
 
 			if (isLaterEra && !isFirst) {
@@ -350,49 +368,10 @@
 				? []
 				: [...removals].filter(([, at]) => at > since.offset).map(([id]) => ({kind: 'removed' as const, id}));
 			return {
-				era, position, isComplete, changes: [...removedChanges, ...registered],
+				era, position, isComplete, remembersEarlier, changes: [...removedChanges, ...registered],
 			};
 		},
 		get: id => upstreams.get(id)?.registration,
 		list: () => [...upstreams.values()].map(({registration}) => registration),
 	};
 }
-
-type RegistrationClass = RegistryEvent['kind'] | 'heartbeat';
-
-/** Classifies a record of the store, which may be older than the current registration unless that was removed. */
-function classifyRecord(current: RegisteredUpstream | undefined, next: types.Registration): RegistrationClass | 'outdated' {
-	if (!current || current.removalDueAt !== undefined) {
-		return classifyChange(current, next, undefined);
-	}
-
-	const {incarnation, sequence, state} = current.registration;
-	const isOutdated = next.incarnation === incarnation
-		? next.sequence < sequence || (state === 'draining' && next.state === 'ready')
-		: next.incarnation < incarnation;
-	return isOutdated ? 'outdated' : classifyChange(current, next, undefined);
-}
-
-/** Classifies a registration that is newer than the current one. */
-function classifyChange(current: RegisteredUpstream | undefined, next: types.Registration, removalDueAt: number | undefined): RegistrationClass {
-	if (!current) {
-		return 'joined';
-	}
-
-	const {registration} = current;
-	if (next.incarnation !== registration.incarnation) {
-		return 'restarted';
-	}
-
-	if (next.state !== registration.state) {
-		return next.state === 'draining' ? 'draining' : 'changed';
-	}
-
-	if ((removalDueAt === undefined) !== (current.removalDueAt === undefined)) {
-		return removalDueAt === undefined ? 'renewed' : 'lapsed';
-	}
-
-	const isCooler = next.warmUpMilliseconds > registration.warmUpMilliseconds;
-	const isSame = !isCooler && next.address === registration.address && next.service === registration.service && next.slots === registration.slots && next.failureDomain === registration.failureDomain;
-	return isSame ? 'heartbeat' : 'changed';
-}
--- a/src/gateway/follower-updates.ts
+++ b/src/gateway/follower-updates.ts
@@ -6,6 +6,7 @@
 of the registry from one position to another are the same for all followers at that position.
 */
 import * as positions from '../decisions/registry/positions.ts';
+import type * as registryChanges from '../decisions/registry/registry-changes.ts';
 import type * as upstreamRegistry from '../decisions/registry/upstream-registry.ts';
 import type * as memberList from '../decisions/sharing/member-list.ts';
 import type * as sharing from '../decisions/sharing/types.ts';
@@ -20,8 +21,11 @@
 
 /** Updates for followers. */
 export type FollowerUpdates = {
-	/** Gets the changes of the registry after a position; undefined if there is no later position. */
-	getRegistryUpdate(since: positions.Position): upstreamRegistry.RegistryUpdate | undefined;
+	/**
+	Gets the changes of the registry after a position; undefined if there is no later position. A follower that remembers no
+	earlier era states an unshared position: it gets all of the registry if this one remembers one and has come so far.
+	*/
+	getRegistryUpdate(since: positions.Position, unsharedPosition?: number): registryChanges.RegistryUpdate | undefined;
 	/** Gets the changes of the member list after a revision; all members for -1. */
 	getMemberUpdate(since: number): sharing.MemberUpdate;
 };
@@ -36,16 +40,16 @@
 /** Creates the updates of an entry. */
 export function createFollowerUpdates(host: FollowerUpdatesHost): FollowerUpdates {
 	const {registry} = host;
-	let completeRegistry: Complete<upstreamRegistry.RegistryUpdate> | undefined;
-	let eraRegistry: Complete<upstreamRegistry.RegistryUpdate> | undefined;
+	let completeRegistry: Complete<registryChanges.RegistryUpdate> | undefined;
+	let eraRegistry: Complete<registryChanges.RegistryUpdate> | undefined;
 	let completeMembers: Complete<sharing.MemberUpdate> & {readonly ownRevision: number} | undefined;
-	let incremental = {revision: -1, updates: new Map<number, upstreamRegistry.RegistryUpdate>()};
+	let incremental = {revision: -1, updates: new Map<number, registryChanges.RegistryUpdate>()};
 
 	const isRecent = ({madeAt}: {readonly madeAt: number}, now: number) => now - madeAt <= reuseMilliseconds;
 
-	const isCurrentEra = ({update}: Complete<upstreamRegistry.RegistryUpdate>) => update.era === registry.getPosition().era;
+	const isCurrentEra = ({update}: Complete<registryChanges.RegistryUpdate>) => update.era === registry.getPosition().era;
 
-	function findReusable(since: number, now: number): upstreamRegistry.RegistryUpdate | undefined {
+	function findReusable(since: number, now: number): registryChanges.RegistryUpdate | undefined {
 		if (since < 0) {
 			return completeRegistry && isCurrentEra(completeRegistry) && isRecent(completeRegistry, now) ? completeRegistry.update : undefined;
 		}
@@ -53,7 +57,7 @@
 		return incremental.revision === registry.getRevision() ? incremental.updates.get(since) : undefined;
 	}
 
-	function keep(since: number, update: upstreamRegistry.RegistryUpdate, now: number): void {
+	function keep(since: number, update: registryChanges.RegistryUpdate, now: number): void {
 		if (since < 0) {
 			completeRegistry = {update, madeAt: now};
 			return;
@@ -67,7 +71,7 @@
 		incremental.updates.set(since, update);
 	}
 
-	function createRegistryUpdate(since: number): upstreamRegistry.RegistryUpdate {
+	function createRegistryUpdate(since: number): registryChanges.RegistryUpdate {
 		const now = host.getNow();
 		const position = {era: registry.getPosition().era, offset: since};
 		// The time until a removal that is held back depends on the present time.
@@ -88,7 +92,7 @@
 	}
 
 	/** Gets all of the registry for a follower whose position belongs to an earlier era. */
-	function getEraUpdate(since: positions.Position): upstreamRegistry.RegistryUpdate {
+	function getEraUpdate(since: positions.Position): registryChanges.RegistryUpdate {
 		const now = host.getNow();
 		if (!eraRegistry || !isCurrentEra(eraRegistry) || now - eraRegistry.madeAt > eraReuseMilliseconds) {
 			eraRegistry = {update: registry.getUpdate(since, now), madeAt: now};
@@ -97,9 +101,20 @@
 		return eraRegistry.update;
 	}
 
+	/** Gets all of the registry for a follower that a copy of the store has told what this entry knows better. */
+	function getMemoryUpdate(unsharedPosition: number): registryChanges.RegistryUpdate | undefined {
+		const update = createRegistryUpdate(-1);
+		return update.remembersEarlier && update.position >= unsharedPosition ? update : undefined;
+	}
+
 	return {
-		getRegistryUpdate(since) {
+		getRegistryUpdate(since, unsharedPosition) {
 			const position = registry.getPosition();
+			const memory = unsharedPosition === undefined || since.era !== position.era ? undefined : getMemoryUpdate(unsharedPosition);
+			if (memory) {
+				return memory;
+			}
+
 			if (!positions.isLater(position, since)) {
 				return undefined;
 			}
--- a/src/gateway/platform-state.ts
+++ b/src/gateway/platform-state.ts
@@ -3,6 +3,7 @@
 import * as workspaceKeys from '../decisions/configuration/workspace-keys.ts';
 import type * as configuration from '../decisions/configuration/types.ts';
 import * as evacuationsModule from '../decisions/registry/evacuations.ts';
+import type * as registryChanges from '../decisions/registry/registry-changes.ts';
 import * as upstreamRegistry from '../decisions/registry/upstream-registry.ts';
 import {type Logger} from '../observability/logger.ts';
 
@@ -15,7 +16,7 @@
 	/** Present time in milliseconds of a monotonic clock. */
 	getNow(): number;
 	onConfiguration(next: configuration.Configuration): void;
-	onUpstreams(events: readonly upstreamRegistry.RegistryEvent[], origin: UpdateOrigin): void;
+	onUpstreams(events: readonly registryChanges.RegistryEvent[], origin: UpdateOrigin): void;
 	/** The set of evacuated failure domains has changed. */
 	onEvacuations(): void;
 };
@@ -47,7 +48,7 @@
 	*/
 	applyConfiguration(next: configuration.Configuration, era: number, origin: UpdateOrigin): void;
 	/** Logs changes that were already applied to the registry, and notifies the host and all waiters. */
-	handleRegistryEvents(events: readonly upstreamRegistry.RegistryEvent[], origin: UpdateOrigin): void;
+	handleRegistryEvents(events: readonly registryChanges.RegistryEvent[], origin: UpdateOrigin): void;
 	/** Logs a change of the evacuated failure domains, and notifies the host and all waiters. */
 	handleEvacuationChange(origin: UpdateOrigin): void;
 	/** Records that everything published up to a time has been received and applied. Lets removals that were held back until then take effect. */
@@ -93,7 +94,7 @@
 		waiters.clear();
 	}
 
-	function handleRegistryEvents(events: readonly upstreamRegistry.RegistryEvent[], origin: UpdateOrigin): void {
+	function handleRegistryEvents(events: readonly registryChanges.RegistryEvent[], origin: UpdateOrigin): void {
 		if (events.length === 0) {
 			return;
 		}
--- a/src/gateway/store-era-cases.test.ts
+++ b/src/gateway/store-era-cases.test.ts
@@ -113,3 +113,31 @@
 	await read;
 	expect(listIds(state)).toEqual(['a', 'n', 'x']);
 });
+
+// Guards against an entry that starts after a return and reads the copy before it has heard of the others: their news no longer name what the copy takes back.
+test('an entry that has read the copy first takes over later what another one remembers', async () => {
+	const {store, state: peer, reader} = await startReader();
+	store.register(createRegistration('y', {address: '127.0.0.1:3'}));
+	await reader.readOnce();
+	const copy = store.getSizes();
+	store.remove('x');
+	store.register(createRegistration('y', {address: '127.0.0.1:3', sequence: 2, state: 'draining'}));
+	store.publish({kind: 'evacuated', failureDomain: 'there'});
+	await reader.readOnce();
+	loseAllBut(store, copy.registry);
+	await reader.readOnce();
+	const started = createState();
+	const startedReader = createReader(store.host, started);
+	await startedReader.readOnce();
+	expect(listIds(started)).toEqual(['a', 'x', 'y']);
+	storeReplay.follow(started, peer);
+	const getLearned = () => ({ids: listIds(started), state: started.registry.get('y')?.state, isEvacuated: started.evacuations.isEvacuated('there')});
+	const remembered = {ids: ['a', 'y'], state: 'draining', isEvacuated: true};
+	expect(getLearned()).toEqual(remembered);
+	store.register(createRegistration('x', {address: '127.0.0.1:2', sequence: 5}));
+	await startedReader.readOnce();
+	expect(getLearned()).toEqual(remembered);
+	store.register(createRegistration('x', {address: '127.0.0.1:2', sequence: 6}));
+	await startedReader.readOnce();
+	expect(listIds(started)).toEqual(['a', 'x', 'y']);
+});
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -8,7 +8,7 @@
 import type * as evacuations from '../decisions/registry/evacuations.ts';
 import * as positions from '../decisions/registry/positions.ts';
 import * as registry from '../decisions/registry/types.ts';
-import {type RegistryUpdate} from '../decisions/registry/upstream-registry.ts';
+import {type RegistryUpdate} from '../decisions/registry/registry-changes.ts';
 import {type Member, type MemberUpdate} from '../decisions/sharing/types.ts';
 import * as generated from '../generated/sharing_pb.ts';
 import * as compressedState from './compressed-state.ts';
@@ -27,8 +27,12 @@
 	readonly configurationEra: number | undefined;
 	/** Position of the follower in the registry. */
 	readonly registryPosition: FollowerPosition;
+	/** Position from which on all of the registry completes that of a follower that remembers no earlier era; undefined if it remembers one, and from entries of earlier versions. */
+	readonly unsharedPosition: number | undefined;
 	/** Position up to which the follower's set of evacuated failure domains is current. */
 	readonly evacuationsPosition: FollowerPosition;
+	/** Whether the follower remembers no evacuations of an earlier era; false from entries of earlier versions. */
+	readonly lacksEarlierEvacuations: boolean;
 	/** Incarnation of the entry that assigned `membersRevision`; empty for none. */
 	readonly membersSource: string;
 	/** Revision of the follower's member list; -1 for none. */
@@ -72,6 +76,8 @@
 	era: z.number().default(positions.initialPosition.era),
 	position: z.number(),
 	isComplete: z.boolean(),
+	/** Entries of earlier versions don't state it. */
+	remembersEarlier: z.boolean().default(false),
 	changes: z.array(z.discriminatedUnion('kind', [
 		z.object({kind: z.literal('registered'), registration: registry.registrationSchema, removalDueInMilliseconds: z.number().nonnegative().optional()}),
 		z.object({kind: z.literal('removed'), id: z.string()}),
@@ -174,6 +180,7 @@
 		configurationVersion: BigInt(request.configurationVersion),
 		registryPosition: BigInt(request.registryPosition.offset),
 		registryEra: request.registryPosition.era,
+		unsharedPosition: request.unsharedPosition === undefined ? undefined : BigInt(request.unsharedPosition),
 		evacuationsVersion: BigInt(request.evacuationsPosition.offset),
 		evacuationsEra: request.evacuationsPosition.era,
 		membersRevision: BigInt(request.membersRevision),
@@ -190,6 +197,8 @@
 		configurationVersion: Number(message.configurationVersion),
 		configurationEra: message.configurationEra,
 		registryPosition: {era: message.registryEra, offset: Number(message.registryPosition)},
+		unsharedPosition: message.unsharedPosition === undefined ? undefined : Number(message.unsharedPosition),
+		lacksEarlierEvacuations: message.lacksEarlierEvacuations,
 		evacuationsPosition: {era: message.evacuationsEra, offset: Number(message.evacuationsVersion)},
 		membersSource: message.membersSource,
 		membersRevision: Number(message.membersRevision),
@@ -239,7 +248,11 @@
 		...toConfigurationPart(update.configuration, isCompressed),
 		...toRegistryPart(update.registryUpdate, isCompressed),
 		...toMembersPart(update.memberUpdate, isCompressed),
-		...(update.evacuations && {evacuations: protobuf.create(generated.EvacuationSetSchema, {era: update.evacuations.era, version: BigInt(update.evacuations.version), failureDomains: [...update.evacuations.failureDomains]})}),
+		...(update.evacuations && {
+			evacuations: protobuf.create(generated.EvacuationSetSchema, {
+				era: update.evacuations.era, version: BigInt(update.evacuations.version), remembersEarlier: update.evacuations.remembersEarlier, failureDomains: [...update.evacuations.failureDomains],
+			}),
+		}),
 		membersSource: update.membersSource,
 		membersRevision: BigInt(update.memberUpdate.revision),
 		membersComplete: update.memberUpdate.isComplete,
@@ -270,7 +283,9 @@
 		configurationEra: message.configurationEra,
 		configuration: parseText(readText(message.configuration, message.compressedConfiguration), configuration.configurationSchema),
 		registryUpdate: parseText(readText(message.registryUpdate, message.compressedRegistryUpdate), registryUpdateSchema),
-		evacuations: message.evacuations && {era: message.evacuations.era, version: Number(message.evacuations.version), failureDomains: message.evacuations.failureDomains},
+		evacuations: message.evacuations && {
+			era: message.evacuations.era, version: Number(message.evacuations.version), remembersEarlier: message.evacuations.remembersEarlier, failureDomains: message.evacuations.failureDomains,
+		},
 		membersSource: message.membersSource,
 		memberUpdate: {
 			revision: Number(message.membersRevision),
--- a/stand-ins/store.ts
+++ b/stand-ins/store.ts
@@ -31,6 +31,8 @@
 	readonly lostMilliseconds: number;
 	/** Time after the return until the operator and the upstreams write again what they wrote last of each lost key. */
 	readonly rewriteMilliseconds: number;
+	/** Whether they do so; true by default. */
+	readonly isRewritten?: boolean;
 };
 
 /** Running store. */
@@ -120,7 +122,7 @@
 		return lost;
 	}
 
-	async function returnFromCopy({awayMilliseconds, lostMilliseconds, rewriteMilliseconds}: CopyReturn): Promise<void> {
+	async function returnFromCopy({awayMilliseconds, lostMilliseconds, rewriteMilliseconds, isRewritten = true}: CopyReturn): Promise<void> {
 		const since = performance.now() - lostMilliseconds;
 		isAway = true;
 		for (const socket of sockets) {
@@ -136,6 +138,10 @@
 		});
 		era++;
 		isAway = false;
+		if (!isRewritten) {
+			return;
+		}
+
 		await timers.setTimeout(rewriteMilliseconds);
 		for (const {name, topic, newest, end} of losses) {
 			const writtenKeys = new Set(topic.records.slice(end).map(({key}) => key));
