Tell an entry that starts which upstreams left last

What callers saw: requests to an upstream that all others knew to be gone, by an entry that started while the store was away.

It was then the only one whose reads hadn't failed, so it became the reader and was the first to see the copy. The copy listed an upstream that had left before its start. Its registry lacked it, but it had never known it, so nothing spoke against taking it from the copy.

Change: an entry's first registry from another one comes with the latest 64 removals. They rule out what a copy lists, as removals that the entry has seen itself do.

--- a/src/decisions/registry/registry-changes.ts
+++ b/src/decisions/registry/registry-changes.ts
@@ -1,5 +1,6 @@
 /** Changes of the registry as entries send them to each other, and as listeners hear of them. */
 import type * as registrationClass from './registration-class.ts';
+import type * as removedUpstreams from './removed-upstreams.ts';
 import type * as types from './types.ts';
 
 export type RegisteredChange = {
@@ -24,6 +25,8 @@
 	/** Whether the sender has known an earlier era, or has taken over what an entry remembers that has. */
 	readonly remembersEarlier: boolean;
 	readonly changes: readonly RegistryChange[];
+	/** Latest removals, for a reader that has known no upstream yet: a later era may list them. */
+	readonly latestRemovals: readonly removedUpstreams.RemovedUpstream[];
 };
 
 /** Material change of one upstream caused by applied records. */
--- a/src/decisions/registry/removed-upstreams.ts
+++ b/src/decisions/registry/removed-upstreams.ts
@@ -2,7 +2,7 @@
 import type * as types from './types.ts';
 
 /** A removed upstream and the era in which its last record was received. */
-type RemovedUpstream = {readonly registration: types.Registration; readonly era: number};
+export type RemovedUpstream = {readonly registration: types.Registration; readonly era: number};
 
 export type RemovedUpstreams = {
 	add(upstream: RemovedUpstream): void;
@@ -12,6 +12,8 @@
 	/** Whether a registration that was written in an era repeats what was known before the removal. */
 	isRepeated(registration: types.Registration, era: number): boolean;
 	count(): number;
+	/** Lists so many of the latest removals at most, the latest last. */
+	listLatest(maximumCount: number): readonly RemovedUpstream[];
 };
 
 /** Creates an empty memory of so many upstreams at most. */
@@ -57,5 +59,6 @@
 			return sequence <= previous.sequence || (previous.state === 'draining' && state === 'ready');
 		},
 		count: () => upstreams.size,
+		listLatest: maximumCount => [...upstreams.values()].slice(-maximumCount),
 	};
 }
--- a/src/decisions/registry/upstream-registry.ts
+++ b/src/decisions/registry/upstream-registry.ts
@@ -68,6 +68,8 @@
 
 /** Maximum number of removals that are retained for incremental updates; readers before the oldest one get a complete update. */
 const retainedRemovals = 512;
+/** Maximum number of removals that an entry learns of at its start: more than leave within a loss of some seconds. */
+const sharedRemovals = 64;
 
 /** Creates an empty registry. */
 export function createUpstreamRegistry(): UpstreamRegistry {
@@ -212,6 +214,12 @@
 		];
 	}
 
+	function rememberRemovals({latestRemovals}: registryChanges.RegistryUpdate): void {
+		for (const upstream of latestRemovals.filter(({registration}) => !upstreams.has(registration.id))) {
+			removed.add(upstream);
+		}
+	}
+
 	const canApplyMemory = (update: registryChanges.RegistryUpdate) => position >= 0 && !remembersEarlier
 		&& update.remembersEarlier && update.isComplete && update.era === era && update.position >= listedUntil;
 
@@ -225,6 +233,7 @@
 
 		const registered = update.changes.filter(change => change.kind === 'registered');
 		const registeredIds = new Set(registered.map(({registration}) => registration.id));
+		rememberRemovals(update);
 		const accepted = new Set(addressOwners.dropFormerOwners(upstreams, registered.map(({registration}) => registration)));
 		const gone = [...upstreams].filter(([id, {receivedAt}]) => receivedAt <= update.position && !registeredIds.has(id));
 		return [
@@ -328,6 +337,10 @@
 				remembersEarlier ||= update.remembersEarlier;
 			}
 
+			if (isFirst) {
+				rememberRemovals(update);
+			}
+
 			if (isLaterEra && !isFirst) {
 				return applyLaterEra(update, now, removalsDueAt).filter(event => event !== undefined);
 			}
@@ -368,7 +381,7 @@
 				? []
 				: [...removals].filter(([, at]) => at > since.offset).map(([id]) => ({kind: 'removed' as const, id}));
 			return {
-				era, position, isComplete, remembersEarlier, changes: [...removedChanges, ...registered],
+				era, position, isComplete, remembersEarlier, changes: [...removedChanges, ...registered], latestRemovals: since.offset < 0 ? removed.listLatest(sharedRemovals) : [],
 			};
 		},
 		get: id => upstreams.get(id)?.registration,
--- a/src/gateway/store-era-cases.test.ts
+++ b/src/gateway/store-era-cases.test.ts
@@ -141,3 +141,21 @@
 	await startedReader.readOnce();
 	expect(listIds(started)).toEqual(['a', 'x', 'y']);
 });
+
+// Guards against an entry that starts between a leaving and a loss, and is the first to read the copy.
+test('an entry that heard of the others before a loss keeps out what had left before its start', async () => {
+	const {store, state: peer, reader} = await startReader();
+	store.remove('x');
+	await reader.readOnce();
+	const started = createState();
+	storeReplay.follow(started, peer);
+	const startedReader = createReader(store.host, started);
+	loseAllBut(store, 2);
+	await startedReader.readOnce();
+	expect(listIds(started)).toEqual(['a']);
+	storeReplay.follow(peer, started);
+	expect(listIds(peer)).toEqual(['a']);
+	store.register(createRegistration('x', {address: '127.0.0.1:2', sequence: 6}));
+	await startedReader.readOnce();
+	expect(listIds(started)).toEqual(['a', 'x']);
+});
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -82,6 +82,8 @@
 		z.object({kind: z.literal('registered'), registration: registry.registrationSchema, removalDueInMilliseconds: z.number().nonnegative().optional()}),
 		z.object({kind: z.literal('removed'), id: z.string()}),
 	])),
+	/** Entries of earlier versions don't send them. */
+	latestRemovals: z.array(z.object({registration: registry.registrationSchema, era: z.number()})).default([]),
 });
 
 /** Ages are capped at this value, since larger ones carry no further information. */
