Trust no bound while a request runs for longer than all that ended

Seen by callers: of the idempotent requests that an entry took on during a stop soon after its start, those of long work were cut at its end.

Cause: a hundred requests that have ended were enough evidence, but soon after a start, or after a route was renamed, they are the short ones; the long ones still run, and twice their age was taken for a bound.

--- a/src/decisions/admission/work-bounds.ts
+++ b/src/decisions/admission/work-bounds.ts
@@ -2,7 +2,7 @@
 
 /** What was seen of one kind of work. */
 export type SeenWork = {
-	/** Number of requests that have ended. */
+	/** Number of requests that have ended; 0 while one runs for longer than all of them, since they are then the short ones. */
 	readonly requests: number;
 	/** Longest time for which one of them was at an upstream, or has been so far, in milliseconds. */
 	readonly longestMilliseconds: number;
@@ -79,9 +79,11 @@
 			const key = getKey(route, service);
 			const ended = [current, previous].flatMap(window => window.get(key) ?? []);
 			const [oldest] = running.get(key) ?? [];
+			const longestEndedMilliseconds = Math.max(0, ...ended.map(({longestMilliseconds}) => longestMilliseconds));
+			const oldestRunningMilliseconds = oldest ? now - oldest.sentAt : 0;
 			return {
-				requests: ended.reduce((sum, {requests}) => sum + requests, 0),
-				longestMilliseconds: Math.max(0, ...ended.map(({longestMilliseconds}) => longestMilliseconds), oldest ? now - oldest.sentAt : 0),
+				requests: oldestRunningMilliseconds > longestEndedMilliseconds ? 0 : ended.reduce((sum, {requests}) => sum + requests, 0),
+				longestMilliseconds: Math.max(longestEndedMilliseconds, oldestRunningMilliseconds),
 			};
 		},
 	};
