--- a/src/decisions/admission/work-bounds.ts
+++ b/src/decisions/admission/work-bounds.ts
@@ -2,7 +2,7 @@
 
 /** What was seen of one kind of work. */
 export type SeenWork = {
-	/** Number of requests whose work is known to have ended. */
+	/** Number of requests whose work is known to have ended; 0 while one runs for longer than all that have ended, since they are then the short ones. */
 	readonly finished: number;
 	/** Number of requests that were given up, so that their work may have lasted longer. */
 	readonly unfinished: number;
@@ -89,10 +89,12 @@
 			const key = getKey(route, service);
 			const ended = [current, previous].flatMap(window => window.get(key) ?? []);
 			const [oldest] = running.get(key) ?? [];
+			const longestEndedMilliseconds = Math.max(0, ...ended.map(({longestMilliseconds}) => longestMilliseconds));
+			const oldestRunningMilliseconds = oldest ? now - oldest.sentAt : 0;
 			return {
-				finished: ended.reduce((sum, {finished}) => sum + finished, 0),
+				finished: oldestRunningMilliseconds > longestEndedMilliseconds ? 0 : ended.reduce((sum, {finished}) => sum + finished, 0),
 				unfinished: ended.reduce((sum, {unfinished}) => sum + unfinished, 0),
-				longestMilliseconds: Math.max(0, ...ended.map(({longestMilliseconds}) => longestMilliseconds), oldest ? now - oldest.sentAt : 0),
+				longestMilliseconds: Math.max(longestEndedMilliseconds, oldestRunningMilliseconds),
 			};
 		},
 	};
