Ask only unsent calls whether a stop leaves time for them

A stop asked every 20 ms about every call, which computes what was seen of its route each time; most are at their upstreams and have nothing to be asked. No change of behaviour: 48 of 48 tests of the five files on stops and attempts pass in one run. The saving was not measured.

--- a/src/entry/service-runner.ts
+++ b/src/entry/service-runner.ts
@@ -18,7 +18,7 @@
 import {tryParseLoadHeader} from './load-report.ts';
 import {type ProblemKind, writeProblem} from './problem.ts';
 import {
-	type CallEnd, createRequestHeaders, createRunningCall, type ExecutionOptions, getCallEnd, getOutcome, getWaitingCall, type RunningCall,
+	type CallEnd, type CallPhase, createRequestHeaders, createRunningCall, type ExecutionOptions, getCallEnd, getOutcome, getWaitingCall, type RunningCall,
 } from './running-call.ts';
 
 /** Dependencies of a service runner. */
@@ -54,6 +54,8 @@
 	close(): void;
 };
 
+/** Phases in which nothing of an attempt has been sent. */
+const unsentPhases: ReadonlySet<CallPhase> = new Set<CallPhase>(['waiting', 'connecting']);
 const minimumTimerMilliseconds = 1;
 const refusedRetryAfterMilliseconds = 1000;
 const serviceUnavailableStatusCode = 503;
@@ -490,7 +492,7 @@
 		},
 		refuseUnsent() {
 			for (const state of runningCalls.values()) {
-				if (!host.canFinish(state.call)) {
+				if (unsentPhases.has(state.phase) && !host.canFinish(state.call)) {
 					refuseUnsent(state);
 				}
 			}
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -410,11 +410,11 @@
 
 	/** Gives up the attempts that have sent nothing; the call is answered if no other one runs. */
 	function refuseUnsent(): void {
-		if (isAnswered || mayStart()) {
+		const unsentAttempts = [...running].filter(attempt => !attempt.isSent());
+		if (isAnswered || unsentAttempts.length === 0 || mayStart()) {
 			return;
 		}
 
-		const unsentAttempts = [...running].filter(attempt => !attempt.isSent());
 		if (unsentAttempts.length === running.size && !cancelSelection) {
 			giveUp('stopping');
 			return;
