--- a/test/support/store-replay.ts
+++ b/test/support/store-replay.ts
@@ -118,7 +118,7 @@
 /** Lists the upstreams that an entry knows. */
 export const listIds = ({registry: {list}}: platformStates.PlatformState) => list().map(({id}) => id).toSorted((left, right) => left.localeCompare(right));
 
-const noMembers: followerUpdates.FollowerUpdatesHost['members'] = {
+export const noMembers: followerUpdates.FollowerUpdatesHost['members'] = {
 	getUpdate: () => ({
 		revision: 0, isComplete: true, members: [], removed: [],
 	}),
