--- a/src/gateway/running-calls.ts
+++ b/src/gateway/running-calls.ts
@@ -1,6 +1,6 @@
 /** Tracks the calls that hold anything: those that are not answered, and those that still have an attempt at an upstream. */
 import type * as logger from '../observability/logger.ts';
-import {type GatewayRequest} from './types.ts';
+import type * as types from './types.ts';
 
 /** Dependencies of the tracker. */
 export type RunningCallsHost = {
@@ -10,7 +10,7 @@
 };
 
 /** Properties of a request that are tracked. */
-export type TrackedRequest = Pick<GatewayRequest, 'id' | 'route' | 'service' | 'receivedAt' | 'deadlineAt'>;
+export type TrackedRequest = Pick<types.GatewayRequest, 'id' | 'route' | 'service' | 'receivedAt' | 'deadlineAt'>;
 
 /** Records the progress of one call. */
 export type CallProgress = {
--- a/src/peers/sharing-codec.ts
+++ b/src/peers/sharing-codec.ts
@@ -8,7 +8,7 @@
 import type * as evacuations from '../decisions/registry/evacuations.ts';
 import * as positions from '../decisions/registry/positions.ts';
 import * as registry from '../decisions/registry/types.ts';
-import {type RegistryUpdate} from '../decisions/registry/registry-changes.ts';
+import type * as registryChanges from '../decisions/registry/registry-changes.ts';
 import {type Member, type MemberUpdate} from '../decisions/sharing/types.ts';
 import * as generated from '../generated/sharing_pb.ts';
 import * as compressedState from './compressed-state.ts';
@@ -61,7 +61,7 @@
 	readonly configuration: configuration.Configuration | undefined;
 	/** Era in which `configuration` was received. */
 	readonly configurationEra: number | undefined;
-	readonly registryUpdate: RegistryUpdate | undefined;
+	readonly registryUpdate: registryChanges.RegistryUpdate | undefined;
 	/** Set of evacuated failure domains; undefined if the follower's is current. */
 	readonly evacuations: evacuations.EvacuationSet | undefined;
 	/** Incarnation of the responder. */
@@ -212,7 +212,7 @@
 }
 
 const configurationCompressor = compressedState.createStateCompressor<configuration.Configuration>(value => JSON.stringify(value));
-const registryCompressor = compressedState.createStateCompressor<RegistryUpdate>(value => JSON.stringify(value));
+const registryCompressor = compressedState.createStateCompressor<registryChanges.RegistryUpdate>(value => JSON.stringify(value));
 const membersCompressor = compressedState.createStateCompressor<readonly Member[]>(members => protobuf.toBinary(generated.MemberListSchema, protobuf.create(generated.MemberListSchema, {members: members.map(member => toMemberMessage(member))})));
 /** Number of routes, registrations or members from which on a part that many followers receive is compressed. */
 const compressedEntries = 16;
@@ -228,7 +228,7 @@
 	return isCompressed && value.routes.length >= compressedEntries ? {compressedConfiguration: configurationCompressor.compress(value)} : {configuration: JSON.stringify(value)};
 }
 
-function toRegistryPart(update: RegistryUpdate | undefined, isCompressed: boolean): LargeParts {
+function toRegistryPart(update: registryChanges.RegistryUpdate | undefined, isCompressed: boolean): LargeParts {
 	if (update === undefined) {
 		return {};
 	}
